--- /dev/null
+++ b/fennelwinch/adapter.py
@@ -0,0 +1,444 @@
+"""The simulator's wire on standard input and output, translated to the module's events and actions.
+
+Only translation: one `Gateway` for each instance, no decision. Malformed input ends the process with
+one line on standard error; an exception in the module is reported on the wire.
+"""
+
+import struct
+import sys
+from collections.abc import Iterable, Iterator
+from typing import TextIO
+
+from fennelwinch import interface as i
+from fennelwinch.rules import Gateway
+
+EFFECTS = {
+    "read_like": i.Effect.SAFE,
+    "idempotency_key": i.Effect.KEYED,
+    "non_idempotent": i.Effect.UNSAFE,
+}
+RESULTS = {
+    "served": i.Result.OK,
+    "server_error": i.Result.ERROR,
+    "turned_away": i.Result.FULL,
+    "no_answer": i.Result.TIMEOUT,
+    "no_connection": i.Result.CONNECT_FAILED,
+    "connection_lost": i.Result.RESET,
+    "called_off": i.Result.CANCELLED,
+    "not_sent": i.Result.MOOT,
+}
+STATES = {"U": i.ServerState.UP, "L": i.ServerState.DRAINING, "D": i.ServerState.GONE}
+LISTS = {
+    "snapshot": i.ListKind.FULL,
+    "disk": i.ListKind.SAVED,
+    "diff": i.ListKind.CHANGES,
+    "error": i.ListKind.FAILED,
+}
+REPORT_FIELDS = {
+    "busy_reqs": "inflight",
+    "pending": "queue",
+    "cpu_share": "util",
+    "svc_ms": "service_ms",
+    "served_ps": "served_per_s",
+    "failed_ps": "errors_per_s",
+}
+
+
+# A word between gateways; amounts in steps of 1 / UNIT.
+WORD = struct.Struct("!IBHHBhhhh")
+UNIT = 50
+MESSAGE_BYTES = 256
+
+
+class WireError(Exception):
+    """The input is not what the wire's page describes."""
+
+
+class Fields:
+    """The values of one line, taken in order."""
+
+    def __init__(self, parts: list[str]) -> None:
+        self.parts = parts
+        self.at = 0
+
+    def text(self) -> str:
+        if self.at >= len(self.parts) or self.parts[self.at] in ("", "-"):
+            raise WireError(f"field {self.at + 1} is missing")
+        self.at += 1
+        return self.parts[self.at - 1]
+
+    def given(self) -> bool:
+        """Whether an optional value comes next; an absent one is stepped over."""
+        if self.at >= len(self.parts):
+            return False
+        if self.parts[self.at] in ("", "-"):
+            self.at += 1
+            return False
+        return True
+
+    def whole(self, default: int | None = None) -> int:
+        if default is not None and not self.given():
+            return default
+        return int(self.text())
+
+    def number(self, default: float | None = None) -> float:
+        if default is not None and not self.given():
+            return default
+        return float(self.text())
+
+    def flag(self) -> bool:
+        word = self.text()
+        if word not in ("0", "1"):
+            raise WireError(f"'{word}' is not 0 or 1")
+        return word == "1"
+
+
+class Pairs:
+    """The path=value settings of an instance; unknown paths are never asked for."""
+
+    def __init__(self, parts: Iterable[str]) -> None:
+        self.values: dict[str, str] = {}
+        for part in parts:
+            path, sign, value = part.partition("=")
+            if not sign:
+                raise WireError(f"'{part}' is not path=value")
+            self.values[path] = value
+
+    def text(self, path: str, default: str = "") -> str:
+        value = self.values.get(path, "-")
+        return default if value == "-" else value
+
+    def number(self, path: str, default: float = 0.0) -> float:
+        return float(self.text(path, str(default)))
+
+    def whole(self, path: str, default: int = 0) -> int:
+        return int(self.number(path, default))
+
+    def flag(self, path: str) -> bool:
+        return self.text(path, "false") in ("true", "1")
+
+
+def read_class(pairs: Pairs, at: str) -> i.RequestClass:
+    return i.RequestClass(
+        aim_us=pairs.whole(f"{at}.on-time-us"),
+        deadline_us=pairs.whole(f"{at}.deadline-us"),
+        worth=pairs.number(f"{at}.points", 1.0),
+        late_worth=pairs.number(f"{at}.late-worth"),
+        effect=EFFECTS[pairs.text(f"{at}.idempotency", "read_like")],
+        group=i.Group(pairs.text(f"{at}.group", "all")),
+        window_us=pairs.whole(f"{at}.window-us"),
+        streamed=pairs.flag(f"{at}.streamed"),
+    )
+
+
+def read_plan(pairs: Pairs, at: str) -> i.Plan:
+    return i.Plan(
+        rate=pairs.number(f"{at}.units-per-s"),
+        burst=pairs.number(f"{at}.burst"),
+        max_out=pairs.whole(f"{at}.max-out"),
+        worth_factor=pairs.number(f"{at}.value-factor", 1.0),
+        over_worth=pairs.number(f"{at}.extra-worth"),
+        over_cost=pairs.number(f"{at}.overrun-cost"),
+        ceiling_rate=pairs.number(f"{at}.never-over-rate"),
+        ceiling_burst=pairs.number(f"{at}.hard-burst"),
+        ceiling_slack=pairs.number(f"{at}.hard-slack"),
+    )
+
+
+def read_settings(seed: int, pairs: Pairs) -> i.Settings:
+    classes = range(pairs.whole("categories.count"))
+    plans = range(pairs.whole("plans.count"))
+    return i.Settings(
+        seed=seed,
+        me=pairs.whole("me"),
+        gateways=pairs.whole("balancers", 1),
+        classes=tuple(read_class(pairs, f"categories.{n}") for n in classes),
+        plans=tuple(read_plan(pairs, f"plans.{n}") for n in plans),
+        zone=pairs.whole("zone"),
+        max_attempts=pairs.whole("ceilings.max-attempts", 1),
+        max_retry_after_us=(
+            pairs.whole("ceilings.max-retry-after-us") if pairs.flag("ceilings.retry-after") else 0
+        ),
+        parallel_tries=pairs.flag("ceilings.parallel-tries"),
+        may_probe=pairs.flag("ceilings.may-probe"),
+        may_cancel=pairs.flag("ceilings.may-cancel"),
+        may_tell=pairs.flag("ceilings.peers"),
+        may_count=pairs.flag("extra.counter"),
+        must_subscribe=pairs.text("registry-mode") == "subscribe",
+        trued_up=pairs.flag("extra.trued-up"),
+        peer_messages_per_s=pairs.number("extra.mail-per-s"),
+        cross_zone_price=pairs.number("prices.cross-zone"),
+        waste_price=pairs.number("prices.waste"),
+        late_fail_price=pairs.number("prices.late-fail"),
+        message_price=pairs.number("prices.peer"),
+        probe_price=pairs.number("prices.probe"),
+        answer_grace_us=pairs.whole("obligations.grace-to-answer-us"),
+        ask_within_us=pairs.whole("obligations.ask-within-us"),
+        cold_from=pairs.number("obligations.cold-from", 1.0),
+        warm_within_us=pairs.whole("obligations.warm-within-us"),
+        fall_multiple=pairs.number("obligations.fall-multiple", 1.0),
+        fall_us=pairs.whole("obligations.fall-us", 1),
+    )
+
+
+def read_report(fields: Fields, names: list[str]) -> i.LoadReport | None:
+    """A load report, its values found by their names; unknown names are skipped."""
+    if not fields.given():
+        return None
+    values = fields.text().split(",")
+    if len(values) > len(names):
+        raise WireError("the load report has more values than names")
+    found = {
+        REPORT_FIELDS[name]: float(value)
+        for name, value in zip(names, values, strict=False)
+        if name in REPORT_FIELDS and value not in ("", "-")
+    }
+    return i.LoadReport(**found)
+
+
+def read_server(line: str) -> i.Server:
+    name, *parts = line.split(" ")
+    if name != "M":
+        raise WireError("a list entry is missing")
+    fields = Fields(parts)
+    return i.Server(
+        name=fields.text(),
+        zone=fields.whole(),
+        kind=fields.whole(),
+        cell=fields.whole(),
+        state=STATES[fields.text()],
+        size=fields.number(1.0),
+        started_us=fields.whole(0),
+    )
+
+
+def read_request(fields: Fields) -> i.Request:
+    request_id, class_index = fields.text(), fields.whole()
+    plan_index = fields.whole(0)
+    customer = fields.text() if fields.given() else ""
+    left_us, units = fields.whole(), fields.number(1.0)
+    set_size, set_first = int(fields.number(1.0)), int(fields.number(0.0))
+    marks = fields.whole(0)
+    return i.Request(
+        request_id, class_index, plan_index, customer, left_us, units, max(1, set_size), set_first,
+        bool(marks & 2), bool(marks & 4),
+    )
+
+
+def read_outcome(fields: Fields, names: list[str]) -> i.Outcome:
+    return i.Outcome(
+        id=fields.text(),
+        over=fields.flag(),
+        attempt=fields.whole(),
+        server=fields.text(),
+        result=RESULTS[fields.text()],
+        latency_us=fields.whole(0),
+        used_percent=fields.whole(0),
+        true_units=fields.number(0.0),
+        report=read_report(fields, names),
+    )
+
+
+def pack_words(words: Iterable[i.Word]) -> list[bytes]:
+    """Messages between gateways, each as long as the wire allows."""
+    packed = [
+        WORD.pack(
+            word.customer, word.plan_index, word.set_first, word.set_size, word.is_answer,
+            *(max(-32768, min(32767, round(amount * UNIT)))
+              for amount in (word.demand, word.spent, word.asked, word.level)),
+        )
+        for word in words
+    ]
+    most = MESSAGE_BYTES // WORD.size
+    return [b"".join(packed[n : n + most]) for n in range(0, len(packed), most)]
+
+
+def unpack_words(data: bytes) -> tuple[i.Word, ...]:
+    """The words of a message; none where it is not of this version's form."""
+    if len(data) % WORD.size:
+        return ()
+    return tuple(
+        i.Word(*key, bool(answer), *(amount / UNIT for amount in amounts))
+        for *key, answer, demand, spent, asked, level in WORD.iter_unpack(data)
+        for amounts in [(demand, spent, asked, level)]
+    )
+
+
+def read_bytes(fields: Fields) -> bytes:
+    return bytes.fromhex(fields.text()) if fields.given() else b""
+
+
+def read_event(name: str, fields: Fields, names: list[str]) -> i.Event:
+    """One event other than the start, the end and the server list of an instance."""
+    if name == "NEW_REQUEST":
+        return read_request(fields)
+    if name == "ATTEMPT_END":
+        return read_outcome(fields, names)
+    if name == "ACK_FIRST":
+        return i.StreamStarted(fields.text(), fields.whole(), fields.text(), fields.whole(0))
+    if name == "HANGUP":
+        return i.ClientGone(fields.text())
+    if name == "BELL":
+        return i.Timer(fields.whole())
+    if name == "CHECK_RESULT":
+        server, result = fields.text(), RESULTS[fields.text()]
+        return i.ProbeResult(server, result, fields.whole(0), read_report(fields, names))
+    if name == "FROM_PEER":
+        return i.PeerMessage(fields.whole(), unpack_words(read_bytes(fields)))
+    if name == "TOTAL":
+        return i.Counted(fields.whole(), RESULTS[fields.text()], fields.number(0.0), fields.whole(0))
+    raise WireError(f"unknown message '{name}'")
+
+
+def write_action(action: i.Action) -> str:
+    match action:
+        case i.Send(request_id, server, timeout_us):
+            return f"TRY {request_id} {server} {timeout_us}"
+        case i.Cancel(request_id, attempt):
+            return f"CANCEL {request_id} {attempt}"
+        case i.Refuse(request_id, retry_after_us):
+            return f"TURN_AWAY {request_id} {retry_after_us}"
+        case i.Fail(request_id):
+            return f"END_FAILED {request_id}"
+        case i.SetTimer(delay_us, token):
+            return f"ARM {delay_us} {token}"
+        case i.Probe(server):
+            return f"CHECK {server}"
+        case i.CloseIdle(server):
+            return f"HANG_UP {server}"
+        case i.Tell(peer, words):
+            return "\n".join(f"TELL {peer} {data.hex()}" for data in pack_words(words))
+        case i.Count(name, amount, lifetime_us):
+            return f"ADD_TO {name} {amount:g} {lifetime_us}"
+        case i.Subscribe(on):
+            return f"STREAM_CHANGES {int(on)}"
+        case i.FetchList():
+            return "SNAPSHOT"
+        case i.Log(text):
+            return f"EMIT {one_line(text)}"
+    raise TypeError(f"not an action: {action!r}")
+
+
+def one_line(text: str) -> str:
+    return " ".join(text.split())
+
+
+class ModuleError(Exception):
+    """The decision module raised an exception."""
+
+
+class Host:
+    """The instances of this process and the numbered server lists they refer to."""
+
+    def __init__(self) -> None:
+        self.gateways: dict[int, Gateway] = {}
+        self.report_names: dict[int, list[str]] = {}
+        self.sheets: dict[int, tuple[i.Server, ...]] = {}
+        self.target: int | None = None
+        self.context: int | None = None
+        self.now_us = 0
+
+    def start_batch(self, now_us: int) -> None:
+        self.now_us, self.target, self.context = now_us, None, None
+
+    def event(self, name: str, parts: list[str], lines: Iterator[str]) -> list[str]:
+        """Apply one event; the reply's lines for it."""
+        fields = Fields(parts)
+        if name == "TARGET_INSTANCE":
+            self.target = fields.whole()
+            return []
+        if name == "SHEET":
+            number, size = fields.whole(), fields.whole()
+            self.sheets[number] = tuple([read_server(next(lines)) for _ in range(size)])
+            return []
+        if self.target is None:
+            raise WireError("no instance is named")
+        if name == "NEW_INSTANCE":
+            pairs = Pairs(part for part in parts[1:] if part)
+            how = pairs.text("stats.names")
+            self.report_names[self.target] = how.split(",") if how else []
+            self.gateways[self.target] = Gateway(read_settings(fields.whole(), pairs))
+            return []
+        if self.target not in self.gateways:
+            raise WireError(f"there is no instance {self.target}")
+        if name == "KILLED":
+            del self.gateways[self.target]
+            return []
+        if name == "UPDATE":
+            event: i.Event = self.read_list(fields)
+        else:
+            event = read_event(name, fields, self.report_names[self.target])
+        return self.decide(event)
+
+    def read_list(self, fields: Fields) -> i.ServerList:
+        kind, version, sheet = LISTS[fields.text()], fields.whole(0), fields.whole(0)
+        if kind is i.ListKind.FAILED:
+            return i.ServerList(kind, version)
+        if sheet not in self.sheets:
+            raise WireError(f"there is no list {sheet}")
+        return i.ServerList(kind, version, self.sheets[sheet])
+
+    def decide(self, event: i.Event) -> list[str]:
+        assert self.target is not None
+        try:
+            actions = self.gateways[self.target].handle(self.now_us, event)
+        except Exception as error:
+            raise ModuleError(f"{type(error).__name__}: {error}") from error
+        lines = [write_action(action) for action in actions]
+        if lines and self.context != self.target:
+            self.context = self.target
+            lines.insert(0, f"CONTEXT {self.target}")
+        return lines
+
+
+def run_batch(host: Host, lines: Iterator[str]) -> list[str] | None:
+    """The reply to the next batch, or None at the end of the input."""
+    first = next(lines, None)
+    if first is None:
+        return None
+    name, *parts = first.split(" ")
+    if name != "MARK":
+        raise WireError("a batch starts with MARK")
+    host.start_batch(Fields(parts).whole())
+    reply: list[str] = []
+    for line in lines:
+        name, *parts = line.split(" ")
+        if name == "EOF_BATCH":
+            return [*reply, "FINISHED"]
+        try:
+            reply += host.event(name, parts, lines)
+        except ModuleError as error:
+            reply += [f"CONTEXT {host.target}", f"FAULT {one_line(str(error))}"]
+    raise WireError("the input ends within a batch")
+
+
+def serve(source: TextIO, sink: TextIO) -> int:
+    """Answer batches until the input ends; the exit code."""
+    count = 0
+
+    def numbered() -> Iterator[str]:
+        nonlocal count
+        for line in source:
+            count += 1
+            yield line.rstrip("\n")
+
+    host, lines = Host(), numbered()
+    try:
+        while (reply := run_batch(host, lines)) is not None:
+            sink.write("\n".join(reply) + "\n")
+            sink.flush()
+    except (WireError, ValueError, KeyError, StopIteration) as error:
+        text = f"unknown word {error}" if isinstance(error, KeyError) else str(error) or "a list is cut off"
+        print(f"fennelwinch: line {count}: {one_line(text)}", file=sys.stderr)
+        return 2
+    return 0
+
+
+def main() -> int:
+    sys.stdin.reconfigure(encoding="utf-8", newline="\n")  # type: ignore[union-attr]
+    sys.stdout.reconfigure(encoding="utf-8", newline="\n")  # type: ignore[union-attr]
+    return serve(sys.stdin, sys.stdout)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/fennelwinch/rules.py
@@ -0,0 +1,452 @@
+"""The decisions of one gateway; its events, actions and settings are in fennelwinch/interface.py."""
+
+import itertools
+import math
+import random
+import zlib
+from bisect import insort
+
+from fennelwinch import interface as i
+
+S, NEVER = 1_000_000, 1 << 62  # microseconds in a second; a time that does not come
+
+TICK_US = 20_000  # how often held requests and words are looked at: well under any aim
+CC_PERIOD_US, FAIR_N, MOST_PERIODS = S, 10, 2  # control period and OPPUI: 1 or 2 s, for a fair-sized N
+MAX_INCREASE, MAX_DECREASE = 0.2, 0.1  # the largest step of N in a second, against noise
+ADDL_DECREMENT, MIN_FRACTION_CALLS = 0.1, 0.75  # extra step at occ_too_high; part of N that counts as low
+# max_occup, occ_too_high, min_occup: reports of busy cores are late; a mean at half the aim has a tail.
+TARGETS = {"util": (0.92, 0.97, 0.75), "latency": (0.5, 0.7, 0.35)}
+# For each ready server, by all gateways: attempts a second when the cap engages, and out at once ever.
+START_PER_SERVER, LEAST_OUT = 8, 2  # the second: for one gateway in any case
+DEMAND_US = 0.5 * S  # ageing of demand: short, as the level of the store carries the longer memory
+ASK_US, ASKS, WORD_FRESH_US = 80_000, 2, 10 * S  # the wait for word from home, how often; how long it holds
+ASK_SHARE = 0.25  # part of a gateway's intake that the asks for one customer may take
+FORGET_US = 60 * S  # a customer that was quiet for so long has its burst back
+SMOOTH, RATE_SMOOTH = 0.1, 0.3  # weight of a new latency, and of a period's sends, in a running mean
+CHOICES = 8  # servers looked at for one attempt: many gateways that all take the emptiest would flood it
+SUSPECT_AT = 1.7  # two failures running, or a mix with more failures than answers
+SUSPECT_US, SUSPECT_MAX_US = S, 8 * S  # the first and the longest time without a trial
+AVOID_US = 300_000  # a server that turned a request away is full for about a service time
+REPORT_FRESH_US = 1.5 * S  # a load report older than this says nothing
+NEEDED_NEW, NEEDED_HELD = 0.5, 2.0  # mean latencies left: else all that is held would leave just too late
+RETRY_SHARE, RETRY_STORE = 0.1, 8.0  # further attempts earned by a first one, and kept at most
+
+
+class _Server:
+    def __init__(self, entry: i.Server) -> None:
+        self.entry = entry
+        self.out: dict[tuple[str, int], int] = {}  # attempts out and when each was sent
+        self.heard_us = self.avoid_until = self.next_us = self.backoff_us = 0
+        self.slowness, self.fails = 1.0, 0.0  # latency over the mean of its class; failures of late
+        self.on_trial, self.load, self.load_at = False, None, 0
+        self.warm_from = entry.started_us  # start of its ramp: its start, or its return from suspicion
+
+
+class _Customer:
+    """A customer's part of quota and ceiling here, and what is known of its whole set: all, at its home."""
+
+    def __init__(self, plan: i.Plan, key: tuple[int, int, int, int], set_: i.Settings, now: int) -> None:
+        self.plan, self.key, self.size, self.at = plan, key, key[3], now
+        self.home = (key[2] + key[0] % self.size) % set_.gateways if set_.may_tell else set_.me
+        self.part, self.level, self.demand = plan.burst / self.size, plan.burst, 0.0
+        self.ceiling, self.heard_us, self.out = 0.0, -NEVER, 0  # empty, as a restart looks like a first start
+        self.untold = self.spent = 0.0  # demand and spending that the home has not been told of
+
+    def refill(self, now: int) -> "_Customer":
+        """Refill the parts. Demand and level stay as told while that is fresh, as others ask meanwhile."""
+        took, plan, part, self.at = (now - self.at) / S, self.plan, 1 / self.size, now
+        self.ceiling = min(plan.ceiling_burst * part, self.ceiling + plan.ceiling_rate * took * part)
+        if now - self.heard_us > WORD_FRESH_US:
+            self.level = min(plan.burst, self.level + plan.rate * took)
+            self.demand *= math.exp(-took * S / DEMAND_US)
+        self.part = min(plan.burst * part, self.part + plan.rate * took * part, max(0.0, self.level))
+        return self
+
+    def chance(self, units: float) -> float:
+        """Quota over summed demand; the quota is the rate while demand ages, and what the set has or owes."""
+        if self.plan.max_out and self.out >= max(1, self.plan.max_out // self.size):
+            return 0.0
+        quota = self.level + self.plan.rate * DEMAND_US / S
+        return max(0.0, min(1.0, quota / max(units, self.demand))) if self.plan.rate else 1.0
+
+    def spend(self, units: float) -> None:
+        self.level = max(self.level - units, -self.plan.rate * DEMAND_US / S)  # it owes nothing for long
+
+
+class _Job:
+    def __init__(self, req: i.Request, rule: i.RequestClass, customer: _Customer, now: int) -> None:
+        self.req, self.rule, self.customer = req, rule, customer
+        self.worth = rule.worth * customer.plan.worth_factor * req.units
+        self.end_us = now + req.left_us
+        self.aim_us = min(now + rule.aim_us, self.end_us)
+        self.servers: list[_Server] = []  # of its attempts, in order
+        self.out: dict[int, int] = {}  # attempts out and when each was sent
+        self.ran_on: _Server | None = None  # where it may first have run, and since when
+        self.over, self.in_quota, self.ran_us, self.unrun = False, False, 0, 0  # unrun: proven so
+        self.decide_us, self.asks = NEVER, 0  # until when it waits for word of its quota
+
+    def may_refuse(self) -> bool:
+        keyed_ok = self.rule.effect is i.Effect.KEYED and self.rule.group is i.Group.ALL
+        return self.ran_on is None or self.rule.effect is i.Effect.SAFE or keyed_ok
+
+
+class Gateway:
+    def __init__(self, settings: i.Settings) -> None:
+        self.set = settings
+        self.random = random.Random(settings.seed)
+        self.servers, self.up = {}, []  # by name; those that may be sent new work
+        self.customers: dict[tuple[int, int, int, int], _Customer] = {}  # the one seen last at the end
+        self.jobs, self.held = {}, []  # by id; highest worth first, then by arrival
+        self.now, self.period_us, self.alarm_us, self.serial = 0, -1, NEVER, itertools.count()
+        self.waits, self.words, self.told_us = [], {}, {}  # who waits for word; peers' words, when they left
+        self.mean_us = [rule.aim_us / 4 for rule in settings.classes]
+        self.retries, self.n_past = RETRY_STORE / 2, None  # no N: the cap is lifted
+        self.overhead, self.accepted, self.out, self.cc_us = 1.0, 0, 0, CC_PERIOD_US  # accepted: this period
+        self.signals: dict[str, list[float]] = {"util": [], "latency": []}
+        self.rate, self.mean_load = 0.0, 0.0  # first attempts a second; load of the servers, as they say
+        self.on = {i.Request: self.on_request, i.Outcome: self.on_outcome, i.Timer: self.on_tick,
+                   i.ServerList: self.on_list, i.PeerMessage: self.on_peer,
+                   i.ClientGone: self.on_end, i.StreamStarted: self.on_end}
+
+    def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
+        self.now, self.actions = now_us, []
+        self.period_us = now_us if self.period_us < 0 else self.period_us
+        if act := self.on.get(type(event)):
+            act(event)
+        self.send_words()
+        busy = self.held or self.words or self.jobs  # an idle gateway wakes up only to end its periods
+        due = max(now_us + TICK_US, 0 if busy else self.period_us + self.cc_us)
+        if due < self.alarm_us:
+            self.alarm_us = due
+            self.actions.append(i.SetTimer(due - now_us, 0))
+        return self.actions
+
+    def on_tick(self, _: i.Timer) -> None:
+        if self.now < self.alarm_us:
+            return
+        self.alarm_us = NEVER
+        while self.now - self.period_us >= self.cc_us:
+            self.end_period()
+        self.end_waits()
+        self.held = [entry for entry in self.held if not self.expire(entry[2], NEEDED_HELD)]
+        self.release()
+
+    def on_request(self, req: i.Request) -> None:
+        key = (zlib.crc32(req.customer.encode()), req.plan_index, req.set_first, req.set_size)
+        customer = self.customer(key)
+        job = self.jobs[req.id] = _Job(req, self.set.classes[req.class_index], customer, self.now)
+        if not self.expire(job, NEEDED_NEW):  # some come with no time left: they cost no quota
+            self.admit(job)
+
+    def on_list(self, news: i.ServerList) -> None:
+        if self.set.must_subscribe and news.kind in (i.ListKind.SAVED, i.ListKind.FAILED):
+            self.actions.append(i.Subscribe(True))
+        named = {entry.name for entry in news.servers}
+        part = news.kind in (i.ListKind.CHANGES, i.ListKind.FAILED)  # after a failure the old list holds
+        self.servers = {name: known for name, known in self.servers.items() if part or name in named}
+        for entry in news.servers:
+            known = self.servers.get(entry.name)
+            if known is None or known.entry.started_us != entry.started_us:
+                known = self.servers[entry.name] = _Server(entry)
+            known.entry = entry
+        self.up = [server for server in self.servers.values() if server.entry.state is i.ServerState.UP]
+
+    # --- the cap: Dynamic Processor Overload Control, section 2 of the paper ---
+
+    def end_period(self) -> None:
+        self.period_us += self.cc_us
+        for server in self.servers.values():  # a slow one that is sent nothing must get its chance again
+            server.slowness += SMOOTH * (1 - server.slowness)
+        self.rate += (RATE_SMOOTH if self.rate else 1) * (self.accepted * S / self.cc_us - self.rate)
+        while self.customers and self.now - next(iter(self.customers.values())).at > FORGET_US:
+            del self.customers[next(iter(self.customers))]
+        self.update_cap(self.accepted)
+        was, most = self.cc_us, min(MOST_PERIODS, round(FAIR_N / max(1.0, self.rate)))
+        self.cc_us = CC_PERIOD_US * max(1, most)
+        self.n_past = None if self.n_past is None else max(1, self.n_past * self.cc_us // was)
+        self.accepted = 0
+
+    def update_cap(self, na_past: float) -> None:
+        """The paper's update. A cap in full use is not lifted: that floods servers that have just drained."""
+        kind = "util" if self.signals["util"] else "latency"
+        samples, targets = self.signals[kind], TARGETS[kind]
+        self.signals = {"util": [], "latency": []}
+        if kind == "latency":  # a jam answers nobody: what is out and overdue counts with its age so far
+            samples += [min(1.0, (self.now - sent) / job.rule.aim_us) for job in self.jobs.values()
+                        for sent in job.out.values() if self.now - sent > self.mean_us[job.req.class_index]]
+        if not samples:
+            return
+        occup, was = min(1.0, sum(samples) / len(samples)), self.n_past
+        if occup < targets[2] and (was is None or na_past < MIN_FRACTION_CALLS * was):
+            self.overhead, self.n_past = min(self.overhead, occup), None
+        elif was is None:
+            self.n_past = max(1, START_PER_SERVER * len(self.up) * self.cc_us // S // self.set.gateways)
+        else:
+            seconds, overhead = self.cc_us / S, min(self.overhead, targets[2] / 2)
+            self.n_past = next_n(was, na_past, occup, overhead, targets, seconds)
+
+    def allowance(self) -> bool:
+        part = min(1.0, (self.now - self.period_us + TICK_US) / self.cc_us)
+        # Servers that hold too much may not come back for long: what is out is bounded, cap or no cap.
+        free = self.out < max(LEAST_OUT, START_PER_SERVER * len(self.up) // self.set.gateways)
+        return free and (self.n_past is None or self.accepted < math.ceil(self.n_past * part))
+
+    def release(self) -> None:
+        blocked, held = not self.allowance(), self.held
+        if blocked or not held:
+            return
+        self.held = []
+        for entry in held:
+            job = entry[2]
+            waits = job.over or (not job.servers and (blocked or (
+                job.customer.plan.ceiling_rate and job.customer.refill(self.now).ceiling < job.req.units)))
+            if server := None if waits else self.choose(job):
+                self.send(job, server)
+            elif not job.over:
+                self.held.append(entry)  # where no server takes anything there is no need to look on
+            blocked = blocked or not self.allowance() or not (waits or server)
+
+    def expire(self, job: _Job, means: float) -> bool:
+        """A held request is ended in time: refused when its aim is out of reach, where that is allowed."""
+        needed = min(means * self.mean_us[job.req.class_index], job.rule.aim_us / 2)
+        late = job.may_refuse() and self.now + needed >= job.aim_us
+        if not job.over and (late or self.now + 2 * TICK_US >= job.end_us):
+            self.end(job)
+        return job.over
+
+    def customer(self, key: tuple[int, int, int, int]) -> _Customer:
+        known = self.customers.pop(key, None) or _Customer(self.set.plans[key[1]], key, self.set, self.now)
+        self.customers[key] = known
+        return known.refill(self.now)
+
+    def admit(self, job: _Job) -> None:
+        """The part while it lasts; else the chance rule, with word from the home where that is elsewhere."""
+        customer, units, home = job.customer, job.req.units, job.customer.home
+        customer.demand, customer.untold = customer.demand + units, customer.untold + units
+        most = ASK_SHARE * self.set.peer_messages_per_s * DEMAND_US / S  # past this the last word must do
+        heard = self.now - customer.heard_us < WORD_FRESH_US and self.random.random() * customer.demand > most
+        if not customer.plan.max_out and customer.part >= units:
+            self.decide(job, 1.0)
+            self.tell(home, customer, 0.0)
+        elif home == self.set.me or heard or not customer.plan.rate:
+            self.decide(job, customer.chance(units))
+        else:
+            self.ask(job)
+
+    def ask(self, job: _Job) -> None:
+        wait, job.asks = min(ASK_US, job.rule.aim_us // 8), job.asks + 1
+        job.decide_us = min(self.now + wait, job.end_us - 4 * TICK_US)
+        self.waits.append(job)
+        self.tell(job.customer.home, job.customer, job.req.units)
+
+    def decide(self, job: _Job, chance: float) -> None:
+        job.in_quota, plan = self.random.random() < chance, job.customer.plan
+        if job.in_quota:
+            self.spend(job.customer, job.req.units)
+        elif plan.over_worth <= plan.over_cost or self.n_past is not None:
+            self.end(job)
+            return
+        insort(self.held, (-job.worth, next(self.serial), job))
+        self.release()
+
+    def end_waits(self, told: _Customer | None = None) -> None:
+        """Decide on those that wait for word: theirs has come, or what is known here must do."""
+        ready = [job for job in self.waits if job.customer is told][:1]
+        ready += [job for job in self.waits if job.decide_us <= self.now and job not in ready]
+        self.waits = [job for job in self.waits if job not in ready]
+        for job in [job for job in ready if not job.over]:
+            if told is None and job.asks < ASKS and self.now + ASK_US + 4 * TICK_US < job.end_us:
+                self.ask(job)  # words may be lost
+                continue
+            chance = job.customer.chance(job.req.units)
+            job.customer.spent -= job.req.units * chance  # as much the home has counted already
+            self.decide(job, chance)
+
+    def spend(self, customer: _Customer, units: float) -> None:
+        customer.spend(units)
+        customer.part, customer.spent = max(0.0, customer.part - units), customer.spent + units
+
+    def tell(self, peer: int, customer: _Customer, asked: float) -> None:
+        """A word to the home of what was asked and spent, or the home's answer with what it knows."""
+        answer = customer.home == self.set.me
+        demand = customer.demand if answer else customer.untold
+        word = i.Word(*customer.key, answer, demand, customer.spent, asked, customer.level)
+        if peer != self.set.me:
+            self.words.setdefault(peer, []).append(word)
+        customer.untold = customer.spent = 0.0
+
+    def send_words(self) -> None:
+        """Words leave at once, but in a small set spaced so that all peers together take half an intake."""
+        space = min(ASK_US, 2 * S * (self.set.gateways - 1) / max(1, self.set.peer_messages_per_s))
+        for peer in [peer for peer in self.words if self.now - self.told_us.get(peer, -S) >= space]:
+            self.told_us[peer] = self.now
+            self.actions.append(i.Tell(peer, tuple(self.words.pop(peer))))
+
+    def on_peer(self, message: i.PeerMessage) -> None:
+        """The home adds up what its set asks and spends, or takes over at its start, and answers."""
+        for word in message.words:
+            key = (word.customer, word.plan_index, word.set_first, word.set_size)
+            in_set = (self.set.me - word.set_first) % self.set.gateways < word.set_size
+            if word.plan_index >= len(self.set.plans) or not in_set:
+                continue
+            new, customer = key not in self.customers, self.customer(key)
+            if word.is_answer:
+                customer.heard_us, customer.demand, customer.level = self.now, word.demand, word.level
+                customer.part = min(customer.part, max(0.0, word.level / customer.size))
+                self.end_waits(customer if word.asked else None)
+            elif customer.home == self.set.me:
+                customer.level = min(customer.level, word.level) if new else customer.level
+                customer.demand += word.demand
+                customer.spend(word.spent)
+                if word.asked or customer.level < customer.plan.burst / 2:
+                    self.tell(message.sender, customer, word.asked)
+                customer.spend(word.asked * customer.chance(word.asked))
+
+    def choose(self, job: _Job) -> _Server | None:
+        """The least expected wait among a few of those that the rules and their health allow."""
+        allowed = [server for server in self.up if self.in_group(job, server)]
+        usable = [server for server in allowed if self.now >= server.avoid_until and server not in job.servers
+                  and not (server.on_trial and (server.out or job.rule.effect is i.Effect.UNSAFE))] or allowed
+        # All gateways may see a cold server as the emptiest: each passes it over as often as it is cold.
+        room = [server for server in usable if (warmth := self.warmth(server)) >= 1 or (
+            self.now >= server.next_us and self.random.random() < warmth)]
+        return min(self.random.sample(room, min(CHOICES, len(room))), key=self.cost, default=None)
+
+    def in_group(self, job: _Job, server: _Server) -> bool:
+        """A keyed request that may have run stays where its repeats are dropped, while they are."""
+        rule, first = job.rule, job.ran_on
+        if first is None or rule.effect is i.Effect.SAFE:
+            return True
+        place = "zone" if rule.group is i.Group.ZONE else "cell"
+        same = rule.group is i.Group.ALL or getattr(server.entry, place) == getattr(first.entry, place)
+        return same and rule.effect is i.Effect.KEYED and self.now < job.ran_us + rule.window_us
+
+    def cost(self, server: _Server) -> float:
+        """Expected wait: work out there, how slow it is, how loaded it says it is."""
+        fresh = server.load is not None and self.now - server.load_at < REPORT_FRESH_US
+        pressure = 0.5 + server.load / max(0.01, self.mean_load) / 2 if fresh else 1.0
+        far = 1 + 10 * self.set.cross_zone_price * (server.entry.zone != self.set.zone)
+        waits = 0 if server.on_trial else len(server.out) + 1  # a trial that is due goes first
+        return waits * server.slowness * pressure * far
+
+    def warmth(self, server: _Server) -> float:
+        """The least part of its capacity that a started or returned server has by now."""
+        age, cold = (self.now - server.warm_from) / max(1, self.set.warm_within_us), self.set.cold_from
+        return 1.0 if age >= 1 or not server.warm_from else cold + (1 - cold) * age
+
+    def spacing(self, server: _Server) -> int:
+        """A server that started or came back gets its part of what others are sent here, spaced out."""
+        usual = max(1 / self.set.gateways, self.rate / max(1, len(self.up)))
+        return round(S / max(0.01, self.warmth(server)) / usual)
+
+    def note_result(self, server: _Server, ok: bool) -> None:
+        """Any kind of failure makes a server suspect; it comes back by a trial, then by the cold ramp."""
+        server.fails = server.fails / 2 if ok else server.fails + 1
+        if ok and server.on_trial:
+            server.on_trial, server.backoff_us, server.fails = False, 0, 0.0
+            server.warm_from = max(server.warm_from, self.now - self.set.warm_within_us // 2)
+        elif not ok and (server.fails >= SUSPECT_AT or server.on_trial) and self.now >= server.avoid_until:
+            server.backoff_us = min(SUSPECT_MAX_US, max(SUSPECT_US, server.backoff_us * 2))
+            server.avoid_until, server.on_trial = self.now + server.backoff_us, True
+
+    def send(self, job: _Job, server: _Server) -> None:
+        if not (number := len(job.servers)):
+            self.accepted, self.retries = self.accepted + 1, min(RETRY_STORE, self.retries + RETRY_SHARE)
+            job.customer.ceiling -= job.req.units
+        job.servers.append(server)
+        job.out[number] = server.out[(job.req.id, number)] = self.now
+        job.customer.out, self.out = job.customer.out + 1, self.out + 1
+        server.next_us = self.now + self.spacing(server)
+        if job.ran_on is None:
+            job.ran_on, job.ran_us = server, self.now
+        self.actions.append(i.Send(job.req.id, server.entry.name, self.time_out(job)))
+
+    def time_out(self, job: _Job) -> int:
+        """A repeatable attempt is given up while another can still meet the aim."""
+        left, mean = job.end_us - self.now, self.mean_us[job.req.class_index]
+        early = round(job.aim_us - self.now - 2 * mean)
+        last = job.rule.effect is i.Effect.UNSAFE or len(job.servers) >= self.set.max_attempts
+        return max(1, left if last or early < 2 * mean else min(left, early))
+
+    def again(self, job: _Job, why: i.Result) -> bool:
+        """Further attempts live on a small share of first ones, so that they cannot feed an overload."""
+        costs = why is not i.Result.CONNECT_FAILED
+        late = why is i.Result.MOOT or self.now + self.mean_us[job.req.class_index] / 2 >= job.end_us
+        if late or len(job.servers) >= self.set.max_attempts or (costs and self.retries < 1):
+            return False
+        if server := self.choose(job):
+            self.retries -= costs
+            self.send(job, server)
+        elif job.ran_on is None:
+            insort(self.held, (-job.worth, next(self.serial), job))
+        return server is not None or job.ran_on is None
+
+    def on_outcome(self, event: i.Outcome) -> None:
+        job = self.jobs.get(event.id)
+        if job is None or event.attempt not in job.out:
+            return
+        server, job.customer.out, self.out = job.servers[event.attempt], job.customer.out - 1, self.out - 1
+        del job.out[event.attempt], server.out[(event.id, event.attempt)]
+        self.learn(job, server, event)
+        job.unrun += event.result in (i.Result.FULL, i.Result.CONNECT_FAILED, i.Result.MOOT)
+        job.ran_on = None if job.unrun == len(job.servers) else job.ran_on
+        if event.over or job.over:
+            self.drop(job)
+        elif not job.out and not self.again(job, event.result):
+            self.end(job)
+
+    def learn(self, job: _Job, server: _Server, event: i.Outcome) -> None:
+        index, result, took = job.req.class_index, event.result, event.latency_us
+        report = event.report or i.LoadReport()  # busy cores are the signal; a count only ranks servers
+        loads = [load for load in (report.util, report.inflight, report.queue) if load is not None]
+        self.signals["util"] += [report.util] if report.util is not None else []
+        if loads:
+            server.load, server.load_at = loads[0], self.now
+            self.mean_load += SMOOTH * (loads[0] - self.mean_load)
+        if result is i.Result.OK:
+            server.heard_us = self.now
+            ratio = min(4.0, max(0.25, took / max(1.0, self.mean_us[index])))  # one outlier counts for little
+            server.slowness += SMOOTH * (ratio - server.slowness)
+            self.mean_us[index] += SMOOTH * (took - self.mean_us[index])
+            if self.set.trued_up and event.true_units and job.in_quota:
+                job.customer.spend(event.true_units - job.req.units)
+        if result in (i.Result.OK, i.Result.TIMEOUT):
+            self.signals["latency"].append(min(1.0, took / job.rule.aim_us))
+        long = result is i.Result.TIMEOUT and server.heard_us >= self.now - took  # but it answered others
+        if result is i.Result.FULL:
+            server.avoid_until = max(server.avoid_until, self.now + AVOID_US)
+        elif not long and result not in (i.Result.CANCELLED, i.Result.MOOT):
+            self.note_result(server, result is i.Result.OK)
+
+    def end(self, job: _Job) -> None:
+        wait = self.set.max_retry_after_us
+        self.actions.append(i.Refuse(job.req.id, wait) if job.may_refuse() else i.Fail(job.req.id))
+        self.drop(job)
+
+    def on_end(self, event: i.ClientGone | i.StreamStarted) -> None:
+        if event.id in self.jobs:
+            self.drop(self.jobs[event.id])
+
+    def drop(self, job: _Job) -> None:
+        if job.in_quota and not job.servers and not job.over:
+            self.spend(job.customer, -job.req.units)
+        calls_off, job.over = self.set.may_cancel and not job.over and not job.rule.streamed, True
+        self.actions += [i.Cancel(job.req.id, number) for number in job.out if calls_off]
+        if not job.out:
+            self.jobs.pop(job.req.id, None)
+
+
+def next_n(n_past: int, na_past: float, occup: float, overhead: float, targets: tuple[float, ...],
+           seconds: float = 1.0) -> int:
+    """The paper's update of N, rounded down; `targets` are max_occup, occ_too_high and min_occup."""
+    max_occup, occ_too_high, min_occup = targets
+    if occup < min_occup and na_past < MIN_FRACTION_CALLS * n_past:
+        return n_past
+    lowest, highest = n_past * (1 - MAX_DECREASE) ** seconds, n_past * (1 + MAX_INCREASE) ** seconds
+    n_prelim = highest if occup <= overhead else (max_occup - overhead) / (occup - overhead) * na_past
+    n_next = min(max(n_prelim, lowest), highest)
+    if occup >= occ_too_high:
+        n_next = max(n_prelim, lowest) * (1 - ADDL_DECREMENT) ** seconds
+    elif n_prelim - n_past >= 1 and highest - n_past < 1:
+        n_next = n_past + 1
+    return max(1, math.floor(n_next + 1e-9))
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,108 @@
+"""A small driver for the module: settings, a server list and the bookkeeping of a fair world."""
+
+import random
+from collections.abc import Iterable
+from dataclasses import replace
+
+from fennelwinch import interface as i
+from fennelwinch.rules import Gateway
+
+MS, S = 1_000, 1_000_000
+SAFE = i.RequestClass(aim_us=2 * S, deadline_us=6 * S)
+PLAN = i.Plan(rate=10.0, burst=20.0)
+SETTINGS = i.Settings(
+    seed=7, me=0, gateways=1, classes=(SAFE,), plans=(PLAN,), max_attempts=3, may_cancel=True, may_tell=True,
+    peer_messages_per_s=100.0, max_retry_after_us=500 * MS, cold_from=0.2, warm_within_us=10 * S,
+    fall_multiple=2.0, fall_us=S, answer_grace_us=8 * MS,
+)
+
+
+def servers(count: int, **changes: object) -> tuple[i.Server, ...]:
+    return tuple(
+        replace(i.Server(f"s{n}", n % 2, 0, n // 2, i.ServerState.UP), **changes) for n in range(count)
+    )
+
+
+class World:
+    """One gateway with the clock, the timers and the attempts that are out."""
+
+    def __init__(self, settings: i.Settings = SETTINGS, fleet: Iterable[i.Server] = servers(4)) -> None:
+        self.now = 100 * S
+        self.gateway = Gateway(settings)
+        self.timers: list[tuple[int, int]] = []
+        self.log: list[tuple[int, i.Action]] = []
+        self.out: dict[tuple[str, int], tuple[str, int, int]] = {}
+        self.tries: dict[str, int] = {}
+        self.tell(i.ServerList(i.ListKind.SAVED, 1, tuple(fleet)))
+
+    def tell(self, event: i.Event) -> list[i.Action]:
+        actions = self.gateway.handle(self.now, event)
+        for action in actions:
+            self.log.append((self.now, action))
+            if isinstance(action, i.SetTimer):
+                self.timers.append((self.now + action.delay_us, action.token))
+            if isinstance(action, i.Send):
+                number = self.tries.get(action.id, 0)
+                self.tries[action.id] = number + 1
+                self.out[(action.id, number)] = (action.server, self.now, action.timeout_us)
+        return actions
+
+    def run(self, time_us: int) -> list[i.Action]:
+        """Let time pass; the actions that timers brought."""
+        end, start = self.now + time_us, len(self.log)
+        while self.timers and min(self.timers)[0] <= end:
+            due = min(self.timers)
+            self.timers.remove(due)
+            self.now = due[0]
+            self.tell(i.Timer(due[1]))
+        self.now = end
+        return [action for _, action in self.log[start:]]
+
+    def ask(self, name: str, left_us: int = 6 * S, **values: object) -> list[i.Action]:
+        request = i.Request(name, 0, 0, "c", left_us)
+        return self.tell(replace(request, **values))
+
+    def answer(
+        self, name: str, result: i.Result = i.Result.OK, attempt: int = 0, report: i.LoadReport | None = None
+    ) -> list[i.Action]:
+        server, sent, _ = self.out.pop((name, attempt))
+        over = result is i.Result.OK
+        event = i.Outcome(name, over, attempt, server, result, self.now - sent, report=report)
+        return self.tell(event)
+
+
+def of(kind: type, actions: Iterable[i.Action]) -> list[i.Action]:
+    return [action for action in actions if isinstance(action, kind)]
+
+
+class Set:
+    """Several gateways that a customer's requests come through, with the messages between them."""
+
+    def __init__(
+        self, count: int, settings: i.Settings = SETTINGS, fleet: Iterable[i.Server] = servers(4),
+        loss: float = 0.0,
+    ) -> None:
+        self.worlds = [World(replace(settings, me=n, gateways=count, seed=n), fleet) for n in range(count)]
+        self.posted: list[tuple[int, int, tuple[i.Word, ...]]] = []
+        self.random, self.loss, self.down = random.Random(3), loss, -1
+
+    def carry(self, sender: int, actions: Iterable[i.Action]) -> None:
+        self.posted += [(sender, action.peer, action.words) for action in of(i.Tell, actions)]
+
+    def ask(self, me: int, name: str, **values: object) -> None:
+        self.carry(me, self.worlds[me].ask(name, set_size=len(self.worlds), **values))
+
+    def run(self, time_us: int) -> None:
+        """Time goes by in steps of 10 ms: what was posted arrives, what is out is served."""
+        for _ in range(time_us // (10 * MS)):
+            posted, self.posted = self.posted, []
+            for sender, peer, words in posted:
+                if self.random.random() >= self.loss and self.down not in (sender, peer):
+                    self.carry(peer, self.worlds[peer].tell(i.PeerMessage(sender, words)))
+            for me, world in enumerate(self.worlds):
+                self.carry(me, world.run(10 * MS))
+                for name, attempt in list(world.out):
+                    world.answer(name, attempt=attempt)
+
+    def sent(self) -> int:
+        return sum(isinstance(action, i.Send) for world in self.worlds for _, action in world.log)
--- /dev/null
+++ b/tests/test_properties.py
@@ -0,0 +1,138 @@
+"""Legal but odd sequences of events must never break a rule."""
+
+from dataclasses import replace
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fennelwinch import interface as i
+from tests.helpers import MS, SETTINGS, S, World, servers
+
+CLASSES = (
+    i.RequestClass(S, 2 * S),
+    i.RequestClass(S, 3 * S, effect=i.Effect.KEYED, group=i.Group.ZONE, window_us=S),
+    i.RequestClass(S, 3 * S, effect=i.Effect.KEYED, group=i.Group.CELL, window_us=2 * S),
+    i.RequestClass(S, 3 * S, effect=i.Effect.KEYED, group=i.Group.ALL, window_us=2 * S),
+    i.RequestClass(S, 3 * S, effect=i.Effect.UNSAFE),
+)
+PLANS = (
+    i.Plan(rate=5.0, burst=5.0),
+    i.Plan(max_out=2),
+    i.Plan(rate=9.0, burst=9.0, ceiling_rate=12.0, ceiling_burst=10.0, ceiling_slack=1.0),
+)
+UNRUN = (i.Result.FULL, i.Result.CONNECT_FAILED)
+FAILURES = (*UNRUN, i.Result.ERROR, i.Result.RESET)
+STEP = st.tuples(st.integers(0, 9), st.integers(0, 10_000), st.integers(0, 400))
+
+
+class Referee(World):
+    """A world that checks each action against the rules."""
+
+    def __init__(self, conf: i.Settings) -> None:
+        self.requests: dict[str, tuple[i.Request, int]] = {}
+        self.over: set[str] = set()
+        self.might: dict[str, list[tuple[str, int]]] = {}
+        self.states = {server.name: server for server in servers(4)}
+        self.store, self.store_at = 10.0, 100 * S
+        super().__init__(conf)
+
+    def tell(self, event: i.Event) -> list[i.Action]:
+        if isinstance(event, i.Request):
+            self.requests[event.id] = (event, self.now)
+        actions = super().tell(event)
+        for action in actions:
+            if isinstance(action, i.Send):
+                self.check_send(action)
+            elif isinstance(action, i.Refuse | i.Fail):
+                self.check_end(action)
+        return actions
+
+    def check_send(self, action: i.Send) -> None:
+        request, _ = self.requests[action.id]
+        rule, before = CLASSES[request.class_index], self.might.setdefault(action.id, [])
+        assert action.id not in self.over
+        assert self.states[action.server].state is i.ServerState.UP
+        outs = [key for key in self.out if key[0] == action.id]
+        assert len(outs) == 1 or (self.gateway.set.parallel_tries and len(outs) == 2)
+        if before and rule.effect is not i.Effect.SAFE:
+            assert rule.effect is i.Effect.KEYED
+            first, place = self.states[before[0][0]], self.states[action.server]
+            assert rule.group is not i.Group.ZONE or first.zone == place.zone
+            assert rule.group is not i.Group.CELL or first.cell == place.cell
+            assert self.now < before[0][1] + rule.window_us
+        if not before and self.tries[action.id] == 1 and request.plan_index == 2:
+            self.store = min(10.0, self.store + 12.0 * (self.now - self.store_at) / S) - request.units
+            self.store_at = self.now
+            assert self.store >= -1.0
+        before.append((action.server, self.now))
+
+    def check_end(self, action: i.Refuse | i.Fail) -> None:
+        request, came = self.requests[action.id]
+        rule = CLASSES[request.class_index]
+        assert action.id not in self.over
+        self.over.add(action.id)
+        assert self.now <= came + request.left_us + 8 * MS
+        if isinstance(action, i.Refuse) and self.might.get(action.id):
+            keyed = rule.effect is i.Effect.KEYED and rule.group is i.Group.ALL
+            assert rule.effect is i.Effect.SAFE or keyed
+
+    def settle(self, key: tuple[str, int], result: i.Result) -> None:
+        """An attempt ends; one that a proof says never ran no longer binds its request."""
+        server, sent, _ = self.out.pop(key)
+        if result in UNRUN:
+            self.might[key[0]].remove((server, sent))
+        over = key[0] in self.over or result is i.Result.OK
+        if result is i.Result.OK:
+            self.over.add(key[0])
+        self.tell(i.Outcome(key[0], over, key[1], server, result, self.now - sent))
+
+    def pass_time(self, time_us: int) -> None:
+        """Time goes by in steps of a millisecond, with time-outs where they fall due."""
+        end = self.now + time_us
+        while self.now < end:
+            self.run(min(MS, end - self.now))
+            for key, (_, sent, timeout) in list(self.out.items()):
+                request, came = self.requests[key[0]]
+                if self.now >= min(sent + timeout, came + request.left_us) and key in self.out:
+                    self.settle(key, i.Result.TIMEOUT)
+
+    def restart(self) -> None:
+        """The gateway is killed: its requests are void, and it starts again knowing only its list."""
+        self.over.update(self.requests)
+        self.out.clear()
+        self.timers.clear()
+        self.gateway = type(self.gateway)(self.gateway.set)
+        self.tell(i.ServerList(i.ListKind.SAVED, 1, tuple(self.states.values())))
+
+    def change_server(self, number: int) -> None:
+        name = f"s{number % 4}"
+        state = list(i.ServerState)[number % 3]
+        started = self.now if number % 5 == 0 else self.states[name].started_us
+        self.states[name] = replace(self.states[name], state=state, started_us=started)
+        self.tell(i.ServerList(i.ListKind.CHANGES, 2, (self.states[name],)))
+
+
+def play(parallel: bool, steps: list[tuple[int, int, int]]) -> Referee:
+    world = Referee(replace(SETTINGS, classes=CLASSES, plans=PLANS, parallel_tries=parallel))
+    for count, (kind, number, wait) in enumerate(steps):
+        if kind <= 4:
+            world.ask(f"q{count}", left_us=number * 100, class_index=kind, plan_index=number % 3,
+                      customer=f"c{number % 3}")
+        elif kind <= 7 and world.out:
+            key = list(world.out)[number % len(world.out)]
+            world.settle(key, i.Result.OK if kind == 5 else FAILURES[number % len(FAILURES)])
+        elif kind == 8:
+            world.change_server(number)
+        elif number % 20 == 0:
+            world.restart()
+        world.pass_time(wait * 250)
+    world.pass_time(4 * S)
+    return world
+
+
+@settings(derandomize=True, max_examples=60, deadline=None, database=None)
+@given(st.booleans(), st.lists(STEP, min_size=5, max_size=50))
+def test_rules_hold_whatever_comes(parallel: bool, steps: list[tuple[int, int, int]]) -> None:
+    world = play(parallel, steps)
+    assert set(world.requests) == world.over
+    assert not world.gateway.jobs and not world.gateway.held
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,491 @@
+"""Scripted events in, actions out: the cap, the quota, the five rules and health."""
+
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from fennelwinch import interface as i
+from fennelwinch.rules import TARGETS, Gateway, next_n
+from tests.helpers import MS, PLAN, SAFE, SETTINGS, S, Set, World, of, servers
+
+UTIL = TARGETS["util"]
+KEYED = i.RequestClass(2 * S, 6 * S, effect=i.Effect.KEYED, group=i.Group.ZONE, window_us=3 * S)
+UNSAFE = i.RequestClass(2 * S, 6 * S, effect=i.Effect.UNSAFE)
+
+
+def with_class(rule: i.RequestClass, **changes: object) -> i.Settings:
+    return replace(SETTINGS, classes=(rule,), **changes)
+
+
+# --- the cap ---
+
+
+@pytest.mark.parametrize(
+    ("n_past", "na_past", "occup", "overhead", "expected"),
+    [
+        (100, 100, 0.90, 0.10, 102),  # (0.92 - 0.1) / (0.9 - 0.1) * 100 = 102.5, rounded down
+        (100, 80, 0.80, 0.10, 93),  # (0.82 / 0.7) * 80 = 93.7: accepted calls count, not N
+        (100, 200, 0.80, 0.10, 120),  # the largest step up
+        (100, 20, 0.90, 0.10, 90),  # the largest step down
+        (100, 100, 0.98, 0.10, 83),  # 0.82 / 0.88 * 100 = 93.18, times 0.9 at occ_too_high = 83.86
+        (100, 20, 0.98, 0.10, 81),  # both steps down
+        (3, 4, 0.80, 0.10, 4),  # 4.69 is 1 more than 3 and the step under 1: up by one
+        (100, 70, 0.50, 0.10, 100),  # low occupancy and few calls: held
+        (100, 90, 0.50, 0.60, 120),  # at or below overhead: the largest step
+        (1, 0, 0.99, 0.10, 1),  # never under one
+    ],
+)
+def test_next_n_by_hand(n_past: int, na_past: float, occup: float, overhead: float, expected: int) -> None:
+    assert next_n(n_past, na_past, occup, overhead, UTIL) == expected
+
+
+def loaded_world(util: float, plans: tuple[i.Plan, ...] = (i.Plan(),)) -> World:
+    patient = (i.RequestClass(aim_us=6 * S, deadline_us=6 * S),)
+    world = World(replace(SETTINGS, plans=plans, gateways=2, classes=patient))
+    for n in range(20):
+        world.ask(f"w{n}")
+        world.run(50 * MS)
+        world.answer(f"w{n}", report=i.LoadReport(util=util))
+    world.run(20 * MS)
+    return world
+
+
+def test_cap_engages_spreads_and_is_lifted() -> None:
+    world = loaded_world(0.9)
+    assert world.gateway.n_past == 16  # 8 for each of 4 ready servers, halved over two gateways
+    for n in range(150):
+        world.ask(f"r{n}", customer=f"c{n}")
+    world.run(world.gateway.period_us + S - world.now)
+    start, allowed = world.now, world.gateway.n_past
+    for _ in range(99):
+        for name, attempt in list(world.out):
+            world.answer(name, attempt=attempt)
+        world.run(10 * MS)
+    sends = [at for at, action in world.log if isinstance(action, i.Send) and at >= start]
+    assert len(sends) == allowed
+    assert sends[-1] - sends[0] > 0.8 * S
+    idle = loaded_world(0.3)
+    assert idle.gateway.n_past is None
+    assert idle.gateway.overhead == pytest.approx(0.3)
+
+
+def test_period_follows_the_rate() -> None:
+    """With two requests a second, N of one or two a second would halve or double by rounding alone."""
+    world = World(replace(SETTINGS, plans=(i.Plan(),), gateways=20), servers(10))
+    for n in range(40):
+        world.ask(f"r{n}")
+        world.run(500 * MS)
+        for name, attempt in list(world.out):
+            world.answer(name, attempt=attempt, report=i.LoadReport(util=0.9))
+    assert world.gateway.cc_us == 2 * S
+    assert 4 <= world.gateway.n_past <= 12
+    assert next_n(10, 1, 0.99, 0.1, UTIL, 4.0) == 4  # steps by the second: 10 * 0.9 ** 8
+    assert next_n(10, 10, 0.2, 0.3, UTIL, 4.0) == 20
+
+
+def test_cap_in_full_use_is_not_lifted() -> None:
+    world = loaded_world(0.9)
+    for n in range(60):
+        world.ask(f"r{n}")
+    for _ in range(110):
+        world.run(10 * MS)
+        for name, attempt in list(world.out):
+            world.answer(name, attempt=attempt, report=i.LoadReport(util=0.3))
+    assert world.gateway.n_past == 19  # the largest step from 16
+
+
+def test_held_leave_by_worth_then_arrival() -> None:
+    plans = (i.Plan(worth_factor=1.0), i.Plan(worth_factor=3.0))
+    world = loaded_world(0.9, plans)
+    for n in range(30):
+        world.ask(f"fill{n}")
+    world.ask("low1")
+    world.ask("high1", plan_index=1, customer="d")
+    world.ask("high2", plan_index=1, customer="d")
+    order = [action.id for action in of(i.Send, world.run(S))]
+    assert order[:2] == ["high1", "high2"]
+
+
+def test_held_past_its_aim_is_refused_in_time() -> None:
+    world = World(fleet=())
+    world.ask("a")
+    started = world.now
+    world.run(3 * S)
+    answered = [at for at, action in world.log if action == i.Refuse("a", 500 * MS)]
+    assert len(answered) == 1
+    assert answered[0] - started < 2 * S
+
+
+def test_attempts_out_at_once_are_bounded() -> None:
+    """Servers that answer nobody must not be given more and more, whatever the cap says."""
+    worlds = [World(replace(SETTINGS, plans=(i.Plan(),), gateways=5, me=me), servers(10)) for me in range(5)]
+    for world in worlds:
+        for n in range(200):
+            world.ask(f"r{n}")
+        assert world.gateway.n_past is None
+    assert sum(len(world.out) for world in worlds) == 80  # 8 for each of 10
+    worlds[0].answer("r0")
+    worlds[0].run(20 * MS)
+    assert len(worlds[0].out) == 16
+
+
+def test_overdue_attempts_raise_the_latency_signal() -> None:
+    """A jam answers nobody; waiting for answers would leave the cap lifted."""
+    world = World(replace(SETTINGS, plans=(i.Plan(),)))
+    for n in range(20):
+        world.ask(f"r{n}")
+    world.run(1100 * MS)
+    assert world.gateway.n_past is not None
+
+
+# --- quota ---
+
+
+@pytest.mark.parametrize("count", [1, 2, 20])
+def test_burst_and_rate_are_the_customers_whole(count: int) -> None:
+    """A part far under one unit must not keep a customer from its quota, nor many parts from holding it."""
+    gates = Set(count)
+    for n in range(60):
+        gates.ask(n * 7 % count, f"r{n}")
+        gates.run(10 * MS)
+    gates.run(S)
+    assert 19 <= gates.sent() <= 35  # a burst of 20, what came back in 0.6 s and while demand aged
+    before = gates.sent()
+    for n in range(600):
+        gates.ask(n * 7 % count, f"more{n}")
+        gates.run(10 * MS)
+    gates.run(S)
+    assert gates.sent() - before == pytest.approx(60, abs=16)  # 10 a second for 6 s, of 100 asked
+
+
+def test_granted_asks_are_counted_once() -> None:
+    """The home counts what it grants; what members tell it later must not be the same units again."""
+    gates, homes = Set(20, replace(SETTINGS, plans=(replace(PLAN, burst=10.0),))), []
+    for n in range(300):
+        gates.ask(n * 7 % 20, f"r{n}")
+        gates.run(110 * MS)
+        homes = [world.gateway for world in gates.worlds for customer in world.gateway.customers.values()
+                 if customer.home == world.gateway.set.me]
+    level = next(iter(homes[0].customers.values())).level
+    assert level > 6  # of 10, at nine tenths of the rate
+
+
+def test_what_is_granted_but_not_sent_comes_back_to_the_quota() -> None:
+    gates = Set(20)
+    for world in gates.worlds:
+        world.tell(i.ServerList(i.ListKind.FULL, 2, ()))
+    for _ in range(3):
+        for n in range(20):
+            gates.ask(n, f"r{gates.worlds[n].now}")
+        gates.run(4 * S)
+    levels = [customer.level for world in gates.worlds for customer in world.gateway.customers.values()
+              if customer.home == world.gateway.set.me]
+    assert levels == [pytest.approx(20, abs=0.5)]
+
+
+def test_quota_is_used_with_words_lost_or_the_home_dead() -> None:
+    """Requests inside the quota leave without a word from the home, and in time."""
+    for loss, down in ((0.3, -1), (0.0, 3)):
+        gates = Set(20, loss=loss)
+        gates.down = down
+        for n in range(200):
+            if n * 7 % 20 != down:
+                gates.ask(n * 7 % 20, f"r{n}")
+            gates.run(200 * MS)
+        assert gates.sent() >= 180
+
+
+def test_messages_stay_under_half_the_intake() -> None:
+    """However much one customer asks, its home can take in what is told of it."""
+    for count in (3, 40):
+        gates, taken = Set(count), 0
+        for n in range(2000):
+            gates.ask(n * 7 % count, f"r{n}")
+            if n % 4 == 3:
+                gates.run(10 * MS)
+                most = max(sum(peer == me for _, peer, _ in gates.posted) for me in range(count))
+                taken += most
+        assert taken / 5 <= 60
+
+
+def test_words_from_outside_are_checked() -> None:
+    world = World(replace(SETTINGS, gateways=2))
+    huge = i.Word(1, 0, 0, 2, demand=1e9, asked=1e9, level=-1e9)
+    for word in (i.Word(1, 9, 0, 2), i.Word(1, 0, 5, 1), i.Word(1, 0, 0, 0), huge):
+        world.tell(i.PeerMessage(1, (word,)))
+    assert len(world.gateway.customers) == 1
+
+
+def test_idle_gateway_wakes_up_once_a_period() -> None:
+    world = World()
+    world.run(10 * S)
+    assert len(of(i.SetTimer, [action for _, action in world.log])) <= 12
+
+
+def test_customers_seen_long_ago_are_forgotten() -> None:
+    world = World()
+    for n in range(50):
+        world.ask(f"r{n}", customer=f"c{n}")
+        world.answer(f"r{n}")
+    world.run(90 * S)
+    assert not world.gateway.customers
+
+
+def test_no_time_left_costs_no_quota() -> None:
+    world = World()
+    for n in range(30):
+        world.ask(f"r{n}", left_us=100 * MS)
+    assert next(iter(world.gateway.customers.values())).level == 20
+
+
+def test_max_out_plan() -> None:
+    world = World(replace(SETTINGS, plans=(i.Plan(max_out=2),)))
+    assert of(i.Send, world.ask("a")) and of(i.Send, world.ask("b"))
+    assert of(i.Refuse, world.ask("c"))
+    world.answer("a")
+    assert of(i.Send, world.ask("d"))
+
+
+def test_true_units_are_settled() -> None:
+    world = World(replace(SETTINGS, trued_up=True))
+    world.ask("a")
+    server, sent, _ = world.out.pop(("a", 0))
+    world.tell(i.Outcome("a", True, 0, server, i.Result.OK, world.now - sent, true_units=4.0))
+    assert next(iter(world.gateway.customers.values())).level == pytest.approx(16)
+
+
+# --- the five rules ---
+
+
+def test_ceiling_starts_empty_and_is_split() -> None:
+    plan = i.Plan(ceiling_rate=10.0, ceiling_burst=20.0)
+    world = World(replace(SETTINGS, plans=(plan,), gateways=2))
+    for n in range(40):
+        world.ask(f"r{n}", set_size=2)
+    world.run(S)
+    assert len(of(i.Send, [action for _, action in world.log])) in (4, 5)  # half of 10 a second, from none
+
+
+def test_no_time_left_is_answered_at_once() -> None:
+    world = World(fleet=())
+    assert of(i.Refuse, world.ask("a", left_us=0))
+
+
+@pytest.mark.parametrize("left", [5, 30, 60, 90, 130, 200, 260])
+def test_who_waits_for_word_is_answered_in_time(left: int) -> None:
+    """Clients that come with little time left, and a home that never answers."""
+    gates = Set(20, with_class(replace(UNSAFE, aim_us=2 * S), plans=(replace(PLAN, burst=2.0),)))
+    for me, world in enumerate(gates.worlds):
+        gates.down = me
+        world.tell(i.ServerList(i.ListKind.FULL, 2, ()))
+        world.gateway.mean_us = [20 * MS]
+        world.ask("a", left_us=left * MS, set_size=20)
+        start = world.now
+        world.run(S)
+        ends = [at - start for at, action in world.log if isinstance(action, i.Refuse | i.Fail)]
+        assert len(ends) == 1 and ends[0] <= left * MS
+
+
+def test_deadline_of_an_unsafe_request_fails_it() -> None:
+    world = World(with_class(UNSAFE))
+    world.ask("a")
+    world.run(6 * S)
+    actions = world.answer("a", i.Result.TIMEOUT)
+    assert actions == [i.Fail("a")]
+    assert world.tell(i.ClientGone("a")) == []
+
+
+def test_unsafe_goes_again_only_if_it_never_ran() -> None:
+    world = World(with_class(UNSAFE))
+    world.ask("a")
+    assert of(i.Send, world.answer("a", i.Result.FULL))
+    assert of(i.Send, world.answer("a", i.Result.CONNECT_FAILED, attempt=1))
+    assert world.answer("a", i.Result.RESET, attempt=2) == [i.Fail("a")]
+
+
+def test_unsafe_proven_unrun_to_the_end_is_refused() -> None:
+    world = World(with_class(UNSAFE))
+    world.ask("a")
+    for attempt in range(3):
+        actions = world.answer("a", i.Result.FULL, attempt)
+    assert of(i.Refuse, actions)
+
+
+def test_keyed_stays_in_its_zone_and_window() -> None:
+    world = World(with_class(KEYED))
+    world.ask("a")
+    first = world.out[("a", 0)][0]
+    again = of(i.Send, world.answer("a", i.Result.RESET))
+    assert int(again[0].server[1:]) % 2 == int(first[1:]) % 2
+    world.run(3 * S)
+    assert world.answer("a", i.Result.RESET, attempt=1) == [i.Fail("a")]
+
+
+def test_slow_attempt_is_given_up_while_another_can_meet_the_aim() -> None:
+    world = World()
+    world.ask("a")
+    assert world.out[("a", 0)][2] < 2 * S - 500 * MS
+    world.run(S)
+    assert len(of(i.Send, world.answer("a", i.Result.TIMEOUT))) == 1
+    world = World(with_class(UNSAFE))
+    world.ask("a")
+    assert world.out[("a", 0)][2] == 6 * S
+
+
+@pytest.mark.parametrize("state", [i.ServerState.DRAINING, i.ServerState.GONE])
+def test_nothing_new_to_a_draining_server(state: i.ServerState) -> None:
+    world = World(fleet=servers(2))
+    world.tell(i.ServerList(i.ListKind.CHANGES, 2, servers(1, state=state)))
+    for n in range(8):
+        world.ask(f"r{n}")
+    assert {action.server for _, action in world.log if isinstance(action, i.Send)} == {"s1"}
+
+
+def test_server_missing_from_a_full_list_is_gone() -> None:
+    world = World(fleet=servers(2))
+    world.tell(i.ServerList(i.ListKind.FULL, 2, servers(1)))
+    for n in range(8):
+        world.ask(f"r{n}")
+    assert {action.server for _, action in world.log if isinstance(action, i.Send)} == {"s0"}
+
+
+def test_cold_server_is_sent_little() -> None:
+    world = World(replace(SETTINGS, plans=(i.Plan(),)))
+    for n in range(120):
+        if n == 60:
+            cold = replace(servers(4)[3], started_us=world.now)
+            world.tell(i.ServerList(i.ListKind.CHANGES, 2, (cold,)))
+            world.log.clear()
+        world.ask(f"r{n}")
+        world.run((10 + n * 37 % 50) * MS)
+        world.answer(f"r{n}")
+    counts = [sum(a.server == f"s{n}" for _, a in world.log if isinstance(a, i.Send)) for n in range(4)]
+    assert 1 <= counts[3] <= min(counts[:3]) / 2
+
+
+def test_cold_server_is_not_flooded_by_a_hundred_gateways() -> None:
+    """Each of them sees a server that has just started as the emptiest."""
+    fleet = servers(20)
+    gates = Set(100, replace(SETTINGS, plans=(i.Plan(),), cold_from=0.2), fleet)
+    cold = replace(fleet[0], started_us=gates.worlds[0].now)
+    for world in gates.worlds:
+        world.gateway.mean_us = [10 * MS]
+        world.tell(i.ServerList(i.ListKind.CHANGES, 2, (cold,)))
+    for n in range(1000):
+        gates.ask(n * 7 % 100, f"r{n}", customer=f"c{n}")
+        if n % 5 == 0:
+            gates.run(10 * MS)
+    names = [action.server for world in gates.worlds for _, action in world.log if isinstance(action, i.Send)]
+    assert len(names) == 1000
+    assert 1 <= names.count("s0") <= 0.6 * 1000 / 20  # warmth is 0.2 to 0.36 in these 2 s
+
+
+def test_ceiling_holds_over_a_large_set_with_restarts() -> None:
+    """All parts together, half of the set restarted, all traffic on few gateways for a while."""
+    plan = i.Plan(rate=10.0, burst=30.0, ceiling_rate=18.0, ceiling_burst=40.0, ceiling_slack=4.0)
+    gates = Set(20, replace(SETTINGS, plans=(plan,)))
+    start = gates.worlds[0].now
+    for n in range(1200):
+        gates.ask(n % 3 if 300 < n < 600 else n * 7 % 20, f"r{n}")
+        if n % 8 == 0:
+            gates.run(10 * MS)
+        if n in (400, 800):
+            for world in gates.worlds[::2]:
+                world.out.clear()
+                world.timers.clear()
+                world.gateway = Gateway(replace(world.gateway.set, seed=n))
+                world.tell(i.ServerList(i.ListKind.SAVED, 1, servers(4)))
+    times = sorted(at for world in gates.worlds for at, action in world.log if isinstance(action, i.Send))
+    store, last = 40.0, start
+    for at in times:
+        store, last = min(40.0, store + 18.0 * (at - last) / S) - 1, at
+        assert store >= -4.0
+    assert times
+
+
+def test_clock_that_jumps_and_a_list_that_names_twice() -> None:
+    world = World(replace(SETTINGS, plans=(i.Plan(),)), servers(2) + servers(2))
+    world.ask("a")
+    world.now += 60 * S
+    world.tell(i.Timer(0))
+    assert len(of(i.Send, world.ask("b"))) == 1
+    world.tell(i.ServerList(i.ListKind.FULL, 3, ()))
+    assert not of(i.Send, world.ask("c"))
+
+
+# --- health and attempts ---
+
+
+def test_silent_server_is_left_and_tried_again() -> None:
+    world = World(replace(SETTINGS, plans=(i.Plan(),)), servers(3))
+    bad, sends, trials = "s0", 0, 0
+    for n in range(400):
+        world.ask(f"r{n}")
+        world.run((1 + n * 37 % 50) * MS)
+        for name, attempt in list(world.out):
+            hit = world.out[(name, attempt)][0] == bad
+            sends, trials = sends + hit, trials + (hit and n > 200)
+            world.answer(name, i.Result.RESET if hit else i.Result.OK, attempt)
+    assert sends < 20
+    assert trials >= 1
+
+
+def test_time_out_on_a_server_that_answers_others_is_no_sign() -> None:
+    world = World(replace(SETTINGS, plans=(i.Plan(),)), servers(1))
+    for n in range(4):
+        world.ask(f"r{n}")
+    for n in range(2):
+        world.ask(f"ok{n}")
+    world.run(1 * S)
+    world.answer("ok0")
+    world.run(10 * MS)
+    for n in range(4):
+        world.answer(f"r{n}", i.Result.TIMEOUT)
+    assert world.gateway.servers["s0"].on_trial is False
+
+
+def test_further_attempts_are_few() -> None:
+    world = World(replace(SETTINGS, plans=(i.Plan(),)))
+    for n in range(100):
+        for action in of(i.Send, world.ask(f"r{n}")):
+            more = of(i.Send, world.answer(action.id, i.Result.ERROR))
+            while more:
+                attempt = world.tries[action.id] - 1
+                more = of(i.Send, world.answer(action.id, i.Result.ERROR, attempt))
+        world.run(10 * MS)
+    assert len(of(i.Send, [action for _, action in world.log])) <= 100 * 1.1 + 8
+
+
+def test_same_events_same_actions() -> None:
+    logs = []
+    for _ in range(2):
+        world = World(replace(SETTINGS, plans=(replace(PLAN, rate=2.0, burst=4.0),)))
+        for n in range(100):
+            world.ask(f"r{n}")
+            world.run(30 * MS)
+        logs.append(world.log)
+    assert logs[0] == logs[1]
+
+
+def test_list_must_be_asked_for() -> None:
+    gateway = Gateway(replace(SETTINGS, must_subscribe=True))
+    assert i.Subscribe(True) in gateway.handle(5, i.ServerList(i.ListKind.SAVED, 1, servers(2)))
+    assert gateway.handle(9, i.ServerList(i.ListKind.FAILED, 0)) == [i.Subscribe(True)]
+    assert of(i.Send, gateway.handle(10, i.Request("a", 0, 0, "c", S)))
+
+
+def test_stream_is_the_clients_once_begun() -> None:
+    world = World(with_class(replace(SAFE, streamed=True)))
+    world.ask("a")
+    assert world.tell(i.StreamStarted("a", 0, world.out[("a", 0)][0], 5)) == []
+    assert of(i.Refuse, world.answer("a", i.Result.RESET)) == []
+
+
+# --- limits of the module ---
+
+
+def test_module_size() -> None:
+    lines = (Path(__file__).parent.parent / "fennelwinch" / "rules.py").read_text().splitlines()
+    assert sum(bool(line.strip()) for line in lines) <= 400
+    assert max(map(len, lines)) <= 110
