--- a/fennelwinch/adapter.py
+++ b/fennelwinch/adapter.py
@@ -4,19 +4,14 @@
 one line on standard error; an exception in the module is reported on the wire.
 """
 
-import struct
 import sys
 from collections.abc import Iterable, Iterator
 from typing import TextIO
 
 from fennelwinch import interface as i
+from fennelwinch.codec import Pairs, pack_words, read_report, read_settings, unpack_words
 from fennelwinch.rules import Gateway
 
-EFFECTS = {
-    "read_like": i.Effect.SAFE,
-    "idempotency_key": i.Effect.KEYED,
-    "non_idempotent": i.Effect.UNSAFE,
-}
 RESULTS = {
     "served": i.Result.OK,
     "server_error": i.Result.ERROR,
@@ -34,22 +29,6 @@
     "diff": i.ListKind.CHANGES,
     "error": i.ListKind.FAILED,
 }
-REPORT_FIELDS = {
-    "busy_reqs": "inflight",
-    "pending": "queue",
-    "cpu_share": "util",
-    "svc_ms": "service_ms",
-    "served_ps": "served_per_s",
-    "failed_ps": "errors_per_s",
-}
-
-
-# A word between gateways; amounts in steps of 1 / UNIT.
-WORD = struct.Struct("!IBHHBhhhh")
-UNIT = 50
-MESSAGE_BYTES = 256
-
-
 class WireError(Exception):
     """The input is not what the wire's page describes."""
 
@@ -93,107 +72,24 @@
         return word == "1"
 
 
-class Pairs:
-    """The path=value settings of an instance; unknown paths are never asked for."""
+def read_pairs(parts: Iterable[str]) -> Pairs:
+    values: dict[str, str] = {}
+    for part in parts:
+        path, sign, value = part.partition("=")
+        if not sign:
+            raise WireError(f"'{part}' is not path=value")
+        values[path] = value
+    return Pairs(values)
 
-    def __init__(self, parts: Iterable[str]) -> None:
-        self.values: dict[str, str] = {}
-        for part in parts:
-            path, sign, value = part.partition("=")
-            if not sign:
-                raise WireError(f"'{part}' is not path=value")
-            self.values[path] = value
 
-    def text(self, path: str, default: str = "") -> str:
-        value = self.values.get(path, "-")
-        return default if value == "-" else value
-
-    def number(self, path: str, default: float = 0.0) -> float:
-        return float(self.text(path, str(default)))
-
-    def whole(self, path: str, default: int = 0) -> int:
-        return int(self.number(path, default))
-
-    def flag(self, path: str) -> bool:
-        return self.text(path, "false") in ("true", "1")
-
-
-def read_class(pairs: Pairs, at: str) -> i.RequestClass:
-    return i.RequestClass(
-        aim_us=pairs.whole(f"{at}.on-time-us"),
-        deadline_us=pairs.whole(f"{at}.deadline-us"),
-        worth=pairs.number(f"{at}.points", 1.0),
-        late_worth=pairs.number(f"{at}.late-worth"),
-        effect=EFFECTS[pairs.text(f"{at}.idempotency", "read_like")],
-        group=i.Group(pairs.text(f"{at}.group", "all")),
-        window_us=pairs.whole(f"{at}.window-us"),
-        streamed=pairs.flag(f"{at}.streamed"),
-    )
-
-
-def read_plan(pairs: Pairs, at: str) -> i.Plan:
-    return i.Plan(
-        rate=pairs.number(f"{at}.units-per-s"),
-        burst=pairs.number(f"{at}.burst"),
-        max_out=pairs.whole(f"{at}.max-out"),
-        worth_factor=pairs.number(f"{at}.value-factor", 1.0),
-        over_worth=pairs.number(f"{at}.extra-worth"),
-        over_cost=pairs.number(f"{at}.overrun-cost"),
-        ceiling_rate=pairs.number(f"{at}.never-over-rate"),
-        ceiling_burst=pairs.number(f"{at}.hard-burst"),
-        ceiling_slack=pairs.number(f"{at}.hard-slack"),
-    )
-
-
-def read_settings(seed: int, pairs: Pairs) -> i.Settings:
-    classes = range(pairs.whole("categories.count"))
-    plans = range(pairs.whole("plans.count"))
-    return i.Settings(
-        seed=seed,
-        me=pairs.whole("me"),
-        gateways=pairs.whole("balancers", 1),
-        classes=tuple(read_class(pairs, f"categories.{n}") for n in classes),
-        plans=tuple(read_plan(pairs, f"plans.{n}") for n in plans),
-        zone=pairs.whole("zone"),
-        max_attempts=pairs.whole("ceilings.max-attempts", 1),
-        max_retry_after_us=(
-            pairs.whole("ceilings.max-retry-after-us") if pairs.flag("ceilings.retry-after") else 0
-        ),
-        parallel_tries=pairs.flag("ceilings.parallel-tries"),
-        may_probe=pairs.flag("ceilings.may-probe"),
-        may_cancel=pairs.flag("ceilings.may-cancel"),
-        may_tell=pairs.flag("ceilings.peers"),
-        may_count=pairs.flag("extra.counter"),
-        must_subscribe=pairs.text("registry-mode") == "subscribe",
-        trued_up=pairs.flag("extra.trued-up"),
-        peer_messages_per_s=pairs.number("extra.mail-per-s"),
-        cross_zone_price=pairs.number("prices.cross-zone"),
-        waste_price=pairs.number("prices.waste"),
-        late_fail_price=pairs.number("prices.late-fail"),
-        message_price=pairs.number("prices.peer"),
-        probe_price=pairs.number("prices.probe"),
-        answer_grace_us=pairs.whole("obligations.grace-to-answer-us"),
-        ask_within_us=pairs.whole("obligations.ask-within-us"),
-        cold_from=pairs.number("obligations.cold-from", 1.0),
-        warm_within_us=pairs.whole("obligations.warm-within-us"),
-        fall_multiple=pairs.number("obligations.fall-multiple", 1.0),
-        fall_us=pairs.whole("obligations.fall-us", 1),
-    )
-
-
-def read_report(fields: Fields, names: list[str]) -> i.LoadReport | None:
-    """A load report, its values found by their names; unknown names are skipped."""
+def read_load(fields: Fields, names: list[str]) -> i.LoadReport | None:
+    """A load report, whose values stand in the order of their names."""
     if not fields.given():
         return None
     values = fields.text().split(",")
     if len(values) > len(names):
         raise WireError("the load report has more values than names")
-    found = {
-        REPORT_FIELDS[name]: float(value)
-        for name, value in zip(names, values, strict=False)
-        if name in REPORT_FIELDS and value not in ("", "-")
-    }
-    return i.LoadReport(**found)
+    return read_report(zip(names, values, strict=False))
 
 
 def read_server(line: str) -> i.Server:
@@ -235,32 +131,7 @@
         latency_us=fields.whole(0),
         used_percent=fields.whole(0),
         true_units=fields.number(0.0),
-        report=read_report(fields, names),
-    )
-
-
-def pack_words(words: Iterable[i.Word]) -> list[bytes]:
-    """Messages between gateways, each as long as the wire allows."""
-    packed = [
-        WORD.pack(
-            word.customer, word.plan_index, word.set_first, word.set_size, word.is_answer,
-            *(max(-32768, min(32767, round(amount * UNIT)))
-              for amount in (word.demand, word.spent, word.asked, word.level)),
-        )
-        for word in words
-    ]
-    most = MESSAGE_BYTES // WORD.size
-    return [b"".join(packed[n : n + most]) for n in range(0, len(packed), most)]
-
-
-def unpack_words(data: bytes) -> tuple[i.Word, ...]:
-    """The words of a message; none where it is not of this version's form."""
-    if len(data) % WORD.size:
-        return ()
-    return tuple(
-        i.Word(*key, bool(answer), *(amount / UNIT for amount in amounts))
-        for *key, answer, demand, spent, asked, level in WORD.iter_unpack(data)
-        for amounts in [(demand, spent, asked, level)]
+        report=read_load(fields, names),
     )
 
 
@@ -282,7 +153,7 @@
         return i.Timer(fields.whole())
     if name == "CHECK_RESULT":
         server, result = fields.text(), RESULTS[fields.text()]
-        return i.ProbeResult(server, result, fields.whole(0), read_report(fields, names))
+        return i.ProbeResult(server, result, fields.whole(0), read_load(fields, names))
     if name == "FROM_PEER":
         return i.PeerMessage(fields.whole(), unpack_words(read_bytes(fields)))
     if name == "TOTAL":
@@ -354,7 +225,7 @@
         if self.target is None:
             raise WireError("no instance is named")
         if name == "NEW_INSTANCE":
-            pairs = Pairs(part for part in parts[1:] if part)
+            pairs = read_pairs(part for part in parts[1:] if part)
             how = pairs.text("stats.names")
             self.report_names[self.target] = how.split(",") if how else []
             self.gateways[self.target] = Gateway(read_settings(fields.whole(), pairs))
--- /dev/null
+++ b/molereach/__init__.py
@@ -0,0 +1,1 @@
+"""molereach: a front door on real sockets around the decisions of fennelwinch."""
--- /dev/null
+++ b/molereach/discovery.py
@@ -0,0 +1,168 @@
+"""The list of backends: a watch on discovery that is kept open, read line by line."""
+
+import asyncio
+import json
+import logging
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import h11
+
+from fennelwinch import interface as i
+from molereach.config import Address, Config, ConfigError, read_address
+
+log = logging.getLogger(__name__)
+
+STATES = {
+    "SERVING": i.ServerState.UP,
+    "DRAINING": i.ServerState.DRAINING,
+    "DELETED": i.ServerState.GONE,
+}
+SILENT_S = 5.0  # an empty line comes every 2 s; a watch that is silent for longer is dead
+CONNECT_S = 1.0
+BACKOFF_S, MOST_BACKOFF_S = 0.1, 1.0
+MOST_LINE = 1 << 22  # bytes
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    """News of the list for the module, and the addresses that go with it."""
+
+    event: i.ServerList
+    addresses: dict[str, Address]
+
+
+class Catalog:
+    """Reads discovery's lists, with names turned to the settings' numbers and times to our clock."""
+
+    def __init__(self, config: Config) -> None:
+        self.zones, self.kinds = config.zone_numbers, config.kind_numbers
+        # Fixed once: the module takes a backend whose start time differs for one that has restarted.
+        self.offset_us = (time.monotonic_ns() - time.time_ns()) // 1000
+
+    def started_us(self, unix_ms: float) -> int:
+        """0 stays 0, for long ago; nothing else becomes 0."""
+        return (round(unix_ms * 1000) + self.offset_us) or 1 if unix_ms else 0
+
+    def server(self, entry: Mapping[str, Any]) -> i.Server:
+        return i.Server(
+            name=str(entry["instanceId"]),
+            zone=self.zones.get(entry.get("zone"), -1),
+            kind=self.kinds.get(entry.get("machineType"), -1),
+            cell=int(entry.get("cell") or 0),
+            # In a state that we do not know it is not said to serve: nothing new goes there.
+            state=STATES.get(entry.get("lifecycle"), i.ServerState.DRAINING),
+            size=float(entry.get("weight") or 1.0),
+            started_us=self.started_us(float(entry.get("startedAtMs") or 0)),
+        )
+
+    def news(self, value: Mapping[str, Any], kind: i.ListKind | None = None) -> News:
+        """A list or changes to it; an entry that makes no sense is passed over."""
+        kind = kind or (i.ListKind.FULL if value.get("reset") else i.ListKind.CHANGES)
+        servers, addresses = [], {}
+        for entry in value["instances"]:
+            try:
+                server, address = self.server(entry), read_address(entry["hostPort"])
+            except (KeyError, TypeError, ValueError, AttributeError, ConfigError) as error:
+                log.error("passed over an entry of the list: %.200r: %s", entry, error)
+                continue
+            servers.append(server)
+            addresses[server.name] = address
+        return News(i.ServerList(kind, int(value["generation"]), tuple(servers)), addresses)
+
+
+class WatchConnection(asyncio.Protocol):
+    """One watch, from its request to the end of its connection."""
+
+    def __init__(self, target: str, host: str, line: Callable[[bytes], None]) -> None:
+        self.target, self.host, self.line = target, host, line
+        self.http = h11.Connection(h11.CLIENT)
+        self.buffer = bytearray()
+        self.heard = time.monotonic()
+        self.ended = asyncio.get_running_loop().create_future()
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        self.transport = transport
+        request = h11.Request(method="GET", target=self.target, headers=[("Host", self.host)])
+        transport.write(self.http.send(request) + self.http.send(h11.EndOfMessage()))
+
+    def data_received(self, data: bytes) -> None:
+        self.heard = time.monotonic()
+        try:
+            self.http.receive_data(data)
+            while (event := self.http.next_event()) not in (h11.NEED_DATA, h11.PAUSED):
+                self.take(event)
+        except (h11.ProtocolError, ValueError, KeyError, TypeError, AttributeError) as error:
+            log.error("the watch brings what makes no sense: %s", error)
+            self.close()
+
+    def take(self, event: h11.Event) -> None:
+        if isinstance(event, h11.Response) and event.status_code != 200:
+            raise ValueError(f"status {event.status_code}")
+        if isinstance(event, h11.Data):
+            self.buffer += event.data
+            *lines, rest = self.buffer.split(b"\n")
+            self.buffer = rest
+            for line in lines:
+                if line.strip():
+                    self.line(bytes(line))
+            if len(rest) > MOST_LINE:
+                raise ValueError("a line without an end")
+        if isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
+            self.close()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        if not self.ended.done():
+            self.ended.set_result(None)
+
+    def close(self) -> None:
+        if self.transport:
+            self.transport.abort()
+
+
+class Discovery:
+    """Keeps a watch open and hands on its news as soon as it has been written."""
+
+    def __init__(
+        self, address: Address, catalog: Catalog, version: int, heard: Callable[[News], None]
+    ) -> None:
+        self.address, self.catalog, self.version, self.heard = address, catalog, version, heard
+        self.first = asyncio.Event()
+        self.backoff_s = BACKOFF_S
+
+    def line(self, line: bytes) -> None:
+        """A whole line. Where it fails, the version stays, and the next watch brings it again."""
+        news = self.catalog.news(json.loads(line))
+        self.version, self.backoff_s = news.event.version, BACKOFF_S
+        self.heard(news)
+        self.first.set()
+
+    async def run(self) -> None:
+        while True:
+            try:
+                await self.watch()
+            except (OSError, TimeoutError) as error:
+                log.warning("no watch on discovery: %s", error or "it does not answer")
+            await asyncio.sleep(self.backoff_s)
+            self.backoff_s = min(MOST_BACKOFF_S, self.backoff_s * 2)
+
+    async def watch(self) -> None:
+        """One watch, until it ends or has been silent for too long."""
+        host, port = self.address
+        target = f"/catalog/members?watch=1&after={self.version}"
+        async with asyncio.timeout(CONNECT_S):
+            _, connection = await asyncio.get_running_loop().create_connection(
+                lambda: WatchConnection(target, f"{host}:{port}", self.line), host, port
+            )
+        try:
+            while not connection.ended.done():
+                left = connection.heard + SILENT_S - time.monotonic()
+                if left <= 0:
+                    log.warning("the watch on discovery is silent")
+                    return
+                await asyncio.wait([connection.ended], timeout=left)
+        finally:
+            connection.close()
--- /dev/null
+++ b/molereach/frontdoor.py
@@ -0,0 +1,256 @@
+"""The front door: events to the decision module, its actions to the sockets, on one clock.
+
+As on the simulator's wire, what has come in by one moment is a batch: each of its events is handed to
+the module with the same time, in order of arrival, and its actions are carried out in order. What an
+action itself brings about (an attempt that could not start) comes with a later batch.
+"""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from fennelwinch import interface as i
+from fennelwinch.rules import Gateway
+from molereach.backends import Attempt, Backends, now_us
+from molereach.clients import FAILED, Clients, Command, CommandError, CommandParser, Reply
+from molereach.config import Config
+from molereach.discovery import Catalog, Discovery, News
+from molereach.peers import Peers
+
+log = logging.getLogger(__name__)
+
+# Taken off the time that a client waits: for the way of its request here and of our answer back.
+ANSWER_MARGIN_US = 25_000
+BACKSTOP_US = 5_000  # how much later than the module a request is ended here, should it not do so
+FIRST_LIST_S = 0.3  # how long the start waits for a list that is newer than the known one
+SETTLE_S = 0.6  # after SIGTERM new connections go on coming for up to 0.4 s
+LAST_WRITES_S = 1.0  # how long clients may take to read their last answers
+SPARE_SOCKETS = 64  # for listening, discovery, peers, the loop and log
+CLIENT_SHARE = 0.6  # of the other sockets
+MOST_HELD_BYTES = 32 << 20  # of commands that are not answered yet
+
+
+class Exchange:
+    """A request from its arrival until its answer, with the attempts that are out."""
+
+    __slots__ = ("attempts", "command", "end_us", "out", "reply", "timer")
+
+    def __init__(self, command: Command, reply: Reply, end_us: int) -> None:
+        self.command, self.reply, self.end_us = command, reply, end_us
+        self.attempts = 0
+        self.out: dict[int, Attempt] = {}
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class FrontDoor:
+    def __init__(self, config: Config) -> None:
+        self.config, self.settings = config, config.settings
+        self.loop = asyncio.get_running_loop()
+        self.gateway = Gateway(config.settings)
+        self.inbox: list[i.Event] = []
+        self.open: dict[str, Exchange] = {}  # requests that are owed an answer
+        self.ended: dict[str, Exchange] = {}  # those answered with attempts still out
+        self.held_bytes = 0
+        self.all_answered = asyncio.Event()
+        sockets = max(16, config.sockets - SPARE_SOCKETS)
+        most_clients = round(sockets * CLIENT_SHARE)
+        self.backends = Backends(config.conn_idle_us, config.connect_timeout_us, sockets - most_clients)
+        self.parser = CommandParser(config)
+        self.clients = Clients(most_clients, self.take, self.client_gone)
+        self.peers = Peers(config.peers, config.settings.me, self.post)
+        self.catalog = Catalog(config)
+        known = self.read_known()
+        version = known.event.version if known else 0
+        self.discovery = Discovery(config.discovery, self.catalog, version, self.list_heard)
+        self.carry_out: dict[type, Callable[..., None]] = {
+            i.Send: self.send, i.Cancel: self.cancel, i.Refuse: self.refuse, i.Fail: self.fail,
+            i.SetTimer: self.set_timer, i.Tell: self.peers.tell, i.Log: self.log_line,
+            i.CloseIdle: lambda action: self.backends.close_idle(action.server),
+            i.Subscribe: lambda action: None, i.FetchList: lambda action: None,  # the watch is always on
+        }
+
+    # --- start and end ---
+
+    def read_known(self) -> News | None:
+        if not self.config.known:
+            return None
+        try:
+            news = self.catalog.news(self.config.known, i.ListKind.SAVED)
+        except (KeyError, TypeError, ValueError) as error:
+            log.error("the known list makes no sense: %s", error)
+            return None
+        self.list_heard(news)
+        return news
+
+    async def start(self) -> None:
+        """Serve; returns once clients are answered. An address that cannot be had is an OSError."""
+        self.backends.sweep()
+        if self.settings.may_tell and self.config.peer_listen:
+            await self.loop.create_datagram_endpoint(lambda: self.peers, local_addr=self.config.peer_listen)
+        self.backends.spawn(self.discovery.run())
+        try:
+            await asyncio.wait_for(self.discovery.first.wait(), FIRST_LIST_S)
+        except TimeoutError:
+            log.warning("discovery is silent; starting with the known list")
+        host, port = self.config.listen
+        # What a killed predecessor left in TIME_WAIT must not keep a restart from its address.
+        await self.loop.create_server(self.clients.connection, host, port, backlog=1024, reuse_address=True)
+
+    async def drain(self) -> None:
+        """Take and answer what still comes, then close what is idle, and answer all that is held."""
+        await asyncio.sleep(SETTLE_S)
+        self.clients.drain()
+        while self.open:
+            self.all_answered.clear()
+            await self.all_answered.wait()
+        try:
+            await asyncio.wait_for(self.clients.empty.wait(), LAST_WRITES_S)
+        except TimeoutError:
+            log.warning("%d clients have not read their answers", len(self.clients.connections))
+
+    # --- events ---
+
+    def post(self, event: i.Event) -> None:
+        if not self.inbox:
+            self.loop.call_soon(self.run_batch)
+        self.inbox.append(event)
+
+    def run_batch(self) -> None:
+        now, events, self.inbox = now_us(), self.inbox, []
+        for event in events:
+            try:
+                for action in self.gateway.handle(now, event):
+                    self.act(action)
+            except Exception:
+                log.exception("the module failed on %r", event)
+                self.module_failed(event)
+
+    def act(self, action: i.Action) -> None:
+        do = self.carry_out.get(type(action))
+        if do is None:
+            log.error("there is no such action on sockets: %r", action)
+        else:
+            do(action)
+
+    def module_failed(self, event: i.Event) -> None:
+        """The request that the event belongs to fails; a timer comes again, as the module lives by it."""
+        if isinstance(event, i.Timer):
+            self.set_timer(i.SetTimer(20_000, event.token))
+        elif isinstance(event, i.Request | i.Outcome | i.StreamStarted) and event.id in self.open:
+            self.answer(event.id, FAILED)
+            self.post(i.ClientGone(event.id))
+
+    def list_heard(self, news: News) -> None:
+        whole = news.event.kind is not i.ListKind.CHANGES
+        up = {server.name for server in news.event.servers if server.state is i.ServerState.UP}
+        gone = {server.name for server in news.event.servers if server.state is i.ServerState.GONE}
+        self.backends.update(news.addresses, news.addresses.keys() - up, gone, whole)
+        self.post(news.event)
+
+    def take(self, words: list[bytes], reply: Reply) -> None:
+        """A client's command; one that is wrong is a CommandError."""
+        command = self.parser.parse(words, ANSWER_MARGIN_US)
+        request = command.request
+        if request.id in self.open or request.id in self.ended:
+            raise CommandError("this id is in use")
+        if len(self.open) >= self.config.max_open or self.held_bytes > MOST_HELD_BYTES:
+            raise CommandError("too many requests are open")
+        exchange = Exchange(command, reply, now_us() + request.left_us)
+        delay = (request.left_us + BACKSTOP_US) / 1e6
+        exchange.timer = self.loop.call_later(delay, self.overdue, request.id)
+        reply.id = request.id
+        self.open[request.id] = exchange
+        self.held_bytes += command.size
+        self.post(request)
+
+    def overdue(self, request_id: str) -> None:
+        """The module owes an answer in time; this one keeps the promise to the client if it fails to."""
+        if request_id in self.open:
+            log.error("request %s was left without an answer", request_id)
+            self.answer(request_id, FAILED)
+            self.post(i.ClientGone(request_id))
+
+    def client_gone(self, reply: Reply) -> None:
+        if reply.id is not None and self.close(reply.id):
+            self.post(i.ClientGone(reply.id))
+
+    # --- actions ---
+
+    def send(self, action: i.Send) -> None:
+        exchange = self.open.get(action.id)
+        if exchange is None or exchange.attempts >= self.settings.max_attempts:
+            ended = exchange or self.ended.get(action.id)
+            number = ended.attempts if ended else 0
+            if ended:
+                ended.attempts += 1
+            self.post(i.Outcome(action.id, exchange is None, number, action.server, i.Result.MOOT, 0))
+            return
+        left = max(1, exchange.end_us - now_us())
+        timeout = min(left, action.timeout_us) if action.timeout_us > 0 else left
+        number, exchange.attempts = exchange.attempts, exchange.attempts + 1
+        payload = exchange.command.payload(timeout)
+        attempt = Attempt(action.id, number, action.server, payload, self.attempt_done)
+        exchange.out[number] = attempt
+        self.backends.send(attempt, timeout)
+
+    def attempt_done(
+        self, attempt: Attempt, result: i.Result, value: bytes | None, report: i.LoadReport | None
+    ) -> None:
+        """An attempt's one outcome; the first value goes to the client at once and closes the request."""
+        name = attempt.request_id
+        if result is i.Result.OK and value is not None and name in self.open:
+            self.answer(name, b"$%d\r\n%b\r\n" % (len(value), value))
+        over = name not in self.open
+        exchange = self.ended.get(name) if over else self.open[name]
+        if exchange:
+            exchange.out.pop(attempt.number, None)
+            if over and not exchange.out:
+                del self.ended[name]
+        took = now_us() - attempt.sent_us
+        self.post(i.Outcome(name, over, attempt.number, attempt.server, result, took, report=report))
+
+    def cancel(self, action: i.Cancel) -> None:
+        exchange = self.open.get(action.id) or self.ended.get(action.id)
+        attempt = exchange.out.get(action.attempt) if exchange else None
+        if attempt:
+            attempt.cancel()
+
+    def refuse(self, action: i.Refuse) -> None:
+        wait_ms = action.retry_after_us // 1000
+        self.answer(action.id, b"-BUSY %d\r\n" % wait_ms if wait_ms > 0 else b"-BUSY\r\n")
+
+    def fail(self, action: i.Fail) -> None:
+        self.answer(action.id, FAILED)
+
+    def answer(self, name: str, data: bytes) -> None:
+        if exchange := self.close(name):
+            exchange.reply.send(data)
+
+    def close(self, name: str) -> Exchange | None:
+        """The request is owed nothing more; None if that is so already."""
+        exchange = self.open.pop(name, None)
+        if exchange is None:
+            return None
+        self.held_bytes -= exchange.command.size
+        if exchange.timer:
+            exchange.timer.cancel()
+        if exchange.out:
+            self.ended[name] = exchange
+        if not self.open:
+            self.all_answered.set()
+        return exchange
+
+    def set_timer(self, action: i.SetTimer) -> None:
+        self.ring(now_us() + action.delay_us, action.token)
+
+    def ring(self, due_us: int, token: int) -> None:
+        """The loop's timers go by milliseconds and may be early; the module would pass over such a one
+        and, as it takes it for still set, never set another."""
+        left = due_us - now_us()
+        if left > 0:
+            self.loop.call_later(max(1000, left) / 1e6, self.ring, due_us, token)
+        else:
+            self.post(i.Timer(token))
+
+    def log_line(self, action: i.Log) -> None:
+        log.info("%s", action.text)
--- /dev/null
+++ b/molereach/peers.py
@@ -0,0 +1,37 @@
+"""Datagrams between the front doors of a tier."""
+
+import asyncio
+from collections.abc import Callable
+
+from fennelwinch import interface as i
+from fennelwinch.codec import MESSAGE_BYTES, pack_words, unpack_words
+from molereach.config import Address
+
+
+class Peers(asyncio.DatagramProtocol):
+    """Words to and from the other front doors; what strangers send or what is malformed is dropped."""
+
+    def __init__(
+        self, addresses: tuple[Address, ...], me: int, heard: Callable[[i.PeerMessage], None]
+    ) -> None:
+        self.addresses, self.me, self.heard = addresses, me, heard
+        self.senders = {address: number for number, address in enumerate(addresses) if number != me}
+        self.transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
+        self.transport = transport
+
+    def datagram_received(self, data: bytes, address: Address) -> None:
+        sender = self.senders.get(address)
+        if sender is None or len(data) > MESSAGE_BYTES:
+            return
+        if words := unpack_words(data):
+            self.heard(i.PeerMessage(sender, words))
+
+    def error_received(self, error: OSError) -> None:
+        """A peer that is down may show as an error here; words may be lost in any case."""
+
+    def tell(self, action: i.Tell) -> None:
+        if self.transport and action.peer != self.me and action.peer < len(self.addresses):
+            for data in pack_words(action.words):
+                self.transport.sendto(data, self.addresses[action.peer])
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -8,7 +8,8 @@
 import pytest
 
 from fennelwinch import interface as i
-from fennelwinch.adapter import Host, pack_words, unpack_words, write_action
+from fennelwinch.adapter import Host, write_action
+from fennelwinch.codec import pack_words, unpack_words
 
 ROOT = Path(__file__).parent.parent
 PARAMS = (
