Tests over loopback sockets for every part of the front door

Seen by the tests, and mended here: - backends.py Pool.start: connections counted against the bound only once their task ran, so several opened in one moment passed it. Counted at once. - backends.py Connection: an ended connection waited for its own writes; eof_received aborts it. - frontdoor.py close() under two meanings (request, sockets): settle() and close(). Ruled out: a mixed-up order of answers; the test had answered on the wrong connection of two.

--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -147,6 +147,10 @@
             self.pool.release(self)
         attempt.finish(*read_reply(reply))
 
+    def eof_received(self) -> None:
+        """No answer can come any more. Without the abort the loop would wait until all is written."""
+        self.transport.abort()
+
     def connection_lost(self, error: Exception | None) -> None:
         self.pool.forget(self)
         attempt, self.attempt = self.attempt, None
@@ -191,15 +195,15 @@
             return
         self.waiting.append(attempt)
         self.connecting += 1
-        self.owner.spawn(self.connect(self.address))
+        connection = Connection(self)
+        self.connections.add(connection)  # at once, as the bound counts those that are still connecting
+        self.owner.spawn(self.connect(connection))
 
-    async def connect(self, address: Address) -> None:
+    async def connect(self, connection: Connection) -> None:
         """Open a connection for whoever waits longest; bounded, as a machine that is cut off says nothing."""
-        loop, connection = asyncio.get_running_loop(), Connection(self)
-        self.connections.add(connection)
         try:
             async with asyncio.timeout(self.owner.connect_s):
-                await loop.create_connection(lambda: connection, *address)
+                await asyncio.get_running_loop().create_connection(lambda: connection, *self.address)
         except (OSError, TimeoutError):
             self.connections.discard(connection)
             self.connecting -= 1
@@ -317,3 +321,11 @@
         task = asyncio.get_running_loop().create_task(job)
         self.tasks.add(task)  # the loop itself holds tasks only weakly
         task.add_done_callback(self.tasks.discard)
+
+    def close(self) -> None:
+        """End all connections and whatever else is under way."""
+        for pool in (*self.pools.values(), *self.old):
+            for connection in list(pool.connections):
+                connection.abort()
+        for task in self.tasks:
+            task.cancel()
--- a/molereach/clients.py
+++ b/molereach/clients.py
@@ -300,6 +300,10 @@
             self.closing = True
             self.transport.close()
 
+    def abort(self) -> None:
+        if self.transport:
+            self.transport.abort()
+
 
 class Clients:
     """All client connections, bounded in number."""
@@ -350,3 +354,8 @@
             connection.close()
         if not self.connections:
             self.empty.set()
+
+    def close(self) -> None:
+        """End all connections, whatever is open on them."""
+        for connection in list(self.connections):
+            connection.abort()
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -52,6 +52,7 @@
         self.ended: dict[str, Exchange] = {}  # those answered with attempts still out
         self.held_bytes = 0
         self.all_answered = asyncio.Event()
+        self.server: asyncio.Server | None = None
         sockets = max(16, config.sockets - SPARE_SOCKETS)
         most_clients = round(sockets * CLIENT_SHARE)
         self.backends = Backends(config.conn_idle_us, config.connect_timeout_us, sockets - most_clients)
@@ -94,7 +95,9 @@
             log.warning("discovery is silent; starting with the known list")
         host, port = self.config.listen
         # What a killed predecessor left in TIME_WAIT must not keep a restart from its address.
-        await self.loop.create_server(self.clients.connection, host, port, backlog=1024, reuse_address=True)
+        self.server = await self.loop.create_server(
+            self.clients.connection, host, port, backlog=1024, reuse_address=True
+        )
 
     async def drain(self) -> None:
         """Take and answer what still comes, then close what is idle, and answer all that is held."""
@@ -107,6 +110,15 @@
             await asyncio.wait_for(self.clients.empty.wait(), LAST_WRITES_S)
         except TimeoutError:
             log.warning("%d clients have not read their answers", len(self.clients.connections))
+        self.close()
+
+    def close(self) -> None:
+        """Let go of all sockets."""
+        if self.server:
+            self.server.close()
+        self.peers.close()
+        self.clients.close()
+        self.backends.close()
 
     # --- events ---
 
@@ -171,7 +183,7 @@
             self.post(i.ClientGone(request_id))
 
     def client_gone(self, reply: Reply) -> None:
-        if reply.id is not None and self.close(reply.id):
+        if reply.id is not None and self.settle(reply.id):
             self.post(i.ClientGone(reply.id))
 
     # --- actions ---
@@ -223,10 +235,10 @@
         self.answer(action.id, FAILED)
 
     def answer(self, name: str, data: bytes) -> None:
-        if exchange := self.close(name):
+        if exchange := self.settle(name):
             exchange.reply.send(data)
 
-    def close(self, name: str) -> Exchange | None:
+    def settle(self, name: str) -> Exchange | None:
         """The request is owed nothing more; None if that is so already."""
         exchange = self.open.pop(name, None)
         if exchange is None:
--- a/molereach/peers.py
+++ b/molereach/peers.py
@@ -35,3 +35,7 @@
         if self.transport and action.peer != self.me and action.peer < len(self.addresses):
             for data in pack_words(action.words):
                 self.transport.sendto(data, self.addresses[action.peer])
+
+    def close(self) -> None:
+        if self.transport:
+            self.transport.close()
--- /dev/null
+++ b/tests/sockets.py
@@ -0,0 +1,194 @@
+"""Real sockets on loopback for the front door's tests: clients, backends and discovery, by script."""
+
+import asyncio
+import contextlib
+import json
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine, Iterable
+from dataclasses import replace
+from typing import Any
+
+import hiredis
+import uvloop
+
+from fennelwinch import interface as i
+from molereach.config import Address, Config
+from molereach.frontdoor import FrontDoor
+
+HOST = "127.0.0.1"
+CUSTOMER = "00000000b4d65521"
+CLASSES = (
+    i.RequestClass(aim_us=2_000_000, deadline_us=6_000_000),
+    i.RequestClass(2_000_000, 6_000_000, effect=i.Effect.KEYED, group=i.Group.ZONE, window_us=5_000_000),
+    i.RequestClass(2_000_000, 6_000_000, effect=i.Effect.UNSAFE),
+)
+SETTINGS = i.Settings(
+    seed=3, me=0, gateways=2, classes=CLASSES, plans=(i.Plan(rate=1000.0, burst=1000.0),), max_attempts=3,
+    max_retry_after_us=750_000, may_cancel=True, may_tell=True, peer_messages_per_s=100.0,
+)
+CONFIG = Config(
+    name="n0", listen=(HOST, 0), discovery=(HOST, 1), settings=SETTINGS,
+    class_numbers={"read": 0, "book": 1, "settle": 2}, plan_numbers={"team": 0},
+    zone_numbers={"a": 0, "b": 1}, kind_numbers={"m2": 0}, conn_idle_us=30_000_000,
+    connect_timeout_us=250_000, max_open=100, sockets=256, known={},
+)
+
+
+def run(job: Coroutine[Any, Any, None]) -> None:
+    """Run a test on the loop that the program uses, within a time that only a hang takes."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(30):
+            await job
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(bounded())
+
+
+def resp(*words: bytes | str) -> bytes:
+    parts = [word.encode() if isinstance(word, str) else word for word in words]
+    return b"*%d\r\n" % len(parts) + b"".join(b"$%d\r\n%b\r\n" % (len(part), part) for part in parts)
+
+
+def query(name: str, wait_ms: int = 3000, **more: str) -> bytes:
+    extra = "".join(f",{key}={value}" for key, value in more.items())
+    return resp("SVC.QUERY", CUSTOMER, name, f"c=read,t=team,d={wait_ms}{extra}")
+
+
+def submit(name: str, kind: str = "settle", wait_ms: int = 3000, body: bytes = b"BODY") -> bytes:
+    return resp("SVC.SUBMIT", CUSTOMER, name, f"c={kind},t=team,d={wait_ms},k=5c0f", body)
+
+
+def value(data: bytes, report: bytes = b"$-1\r\n") -> bytes:
+    """A backend's answer with a value."""
+    return b"*3\r\n$%d\r\n%b\r\n$-1\r\n%b" % (len(data), data, report)
+
+
+Answer = Callable[[list[bytes]], bytes | None]
+
+
+class Backend:
+    """A backend: answers each command by a script; None keeps silent, b'' closes the connection."""
+
+    def __init__(self, answer: Answer = lambda words: value(b"ok")) -> None:
+        self.answer, self.commands, self.opened = answer, [], 0
+        self.commands: list[list[bytes]]
+        self.came, self.left = asyncio.Event(), asyncio.Event()  # a command came; a connection ended
+        self.writers: list[asyncio.StreamWriter] = []  # of each command in turn
+
+    async def start(self) -> Address:
+        self.server = await asyncio.start_server(self.serve, HOST, 0)
+        return self.server.sockets[0].getsockname()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.opened += 1
+        parser = hiredis.Reader()
+        with contextlib.suppress(OSError):
+            while data := await reader.read(1 << 16):
+                parser.feed(data)
+                while (words := parser.gets()) is not False:
+                    self.commands.append(words)
+                    self.writers.append(writer)
+                    self.came.set()
+                    answer = self.answer(words)
+                    if answer == b"":
+                        writer.transport.abort()
+                    elif answer:
+                        writer.write(answer)
+        self.left.set()
+        writer.close()
+
+
+class Watch:
+    """Discovery: a script for each watch in turn, the last one for all that follow."""
+
+    def __init__(self, *scripts: Callable[[asyncio.StreamWriter], Awaitable[None]]) -> None:
+        self.scripts, self.targets = list(scripts), []
+        self.targets: list[str]
+
+    async def start(self) -> Address:
+        self.server = await asyncio.start_server(self.serve, HOST, 0)
+        return self.server.sockets[0].getsockname()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.targets.append((await reader.readuntil(b"\r\n\r\n")).split()[1].decode())
+        script = self.scripts.pop(0) if len(self.scripts) > 1 else self.scripts[0]
+        with contextlib.suppress(OSError):
+            await script(writer)
+        writer.close()
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def entry(name: str, address: Address, lifecycle: str = "SERVING", started_ms: int = 0) -> dict[str, Any]:
+    return {"instanceId": name, "hostPort": f"{address[0]}:{address[1]}", "zone": "a", "machineType": "m2",
+            "cell": 0, "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": started_ms}
+
+
+def catalog(version: int, entries: Iterable[dict[str, Any]], reset: bool = True) -> bytes:
+    return json.dumps({"generation": version, "reset": reset, "instances": list(entries)}).encode() + b"\n"
+
+
+class Client:
+    """A client's connection."""
+
+    @classmethod
+    async def open(cls, address: Address) -> "Client":
+        client = cls()
+        client.reader, client.writer = await asyncio.open_connection(*address)
+        client.parser = hiredis.Reader(notEnoughData=Client)
+        return client
+
+    def send(self, data: bytes) -> None:
+        self.writer.write(data)
+
+    async def answer(self) -> object:
+        """The next answer; EOFError at the end of the connection."""
+        while (reply := self.parser.gets()) is Client:
+            data = await self.reader.read(1 << 16)
+            if not data:
+                raise EOFError
+            self.parser.feed(data)
+        return f"-{reply}" if isinstance(reply, hiredis.ReplyError) else reply
+
+    async def ask(self, data: bytes) -> object:
+        self.send(data)
+        return await self.answer()
+
+    async def ended(self) -> bool:
+        try:
+            return not await self.reader.read()
+        except ConnectionResetError:
+            return True
+
+
+@contextlib.asynccontextmanager
+async def front_door(
+    *backends: Backend, addresses: Iterable[Address] = (), **changes: object
+) -> AsyncIterator[tuple[FrontDoor, Address]]:
+    """A front door that serves, before the given backends, and its address."""
+    everyone = [*addresses, *[await backend.start() for backend in backends]]
+    listed = catalog(7, [entry(f"s{number}", address) for number, address in enumerate(everyone)])
+
+    async def script(writer: asyncio.StreamWriter) -> None:
+        writer.write(HEAD + chunk(listed))
+        await asyncio.Event().wait()
+
+    door = FrontDoor(replace(CONFIG, discovery=await Watch(script).start(), **changes))
+    await door.start()
+    try:
+        yield door, door.server.sockets[0].getsockname()
+    finally:
+        door.close()
+
+
+def refusing_address() -> Address:
+    """An address at which nobody listens."""
+    with socket.socket() as free:
+        free.bind((HOST, 0))
+        return free.getsockname()
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,141 @@
+"""The watch on discovery and the datagrams between front doors."""
+
+import asyncio
+import time
+from dataclasses import replace
+
+import pytest
+
+from fennelwinch import interface as i
+from fennelwinch.codec import pack_words
+from molereach import discovery
+from molereach.discovery import Catalog, Discovery, News
+from molereach.frontdoor import FrontDoor
+from molereach.peers import Peers
+from tests.sockets import CONFIG, HEAD, HOST, Watch, catalog, chunk, entry, run
+
+AT = (HOST, 6379)
+
+
+async def news_of(watch: Watch, count: int, version: int = 0) -> list[News]:
+    """The first news that a watch brings."""
+    heard: asyncio.Queue[News] = asyncio.Queue()
+    found = Discovery(await watch.start(), Catalog(CONFIG), version, heard.put_nowait)
+    task = asyncio.create_task(found.run())
+    try:
+        return [await heard.get() for _ in range(count)]
+    finally:
+        task.cancel()
+
+
+def script(*pieces: bytes, stay: bool = True) -> object:
+    async def play(writer: asyncio.StreamWriter) -> None:
+        for piece in pieces:
+            writer.write(piece)
+            await asyncio.sleep(0.001)  # so that the pieces are read apart
+        if stay:
+            await asyncio.Event().wait()
+
+    return play
+
+
+def test_lines_in_pieces_empty_lines_and_unknown_states() -> None:
+    async def job() -> None:
+        odd = [entry("s2", AT, "RESTING"), {"instanceId": "odd"}, entry("s3", AT, "DRAINING")]
+        line = catalog(5, [entry("s1", AT), *odd])
+        gone = catalog(6, [entry("s1", AT, "DELETED")], reset=False)
+        stream = HEAD + chunk(b"\n") + chunk(line[:30])
+        stream += chunk(line[30:] + b"\n" + gone[:9]) + chunk(gone[9:])
+        pieces = [stream[n : n + 50] for n in range(0, len(stream), 50)]
+        first, second = await news_of(Watch(script(*pieces)), 2)
+        states = {server.name: server.state for server in first.event.servers}
+        assert (first.event.kind, first.event.version) == (i.ListKind.FULL, 5)
+        draining = i.ServerState.DRAINING
+        assert states == {"s1": i.ServerState.UP, "s2": draining, "s3": draining}
+        assert (second.event.kind, second.event.version) == (i.ListKind.CHANGES, 6)
+        assert second.event.servers[0].state is i.ServerState.GONE
+
+    run(job())
+
+
+def test_watch_that_ends_is_reopened_after_what_was_heard() -> None:
+    async def job() -> None:
+        watch = Watch(
+            script(HEAD + chunk(catalog(5, [])), stay=False),
+            script(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", stay=False),
+            script(HEAD + chunk(catalog(6, [])[:20]), stay=False),  # breaks within a line: not heard
+            script(HEAD + chunk(b"{not json\n")),
+            script(HEAD + chunk(catalog(9, [], reset=False))),
+        )
+        started = time.monotonic()
+        found = await news_of(watch, 2, version=3)
+        assert [news.event.version for news in found] == [5, 9]
+        afters = [target.partition("after=")[2] for target in watch.targets]
+        assert afters == ["3", "5", "5", "5", "5"]
+        assert time.monotonic() - started > 4 * discovery.BACKOFF_S  # no busy loop
+
+    run(job())
+
+
+def test_silent_watch_is_reopened(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "SILENT_S", 0.2)
+
+    async def job() -> None:
+        watch = Watch(script(HEAD), script(HEAD + chunk(catalog(4, []))))
+        assert (await news_of(watch, 1))[0].event.version == 4
+        assert len(watch.targets) == 2
+
+    run(job())
+
+
+def test_start_times_go_over_to_our_clock() -> None:
+    read = Catalog(CONFIG)
+    assert read.started_us(0) == 0
+    now_ms = time.time_ns() // 1_000_000
+    assert abs(read.started_us(now_ms - 5000) - (time.monotonic_ns() // 1000 - 5_000_000)) < 100_000
+    assert read.started_us(now_ms) == read.started_us(now_ms)
+    assert read.started_us(1) < 0  # before this machine's clock began, but not 'long ago'
+
+
+def test_known_list_serves_while_discovery_is_silent() -> None:
+    async def job() -> None:
+        known = {"generation": 3, "reset": True, "instances": [entry("s1", AT)]}
+        door = FrontDoor(replace(CONFIG, known=known, discovery=await Watch(script()).start()))
+        heard: list[i.Event] = []
+        door.gateway.handle = lambda now, event: heard.append(event) or []
+        await door.start()
+        assert [event.kind for event in heard if isinstance(event, i.ServerList)] == [i.ListKind.SAVED]
+        assert door.discovery.version == 3 and list(door.backends.pools) == ["s1"]
+        door.close()
+
+    run(job())
+
+
+def test_peers_words_arrive_and_strangers_are_dropped() -> None:
+    async def job() -> None:
+        loop, heard = asyncio.get_running_loop(), asyncio.Queue()
+        ends = []
+        for _ in range(3):
+            peers = Peers((), 0, heard.put_nowait)
+            await loop.create_datagram_endpoint(lambda peers=peers: peers, local_addr=(HOST, 0))
+            ends.append(peers)
+        addresses = tuple(peers.transport.get_extra_info("sockname") for peers in ends)
+        me, friend, stranger = ends
+        me.__init__(addresses[:2], 0, heard.put_nowait)
+        await loop.create_datagram_endpoint(lambda: me, local_addr=(HOST, 0))
+        at = me.transport.get_extra_info("sockname")
+        words = tuple(i.Word(n, 0, 0, 2, demand=1.0) for n in range(30))
+        stranger.transport.sendto(pack_words(words[:1])[0], at)
+        friend.transport.sendto(b"x" * 7, at)
+        friend.transport.sendto(pack_words(words)[0] * 2, at)  # longer than the wire allows
+        friend.addresses = (at,)
+        friend.me = 1
+        friend.tell(i.Tell(0, words))
+        got: tuple[i.Word, ...] = ()
+        while len(got) < len(words):
+            message = await heard.get()
+            assert message.sender == 1
+            got += message.words
+        assert got == words and heard.empty()
+
+    run(job())
--- /dev/null
+++ b/tests/test_frontdoor.py
@@ -0,0 +1,241 @@
+"""The front door over loopback sockets: a request from client to backend and back."""
+
+import asyncio
+import logging
+import time
+from dataclasses import replace
+
+import pytest
+
+from fennelwinch import interface as i
+from molereach.frontdoor import FrontDoor
+from tests.sockets import (
+    CONFIG,
+    CUSTOMER,
+    SETTINGS,
+    Backend,
+    Client,
+    front_door,
+    query,
+    refusing_address,
+    resp,
+    run,
+    submit,
+    value,
+)
+
+
+def test_value_goes_through_byte_for_byte() -> None:
+    async def job() -> None:
+        body = bytes(range(256)) * 256  # 64 KiB, with line ends and nulls in it
+        backend = Backend(lambda words: value(body))
+        async with front_door(backend) as (_, address):
+            client = await Client.open(address)
+            assert await client.ask(submit("a1", body=body)) == body
+            assert backend.commands[0][4] == body
+
+    run(job())
+
+
+def test_only_the_time_is_rewritten() -> None:
+    async def job() -> None:
+        backend = Backend()
+        async with front_door(backend) as (_, address):
+            client = await Client.open(address)
+            fields = "c=settle,r=1,kd=7,d=3000,t=team,k=5c0f,new=1,units=2,spread=2,first=1"
+            assert await client.ask(resp("SVC.SUBMIT", CUSTOMER, "a1", fields, "B")) == b"ok"
+            name, customer, request_id, sent, body = backend.commands[0]
+            assert (name, customer, request_id, body) == (b"SVC.SUBMIT", CUSTOMER.encode(), b"a1", b"B")
+            head, _, tail = fields.partition("d=3000")
+            assert sent.startswith(head.encode()) and sent.endswith(tail.encode())
+            assert 2000 < int(sent.decode().removeprefix(head).removesuffix(tail)[2:]) < 3000
+
+    run(job())
+
+
+def test_backends_refusal_never_passes_through() -> None:
+    async def job() -> None:
+        backend = Backend(lambda words: b"-BUSY 123456\r\n")
+        async with front_door(backend) as (_, address):
+            client = await Client.open(address)
+            assert await client.ask(submit("a1")) == "-BUSY 750"
+            assert len(backend.commands) == SETTINGS.max_attempts  # it is known that none of them ran
+
+    run(job())
+
+
+ODD_ANSWERS = [b"-ERR failed util=0.5\r\n", b"-ODD\r\n", b"", b"$-1\r\n", b"+OK\r\n", b"?"]
+
+
+@pytest.mark.parametrize("answer", ODD_ANSWERS)
+def test_unsafe_request_that_may_have_run_is_sent_once(answer: bytes) -> None:
+    async def job() -> None:
+        backend = Backend(lambda words: answer)
+        async with front_door(backend) as (_, address):
+            client = await Client.open(address)
+            assert await client.ask(submit("a1")) == "-ERR failed"
+            assert len(backend.commands) == 1
+
+    run(job())
+
+
+def test_unsafe_request_goes_on_where_nobody_listens() -> None:
+    async def job() -> None:
+        backend = Backend()
+        dead = [refusing_address() for _ in range(6)]
+        async with front_door(backend, addresses=dead, settings=replace(SETTINGS, max_attempts=9)) as (_, at):
+            client = await Client.open(at)
+            assert await client.ask(submit("a1")) == b"ok"
+
+    run(job())
+
+
+def test_answer_comes_before_the_clients_time_and_only_once() -> None:
+    async def job() -> None:
+        backend = Backend(lambda words: None)
+        async with front_door(backend) as (door, address):
+            client = await Client.open(address)
+            started = time.monotonic()
+            client.send(submit("a1", wait_ms=300))
+            assert await client.answer() == "-ERR failed"
+            assert time.monotonic() - started < 0.3
+            await backend.left.wait()  # the attempt was given up by closing its connection
+            assert await client.ask(resp("PING")) == b"PONG"  # nothing else came in between
+            assert not door.open and not door.ended and door.held_bytes == 0
+
+    run(job())
+
+
+def test_client_that_leaves_ends_its_attempt() -> None:
+    async def job() -> None:
+        backend = Backend(lambda words: None)
+        async with front_door(backend) as (door, address):
+            client = await Client.open(address)
+            client.send(query("a1"))
+            await backend.came.wait()
+            client.writer.close()
+            await backend.left.wait()
+            assert not door.open and not door.gateway.jobs
+
+    run(job())
+
+
+def test_same_id_twice_is_an_error_and_the_first_goes_on() -> None:
+    async def job() -> None:
+        backend = Backend(lambda words: None)
+        async with front_door(backend) as (_, address):
+            client, other = await Client.open(address), await Client.open(address)
+            client.send(query("a1"))
+            await backend.came.wait()
+            assert await other.ask(query("a1")) == "-ERR this id is in use"
+            backend.writers[0].write(value(b"late"))
+            assert await client.answer() == b"late"
+
+    run(job())
+
+
+def test_exception_of_the_module_fails_its_request_only(caplog: pytest.LogCaptureFixture) -> None:
+    async def job() -> None:
+        async with front_door(Backend()) as (door, address):
+            handle = door.gateway.handle
+
+            def broken(now: int, event: i.Event) -> list[i.Action]:
+                if isinstance(event, i.Request) and event.id == "bad":
+                    raise RuntimeError("a fault of the module")
+                return handle(now, event)
+
+            door.gateway.handle = broken
+            client = await Client.open(address)
+            assert await client.ask(query("bad")) == "-ERR failed"
+            assert await client.ask(query("good")) == b"ok"
+
+    with caplog.at_level(logging.ERROR):
+        run(job())
+    assert "a fault of the module" in caplog.text and "Traceback" in caplog.text
+
+
+def test_request_that_the_module_forgets_fails_in_time(caplog: pytest.LogCaptureFixture) -> None:
+    async def job() -> None:
+        async with front_door(Backend()) as (door, address):
+            door.gateway.handle = lambda now, event: []
+            client = await Client.open(address)
+            assert await client.ask(query("a1", wait_ms=200)) == "-ERR failed"
+
+    run(job())
+    assert "left without an answer" in caplog.text
+
+
+def test_attempt_for_a_request_that_is_over_is_moot() -> None:
+    async def job() -> None:
+        backend = Backend()
+        async with front_door(backend) as (door, address):
+            client = await Client.open(address)
+            assert await client.ask(query("a1")) == b"ok"
+            seen: list[i.Event] = []
+            door.gateway.handle = lambda now, event: seen.append(event) or []
+            door.send(i.Send("a1", "s0"))
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            assert [event.result for event in seen if isinstance(event, i.Outcome)] == [i.Result.MOOT]
+            assert len(backend.commands) == 1
+
+    run(job())
+
+
+def test_timers_are_never_early_and_events_of_a_moment_share_one_time() -> None:
+    """uvloop rounds to milliseconds; an early tick is passed over by the module, which then sets no other."""
+
+    async def job() -> None:
+        door = FrontDoor(CONFIG)
+        rung: dict[int, int] = {}
+        done = asyncio.Event()
+
+        def handle(now: int, event: i.Event) -> list[i.Action]:
+            if isinstance(event, i.Timer):
+                rung[event.token] = now
+                if len(rung) == len(due):
+                    done.set()
+            else:
+                moments.append(now)
+            return []
+
+        moments: list[int] = []
+        door.gateway.handle = handle
+        due = {}
+        for token in range(40):
+            delay = 5_000 + 37 * token
+            due[token] = time.monotonic_ns() // 1000 + delay
+            door.set_timer(i.SetTimer(delay, token))
+        for number in range(5):
+            door.post(i.ClientGone(str(number)))
+        await done.wait()
+        assert all(rung[token] >= due[token] for token in due)
+        assert len(moments) == 5 and len(set(moments)) == 1
+
+    run(job())
+
+
+def test_drain_serves_what_still_comes_and_answers_all() -> None:
+    async def job() -> None:
+        release = asyncio.Event()
+        backend = Backend(lambda words: None if words[2] == b"slow" else value(b"ok"))
+        async with front_door(backend) as (door, address):
+            idle, busy = await Client.open(address), await Client.open(address)
+            assert await idle.ask(resp("PING")) == b"PONG"
+            busy.send(query("slow"))
+            await backend.came.wait()
+            draining = asyncio.create_task(door.drain())
+            await asyncio.sleep(0)
+            late = await Client.open(address)
+            assert await late.ask(query("new")) == b"ok"
+            assert await idle.ask(query("kept")) == b"ok"
+            assert await idle.ended() and await late.ended()  # between requests
+            assert not draining.done()
+            backend.writers[0].write(value(b"at last"))
+            assert await busy.answer() == b"at last"
+            assert await busy.ended()
+            await draining
+            release.set()
+        assert release.is_set()
+
+    run(job())
