A connection that ends as soon as it is up fails its attempt at once

Seen: a loopback test took 5.3 s. A probe that prints the protocol's calls showed connection_made, eof_received and connection_lost before create_connection returned; backends.py Pool.release then left the attempt waiting for its whole time-out. Ruled out: uvloop holding back a reset (the same test with the close 0.2 s later ended in 4 ms). A backend that is full does just this. Mend: release() of a dead connection counts as a failed connect. The new test fails without it; the slow one: 5.34 s -> 0.35 s.

--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -224,6 +224,7 @@
     def release(self, connection: Connection) -> None:
         """A connection has nothing to do: the next that waits gets it, else it is kept for a while."""
         if not connection.usable():
+            self.connect_failed()  # a backend that is full takes a connection and ends it at once
             return
         self.drop_over()
         if self.waiting:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -119,6 +119,19 @@
     run(job())
 
 
+def test_connection_that_ends_as_soon_as_it_is_up_never_ran() -> None:
+    async def job() -> None:
+        async with deaf() as (address, listener):
+            sender = Sender(address)
+            sender.send(timeout_us=20 * S)
+            listener.setblocking(False)
+            accepted, _ = await asyncio.get_running_loop().sock_accept(listener)
+            accepted.close()  # before the loop comes to know that the connection is up
+            assert await asyncio.wait_for(sender.result(), 5) in (i.Result.CONNECT_FAILED, i.Result.RESET)
+
+    run(job())
+
+
 def test_machine_that_never_answers_a_connect_is_given_up_soon() -> None:
     async def job() -> None:
         with contextlib.ExitStack() as stack:
