Faults are held to what they belong to; the drain waits for late requests

Found by reading, each with a test over loopback: - frontdoor.py run_batch: an action that failed dropped those after it and was laid to the module. Each is now caught, logged and fails its request. - frontdoor.py drain: a request that came after the last answer was cut off with LAST_WRITES_S. It goes on while anything is open. - frontdoor.py BACKSTOP_US 5 -> 15 ms: after a stall the backstop could come before the module's own answer to a time-out. - discovery.py: a DELETED entry without a usable address was passed over, and an unforeseen exception ended the watch for good. - clients.py opened(): several at once past the bound closed only one. - clients.py: a field without '=' is an error and reaches no backend.

--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -263,20 +263,22 @@
         self.old: list[Pool] = []  # of backends that moved or went, while attempts are out on them
         self.tasks: set[asyncio.Task[None]] = set()
 
-    def update(self, addresses: dict[str, Address], draining: set[str], gone: set[str], whole: bool) -> None:
-        """Take over news of the list: addresses of those named, and which of them want nothing new."""
-        for name in [name for name in self.pools if whole and name not in addresses]:
+    def update(
+        self, states: dict[str, i.ServerState], addresses: dict[str, Address], whole: bool
+    ) -> None:
+        """Take over news of the list: the whole of it, or those whose state or address changed."""
+        for name in [name for name in self.pools if whole and name not in states]:
             self.retire(name)
-        for name, address in addresses.items():
-            known = self.pools.get(name)
-            if known is None or known.address != address:
+        for name, state in states.items():
+            pool, address = self.pools.get(name), addresses.get(name)
+            if state is i.ServerState.GONE or (pool and address and pool.address != address):
                 self.retire(name)
+            if state is not i.ServerState.GONE and address and name not in self.pools:
                 self.pools[name] = Pool(self, name, address)
-            self.pools[name].wanted = name not in draining
-            if name in draining:
-                self.pools[name].close_idle()
-        for name in gone:
-            self.retire(name)
+            if pool := self.pools.get(name):
+                pool.wanted = state is i.ServerState.UP
+                if not pool.wanted:
+                    pool.close_idle()
 
     def retire(self, name: str) -> None:
         if pool := self.pools.pop(name, None):
--- a/molereach/clients.py
+++ b/molereach/clients.py
@@ -1,6 +1,7 @@
 """Client connections: commands in, answers out in the order of the commands."""
 
 import asyncio
+import contextlib
 import logging
 import math
 from collections import deque
@@ -137,6 +138,8 @@
         except UnicodeDecodeError:
             raise CommandError("invalid fields") from None
         values = {name: value for name, _, value in parts}
+        if not all(name and sign for name, sign, _ in parts):
+            raise CommandError("invalid fields")
         if len(values) != len(parts):
             raise CommandError("a field is given twice")
         number = self.class_number(values, is_write)
@@ -322,10 +325,11 @@
 
     def opened(self, connection: ClientConnection) -> None:
         self.connections.add(connection)
-        self.empty.clear()
         if len(self.connections) > self.most:
             if self.idle:
-                next(iter(self.idle)).close()
+                oldest = next(iter(self.idle))
+                del self.idle[oldest]
+                oldest.close()
             else:
                 connection.finish(CROWDED)
         if not connection.closing:
@@ -352,8 +356,14 @@
         self.draining = True
         for connection in list(self.idle):
             connection.close()
-        if not self.connections:
-            self.empty.set()
+
+    async def left(self, within_s: float) -> bool:
+        """Wait for the last connection to end; whether it has."""
+        if self.connections:
+            self.empty.clear()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.empty.wait(), within_s)
+        return not self.connections
 
     def close(self) -> None:
         """End all connections, whatever is open on them."""
--- a/molereach/discovery.py
+++ b/molereach/discovery.py
@@ -64,12 +64,14 @@
         servers, addresses = [], {}
         for entry in value["instances"]:
             try:
-                server, address = self.server(entry), read_address(entry["hostPort"])
+                server = self.server(entry)
+                # One that is gone needs no address, and must be heard of in any case.
+                if server.state is not i.ServerState.GONE:
+                    addresses[server.name] = read_address(entry["hostPort"])
             except (KeyError, TypeError, ValueError, AttributeError, ConfigError) as error:
                 log.error("passed over an entry of the list: %.200r: %s", entry, error)
                 continue
             servers.append(server)
-            addresses[server.name] = address
         return News(i.ServerList(kind, int(value["generation"]), tuple(servers)), addresses)
 
 
@@ -146,6 +148,8 @@
                 await self.watch()
             except (OSError, TimeoutError) as error:
                 log.warning("no watch on discovery: %s", error or "it does not answer")
+            except Exception:
+                log.exception("the watch on discovery failed")  # without it the list would grow old unseen
             await asyncio.sleep(self.backoff_s)
             self.backoff_s = min(MOST_BACKOFF_S, self.backoff_s * 2)
 
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -21,10 +21,11 @@
 
 # Taken off the time that a client waits: for the way of its request here and of our answer back.
 ANSWER_MARGIN_US = 25_000
-BACKSTOP_US = 5_000  # how much later than the module a request is ended here, should it not do so
+BACKSTOP_US = 15_000  # how much later than the module a request is ended here, should it not do so
 FIRST_LIST_S = 0.3  # how long the start waits for a list that is newer than the known one
+RING_AGAIN_US = 20_000  # how soon a timer comes again on which the module failed
 SETTLE_S = 0.6  # after SIGTERM new connections go on coming for up to 0.4 s
-LAST_WRITES_S = 1.0  # how long clients may take to read their last answers
+LAST_WRITES_S = 1.0  # how long clients may take to read their last answers, or to ask at last
 SPARE_SOCKETS = 64  # for listening, discovery, peers, the loop and log
 CLIENT_SHARE = 0.6  # of the other sockets
 MOST_HELD_BYTES = 32 << 20  # of commands that are not answered yet
@@ -51,7 +52,6 @@
         self.open: dict[str, Exchange] = {}  # requests that are owed an answer
         self.ended: dict[str, Exchange] = {}  # those answered with attempts still out
         self.held_bytes = 0
-        self.all_answered = asyncio.Event()
         self.server: asyncio.Server | None = None
         sockets = max(16, config.sockets - SPARE_SOCKETS)
         most_clients = round(sockets * CLIENT_SHARE)
@@ -103,13 +103,10 @@
         """Take and answer what still comes, then close what is idle, and answer all that is held."""
         await asyncio.sleep(SETTLE_S)
         self.clients.drain()
-        while self.open:
-            self.all_answered.clear()
-            await self.all_answered.wait()
-        try:
-            await asyncio.wait_for(self.clients.empty.wait(), LAST_WRITES_S)
-        except TimeoutError:
-            log.warning("%d clients have not read their answers", len(self.clients.connections))
+        while not await self.clients.left(LAST_WRITES_S):
+            if not self.open:  # a request may still come on a connection that has had none
+                log.warning("%d clients stay without a request", len(self.clients.connections))
+                break
         self.close()
 
     def close(self) -> None:
@@ -131,32 +128,33 @@
         now, events, self.inbox = now_us(), self.inbox, []
         for event in events:
             try:
-                for action in self.gateway.handle(now, event):
-                    self.act(action)
+                actions = self.gateway.handle(now, event)
             except Exception:
                 log.exception("the module failed on %r", event)
-                self.module_failed(event)
+                self.give_up(getattr(event, "id", ""))
+                if isinstance(event, i.Timer):  # the module lives by it: it comes again
+                    self.set_timer(i.SetTimer(RING_AGAIN_US, event.token))
+                continue
+            for action in actions:
+                self.act(action)
 
     def act(self, action: i.Action) -> None:
-        do = self.carry_out.get(type(action))
-        if do is None:
-            log.error("there is no such action on sockets: %r", action)
-        else:
-            do(action)
+        try:
+            self.carry_out[type(action)](action)
+        except Exception:
+            log.exception("cannot carry out %r", action)
+            self.give_up(getattr(action, "id", ""))
 
-    def module_failed(self, event: i.Event) -> None:
-        """The request that the event belongs to fails; a timer comes again, as the module lives by it."""
-        if isinstance(event, i.Timer):
-            self.set_timer(i.SetTimer(20_000, event.token))
-        elif isinstance(event, i.Request | i.Outcome | i.StreamStarted) and event.id in self.open:
-            self.answer(event.id, FAILED)
-            self.post(i.ClientGone(event.id))
+    def give_up(self, request_id: str) -> None:
+        """Fail a request over a fault, and have the module forget it."""
+        if request_id in self.open:
+            self.answer(request_id, FAILED)
+            self.post(i.ClientGone(request_id))
 
     def list_heard(self, news: News) -> None:
         whole = news.event.kind is not i.ListKind.CHANGES
-        up = {server.name for server in news.event.servers if server.state is i.ServerState.UP}
-        gone = {server.name for server in news.event.servers if server.state is i.ServerState.GONE}
-        self.backends.update(news.addresses, news.addresses.keys() - up, gone, whole)
+        states = {server.name: server.state for server in news.event.servers}
+        self.backends.update(states, news.addresses, whole)
         self.post(news.event)
 
     def take(self, words: list[bytes], reply: Reply) -> None:
@@ -179,8 +177,7 @@
         """The module owes an answer in time; this one keeps the promise to the client if it fails to."""
         if request_id in self.open:
             log.error("request %s was left without an answer", request_id)
-            self.answer(request_id, FAILED)
-            self.post(i.ClientGone(request_id))
+            self.give_up(request_id)
 
     def client_gone(self, reply: Reply) -> None:
         if reply.id is not None and self.settle(reply.id):
@@ -248,8 +245,6 @@
             exchange.timer.cancel()
         if exchange.out:
             self.ended[name] = exchange
-        if not self.open:
-            self.all_answered.set()
         return exchange
 
     def set_timer(self, action: i.SetTimer) -> None:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -18,7 +18,7 @@
 
     def __init__(self, address: Address, idle_us: int = 30 * S, most: int = 50) -> None:
         self.backends = Backends(idle_us, 200_000, most)
-        self.backends.update({"s": address}, set(), set(), whole=True)
+        self.backends.update({"s": i.ServerState.UP}, {"s": address}, whole=True)
         self.ended: asyncio.Queue[tuple[i.Result, bytes | None, i.LoadReport | None]] = asyncio.Queue()
 
     def send(self, payload: bytes = resp("PING"), timeout_us: int = 5 * S) -> Attempt:
@@ -209,7 +209,7 @@
         sender = Sender(await backend.start())
         sender.send()
         await backend.came.wait()
-        sender.backends.update({}, set(), set(), whole=True)
+        sender.backends.update({}, {}, whole=True)
         backend.writers[0].write(value(b"x"))
         assert await sender.result() is i.Result.OK
         await backend.left.wait()
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -65,7 +65,7 @@
     ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",units=nan"), ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",units=0"),
     ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",spread=3"), ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",first=2"),
     ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",d=900"), ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",é=1"),
-    ("PING", "a", "b"),
+    ("SVC.QUERY", CUSTOMER, "a", FIELDS + ",odd"), ("PING", "a", "b"),
 ])
 def test_wrong_command_is_an_error_and_the_connection_lives(words: tuple[str, ...]) -> None:
     async def job() -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,6 +1,7 @@
 """The watch on discovery and the datagrams between front doors."""
 
 import asyncio
+import socket
 import time
 from dataclasses import replace
 
@@ -12,7 +13,7 @@
 from molereach.discovery import Catalog, Discovery, News
 from molereach.frontdoor import FrontDoor
 from molereach.peers import Peers
-from tests.sockets import CONFIG, HEAD, HOST, Watch, catalog, chunk, entry, run
+from tests.sockets import CONFIG, HEAD, HOST, Watch, catalog, chunk, entry, refusing_address, run
 
 AT = (HOST, 6379)
 
@@ -43,7 +44,7 @@
     async def job() -> None:
         odd = [entry("s2", AT, "RESTING"), {"instanceId": "odd"}, entry("s3", AT, "DRAINING")]
         line = catalog(5, [entry("s1", AT), *odd])
-        gone = catalog(6, [entry("s1", AT, "DELETED")], reset=False)
+        gone = catalog(6, [{"instanceId": "s1", "lifecycle": "DELETED"}], reset=False)
         stream = HEAD + chunk(b"\n") + chunk(line[:30])
         stream += chunk(line[30:] + b"\n" + gone[:9]) + chunk(gone[9:])
         pieces = [stream[n : n + 50] for n in range(0, len(stream), 50)]
@@ -114,22 +115,16 @@
 def test_peers_words_arrive_and_strangers_are_dropped() -> None:
     async def job() -> None:
         loop, heard = asyncio.get_running_loop(), asyncio.Queue()
-        ends = []
-        for _ in range(3):
-            peers = Peers((), 0, heard.put_nowait)
-            await loop.create_datagram_endpoint(lambda peers=peers: peers, local_addr=(HOST, 0))
-            ends.append(peers)
-        addresses = tuple(peers.transport.get_extra_info("sockname") for peers in ends)
-        me, friend, stranger = ends
-        me.__init__(addresses[:2], 0, heard.put_nowait)
-        await loop.create_datagram_endpoint(lambda: me, local_addr=(HOST, 0))
-        at = me.transport.get_extra_info("sockname")
+        stranger = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        ports = [refusing_address(), refusing_address()]
+        me, friend = (Peers(tuple(ports), number, heard.put_nowait) for number in (0, 1))
+        for peers, at in zip((me, friend), ports, strict=True):
+            await loop.create_datagram_endpoint(lambda peers=peers: peers, local_addr=at)
         words = tuple(i.Word(n, 0, 0, 2, demand=1.0) for n in range(30))
-        stranger.transport.sendto(pack_words(words[:1])[0], at)
-        friend.transport.sendto(b"x" * 7, at)
-        friend.transport.sendto(pack_words(words)[0] * 2, at)  # longer than the wire allows
-        friend.addresses = (at,)
-        friend.me = 1
+        with stranger:
+            stranger.sendto(pack_words(words[:1])[0], ports[0])
+        friend.transport.sendto(b"x" * 7, ports[0])
+        friend.transport.sendto(pack_words(words)[0] * 2, ports[0])  # longer than the wire allows
         friend.tell(i.Tell(0, words))
         got: tuple[i.Word, ...] = ()
         while len(got) < len(words):
--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -8,6 +8,7 @@
 import pytest
 
 from fennelwinch import interface as i
+from molereach import frontdoor
 from molereach.frontdoor import FrontDoor
 from tests.sockets import (
     CONFIG,
@@ -217,7 +218,6 @@
 
 def test_drain_serves_what_still_comes_and_answers_all() -> None:
     async def job() -> None:
-        release = asyncio.Event()
         backend = Backend(lambda words: None if words[2] == b"slow" else value(b"ok"))
         async with front_door(backend) as (door, address):
             idle, busy = await Client.open(address), await Client.open(address)
@@ -235,7 +235,46 @@
             assert await busy.answer() == b"at last"
             assert await busy.ended()
             await draining
-            release.set()
-        assert release.is_set()
 
     run(job())
+
+
+def test_drain_waits_for_a_request_that_comes_at_last(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(frontdoor, "SETTLE_S", 0.0)
+    monkeypatch.setattr(frontdoor, "LAST_WRITES_S", 0.1)
+
+    async def job() -> None:
+        backend = Backend(lambda words: None)
+        async with front_door(backend) as (door, address):
+            draining = asyncio.create_task(door.drain())
+            await asyncio.sleep(0)
+            client = await Client.open(address)
+            client.send(query("a1"))
+            await backend.came.wait()
+            await asyncio.sleep(0.3)  # what is open is waited for, however long the rest may take
+            assert not draining.done()
+            backend.writers[0].write(value(b"at last"))
+            assert await client.answer() == b"at last"
+            await draining
+
+    run(job())
+
+
+def test_action_that_cannot_be_carried_out_fails_its_request_only(caplog: pytest.LogCaptureFixture) -> None:
+    async def job() -> None:
+        async with front_door(Backend()) as (door, address):
+            handle = door.gateway.handle
+
+            def odd(now: int, event: i.Event) -> list[i.Action]:
+                actions = handle(now, event)
+                if isinstance(event, i.Request) and event.id == "bad":
+                    return [i.Send("bad", "s0", timeout_us="soon"), *actions]
+                return actions
+
+            door.gateway.handle = odd
+            client = await Client.open(address)
+            assert await client.ask(query("bad")) == "-ERR failed"
+            assert await client.ask(query("good")) == b"ok"
+
+    run(job())
+    assert "cannot carry out" in caplog.text
