--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -246,14 +246,19 @@
     async def job() -> None:
         backend = Backend(lambda words: None)
         async with front_door(backend) as (door, address):
+            busy = await Client.open(address)
+            busy.send(query("a1"))
+            await backend.came.wait()
             draining = asyncio.create_task(door.drain())
-            await asyncio.sleep(0)
             client = await Client.open(address)
-            client.send(query("a1"))
+            backend.came.clear()
+            client.send(query("a2"))
             await backend.came.wait()
+            backend.writers[0].write(value(b"first"))
+            assert await busy.answer() == b"first"
             await asyncio.sleep(0.3)  # what is open is waited for, however long the rest may take
             assert not draining.done()
-            backend.writers[0].write(value(b"at last"))
+            backend.writers[1].write(value(b"at last"))
             assert await client.answer() == b"at last"
             await draining
 
