SIGHUP moves the watch to the address in the replaced configuration

Ruled out: the module, whose list was simply never renewed. Now the file is read off to the side (a bad one is one line in the log), its address wins, its whole list is read, as no change may tell what vanished meanwhile, and the old watch is heard out until then and never after.

--- a/molereach/config.py
+++ b/molereach/config.py
@@ -70,6 +70,7 @@
 
 
 def parse(values: Mapping[str, Any], env: Mapping[str, str]) -> Config:
+    """The configuration from the file's values, where the environment goes before them."""
     settings = values["settings"]
     pairs = Pairs(dict(flatten(settings)))
     peer_listen = values.get("peer_listen")
@@ -112,3 +113,9 @@
         raise ConfigError(f"the configuration lacks or does not know {error}") from error
     except (TypeError, ValueError, AttributeError) as error:
         raise ConfigError(f"the configuration is malformed: {' '.join(str(error).split())}") from error
+
+
+def reload(env: Mapping[str, str]) -> Config:
+    """The configuration anew. The environment is as old as the process: in a file that was replaced
+    since, the address of discovery is the newer one."""
+    return load({name: value for name, value in env.items() if name != "PROXY_DISCOVERY"})
--- a/molereach/discovery.py
+++ b/molereach/discovery.py
@@ -4,7 +4,7 @@
 import json
 import logging
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -113,6 +113,9 @@
                     self.line(bytes(line))
             if len(rest) > MOST_LINE:
                 raise ValueError("a line without an end")
+        if isinstance(event, h11.EndOfMessage) and self.buffer.strip():
+            self.line(bytes(self.buffer))  # the whole list may come with no line's end
+            self.buffer.clear()
         if isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
             self.close()
 
@@ -125,42 +128,51 @@
             self.transport.abort()
 
 
-class Discovery:
-    """Keeps a watch open and hands on its news as soon as it has been written."""
+class Source:
+    """One address of discovery: a watch that is kept open, with its news handed on as they come."""
 
     def __init__(
-        self, address: Address, catalog: Catalog, version: int, heard: Callable[[News], None]
+        self, address: Address, catalog: Catalog, version: int | None, heard: Callable[["Source", News], None]
     ) -> None:
-        self.address, self.catalog, self.version, self.heard = address, catalog, version, heard
-        self.first = asyncio.Event()
+        self.address, self.catalog, self.heard = address, catalog, heard
+        self.version = version  # None: the whole list comes first
         self.backoff_s = BACKOFF_S
+        self.retiring = self.closed = False
+        self.connection: WatchConnection | None = None
 
     def line(self, line: bytes) -> None:
         """A whole line. Where it fails, the version stays, and the next watch brings it again."""
-        news = self.catalog.news(json.loads(line))
+        if self.closed:  # what is still in the pipe must not undo what a newer source has told
+            return
+        kind = i.ListKind.FULL if self.version is None else None
+        news = self.catalog.news(json.loads(line), kind)
         self.version, self.backoff_s = news.event.version, BACKOFF_S
-        self.heard(news)
-        self.first.set()
+        self.heard(self, news)
 
     async def run(self) -> None:
-        while True:
+        while not self.closed:
             try:
-                await self.watch()
+                if self.version is None:
+                    await self.read("/catalog/members")
+                if self.version is not None:
+                    await self.read(f"/catalog/members?watch=1&after={self.version}")
             except (OSError, TimeoutError) as error:
                 log.warning("no watch on discovery: %s", error or "it does not answer")
             except Exception:
                 log.exception("the watch on discovery failed")  # without it the list would grow old unseen
+            if self.retiring:
+                return
             await asyncio.sleep(self.backoff_s)
             self.backoff_s = min(MOST_BACKOFF_S, self.backoff_s * 2)
 
-    async def watch(self) -> None:
-        """One watch, until it ends or has been silent for too long."""
+    async def read(self, target: str) -> None:
+        """One answer, until it ends or has been silent for too long."""
         host, port = self.address
-        target = f"/catalog/members?watch=1&after={self.version}"
         async with asyncio.timeout(CONNECT_S):
             _, connection = await asyncio.get_running_loop().create_connection(
                 lambda: WatchConnection(target, f"{host}:{port}", self.line), host, port
             )
+        self.connection = connection
         try:
             while not connection.ended.done():
                 left = connection.heard + SILENT_S - time.monotonic()
@@ -170,3 +182,53 @@
                 await asyncio.wait([connection.ended], timeout=left)
         finally:
             connection.close()
+
+    def retire(self) -> None:
+        """Hear it out: its watch goes on until it ends, and is not opened again."""
+        self.retiring = True
+
+    def close(self) -> None:
+        self.closed = self.retiring = True
+        if self.connection:
+            self.connection.close()
+
+
+class Discovery:
+    """Hands on the news of one source; another address takes over once it has told its whole list."""
+
+    def __init__(
+        self, address: Address, catalog: Catalog, version: int, heard: Callable[[News], None],
+        spawn: Callable[[Coroutine[None, None, None]], object],
+    ) -> None:
+        self.catalog, self.heard, self.spawn = catalog, heard, spawn
+        self.first = asyncio.Event()
+        self.source = Source(address, catalog, version, self.take)
+        self.next: Source | None = None  # it has told nothing yet
+
+    @property
+    def version(self) -> int | None:
+        return self.source.version
+
+    def start(self) -> None:
+        self.spawn(self.source.run())
+
+    def move(self, address: Address) -> None:
+        """Go to another address. Until that has told its list, the old watch is heard out.
+
+        Its list is asked for whole: what vanished meanwhile may be in no change, and its count of versions
+        need not be the old one's.
+        """
+        if address == (self.next or self.source).address:
+            return
+        if self.next:
+            self.next.close()
+        self.source.retire()
+        self.next = Source(address, self.catalog, None, self.take)
+        self.spawn(self.next.run())
+
+    def take(self, source: Source, news: News) -> None:
+        if source is self.next:
+            self.source.close()
+            self.source, self.next = source, None
+        self.heard(news)
+        self.first.set()
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -8,6 +8,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from dataclasses import fields, replace
 
 from fennelwinch import interface as i
 from fennelwinch.rules import Gateway
@@ -62,7 +63,9 @@
         self.catalog = Catalog(config)
         known = self.read_known()
         version = known.event.version if known else 0
-        self.discovery = Discovery(config.discovery, self.catalog, version, self.list_heard)
+        self.discovery = Discovery(
+            config.discovery, self.catalog, version, self.list_heard, self.backends.spawn
+        )
         self.carry_out: dict[type, Callable[..., None]] = {
             i.Send: self.send, i.Cancel: self.cancel, i.Refuse: self.refuse, i.Fail: self.fail,
             i.SetTimer: self.set_timer, i.Tell: self.peers.tell, i.Log: self.log_line,
@@ -88,7 +91,7 @@
         self.backends.sweep()
         if self.settings.may_tell and self.config.peer_listen:
             await self.loop.create_datagram_endpoint(lambda: self.peers, local_addr=self.config.peer_listen)
-        self.backends.spawn(self.discovery.run())
+        self.discovery.start()
         try:
             await asyncio.wait_for(self.discovery.first.wait(), FIRST_LIST_S)
         except TimeoutError:
@@ -99,6 +102,17 @@
             self.clients.connection, host, port, backlog=1024, reuse_address=True
         )
 
+    def reconfigure(self, config: Config) -> None:
+        """Take over what can change while it serves: the address of discovery."""
+        fixed = replace(config, discovery=self.config.discovery, known=self.config.known,
+                        settings=replace(config.settings, seed=self.settings.seed))
+        changed = [field.name for field in fields(fixed)
+                   if getattr(fixed, field.name) != getattr(self.config, field.name)]
+        if changed:
+            log.warning("a restart is needed for new values of: %s", ", ".join(changed))
+        log.info("takes over the configuration: discovery at %s:%d", *config.discovery)
+        self.discovery.move(config.discovery)
+
     async def drain(self) -> None:
         """Take and answer what still comes, then close what is idle, and answer all that is held."""
         await asyncio.sleep(SETTLE_S)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -21,12 +21,16 @@
 async def news_of(watch: Watch, count: int, version: int = 0) -> list[News]:
     """The first news that a watch brings."""
     heard: asyncio.Queue[News] = asyncio.Queue()
-    found = Discovery(await watch.start(), Catalog(CONFIG), version, heard.put_nowait)
-    task = asyncio.create_task(found.run())
+    tasks = []
+    found = Discovery(
+        await watch.start(), Catalog(CONFIG), version, heard.put_nowait,
+        lambda job: tasks.append(asyncio.create_task(job)),
+    )
+    found.start()
     try:
         return [await heard.get() for _ in range(count)]
     finally:
-        task.cancel()
+        tasks[0].cancel()
 
 
 def script(*pieces: bytes, stay: bool = True) -> object:
@@ -134,3 +138,82 @@
         assert got == words and heard.empty()
 
     run(job())
+
+
+class Moved:
+    """A front door's discovery that is moved from one address to others."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.heard: asyncio.Queue[News] = asyncio.Queue()
+        self.tasks: list[asyncio.Task[None]] = []
+        self.discovery = Discovery(
+            address, Catalog(CONFIG), 3, self.heard.put_nowait,
+            lambda job: self.tasks.append(asyncio.create_task(job)),
+        )
+        self.discovery.start()
+
+    async def names(self) -> tuple[i.ListKind, list[str]]:
+        event = (await self.heard.get()).event
+        return event.kind, [server.name for server in event.servers]
+
+
+def listing(*names: str, version: int = 4) -> object:
+    """Answers the question for the whole list, without a line's end."""
+    body = catalog(version, [entry(name, AT) for name in names]).strip()
+    return script(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body, stay=False)
+
+
+def test_new_address_takes_over_with_its_whole_list() -> None:
+    async def job() -> None:
+        late = asyncio.Event()
+
+        async def old_watch(writer: asyncio.StreamWriter) -> None:
+            writer.write(HEAD + chunk(catalog(9, [entry("s1", AT)])))
+            await late.wait()
+            writer.write(chunk(catalog(10, [entry("s9", AT)])))  # must not undo what the new one has told
+            await writer.drain()
+
+        old = Watch(old_watch)
+        new = Watch(listing("s2", version=2), script(HEAD + chunk(catalog(3, [], reset=False))))
+        moved = Moved(await old.start())
+        assert await moved.names() == (i.ListKind.FULL, ["s1"])
+        moved.discovery.move(await new.start())
+        assert await moved.names() == (i.ListKind.FULL, ["s2"])
+        late.set()
+        assert await moved.names() == (i.ListKind.CHANGES, [])
+        assert new.targets == ["/catalog/members", "/catalog/members?watch=1&after=2"]
+        assert len(old.targets) == 1
+        await moved.tasks[0]  # the old watch has ended for good
+        assert moved.heard.empty() and moved.discovery.version == 3
+        moved.discovery.source.close()
+
+    run(job())
+
+
+def test_old_watch_is_heard_until_the_new_one_speaks() -> None:
+    async def job() -> None:
+        moves, speak = asyncio.Event(), asyncio.Event()
+
+        async def old_watch(writer: asyncio.StreamWriter) -> None:
+            writer.write(HEAD + chunk(catalog(5, [entry("s1", AT)])))
+            await moves.wait()
+            writer.write(chunk(catalog(6, [entry("s2", AT)])))
+
+        async def slow(writer: asyncio.StreamWriter) -> None:
+            await speak.wait()
+            await listing("s3")(writer)
+
+        never = Watch(script())
+        last = Watch(slow, script(HEAD))
+        moved = Moved(await Watch(old_watch).start())
+        assert (await moved.names())[1] == ["s1"]
+        moved.discovery.move(await never.start())
+        moved.discovery.move(await last.start())  # twice, as reloads may come in a row
+        moves.set()
+        assert (await moved.names())[1] == ["s2"]
+        speak.set()
+        assert (await moved.names())[1] == ["s3"]
+        assert moved.discovery.source.address == last.server.sockets[0].getsockname()
+        moved.discovery.source.close()
+
+    run(job())
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -11,7 +11,20 @@
 import pytest
 
 from molereach.config import load
-from tests.sockets import CUSTOMER, HOST, Backend, Client, catalog, entry, refusing_address, resp, run
+from tests.sockets import (
+    CUSTOMER,
+    HEAD,
+    HOST,
+    Backend,
+    Client,
+    Watch,
+    catalog,
+    entry,
+    refusing_address,
+    resp,
+    run,
+    value,
+)
 
 ROOT = Path(__file__).parent.parent
 SETTINGS = {
@@ -67,12 +80,14 @@
     assert done.stderr.startswith("molereach: ") and done.stderr.count("\n") == 1
 
 
-async def start(tmp_path: Path, backend: Backend) -> tuple[asyncio.subprocess.Process, tuple[str, int]]:
+async def start(
+    tmp_path: Path, backend: Backend, **env: str
+) -> tuple[asyncio.subprocess.Process, tuple[str, int]]:
     listen, silent = refusing_address(), refusing_address()
     known = json.loads(catalog(4, [entry("s1", await backend.start())]))
     values = config(listen=f"{HOST}:{listen[1]}", discovery=f"{HOST}:{silent[1]}", known=known)
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "molereach", cwd=ROOT, env={**os.environ, **write(tmp_path, values)},
+        sys.executable, "-m", "molereach", cwd=ROOT, env={**os.environ, **write(tmp_path, values), **env},
         stderr=asyncio.subprocess.PIPE,
     )
     while b"serves at" not in await process.stderr.readline():
@@ -80,6 +95,47 @@
     return process, listen
 
 
+def test_reload_takes_the_address_of_discovery_from_the_file(tmp_path: Path) -> None:
+    """PROXY_DISCOVERY is as old as the process, and a file that cannot be used changes nothing."""
+
+    async def job() -> None:
+        process, address = await start(tmp_path, Backend(), PROXY_DISCOVERY=f"{HOST}:9")
+        file = tmp_path / "config.json"
+        good = json.loads(file.read_text())
+        file.write_text("{ not json")
+        process.send_signal(signal.SIGHUP)
+        while b"stays as it was" not in (line := await process.stderr.readline()):
+            assert line
+        backend = Backend(lambda words: value(b"new"))
+        listed = json.loads(catalog(1, [entry("s2", await backend.start())]))
+        body = json.dumps(listed).encode()
+
+        async def whole(writer: asyncio.StreamWriter) -> None:
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+
+        async def silent(writer: asyncio.StreamWriter) -> None:
+            writer.write(HEAD)
+            watched.set()
+            await asyncio.Event().wait()
+
+        watched = asyncio.Event()
+        discovery = await Watch(whole, silent).start()
+        file.write_text(json.dumps({**good, "discovery": f"{HOST}:{discovery[1]}"}))
+        for _ in range(3):
+            process.send_signal(signal.SIGHUP)
+        await watched.wait()
+        client = await Client.open(address)
+        request = resp("SVC.QUERY", CUSTOMER, "a1", "c=read,t=team,d=1500")
+        assert await client.ask(request) == b"new"
+        process.send_signal(signal.SIGTERM)
+        while b"drains" not in await process.stderr.readline():
+            pass
+        process.send_signal(signal.SIGHUP)  # also while it drains
+        assert await process.wait() == 0
+
+    run(job())
+
+
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
 def test_signal_drains_and_ends_with_0(tmp_path: Path, number: int) -> None:
     async def job() -> None:
