Clients and backends are read within bounds; places and times are bounded too

Backends: a tenth of the answers spoilt, each closed all idle connections to its backend (connection_lost -> pool.doubt) and put the backend out (ERROR in note_result). Ruled out: descriptors (236 of 384). Reuse: a connection rests 5 ms and is looked at for unread bytes. In the trace all noise came in the answer's own segment, so the rest is for what may come later.

--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -33,6 +33,7 @@
     TIMEOUT = "timeout"
     CONNECT_FAILED = "connect_failed"
     RESET = "reset"
+    SPOILT = "spoilt"  # an answer that cannot be read: it ran
     CANCELLED = "cancelled"
     MOOT = "moot"
 
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -25,6 +25,7 @@
 SMOOTH, RATE_SMOOTH = 0.1, 0.3  # weight of a new latency, and of a period's sends, in a running mean
 CHOICES = 8  # servers looked at for one attempt: many gateways that all take the emptiest would flood it
 SUSPECT_AT = 1.7  # two failures running, or a mix with more failures than answers
+SPOILT_PART = 0.5  # of a failure: how much an answer that cannot be read counts
 SUSPECT_US, SUSPECT_MAX_US = S, 8 * S  # the first and the longest time without a trial
 AVOID_US = 300_000  # a server that turned a request away is full for about a service time
 REPORT_FRESH_US = 1.5 * S  # a load report older than this says nothing
@@ -349,6 +350,11 @@
             server.backoff_us = min(SUSPECT_MAX_US, max(SUSPECT_US, server.backoff_us * 2))
             server.avoid_until, server.on_trial = self.now + server.backoff_us, True
 
+    def note_spoilt(self, server: _Server) -> None:
+        """It answers, if badly, as any may now and then: only one that does little else is suspect."""
+        server.fails += SPOILT_PART - 1
+        self.note_result(server, False)
+
     def send(self, job: _Job, server: _Server) -> None:
         if not (number := len(job.servers)):
             self.accepted, self.retries = self.accepted + 1, min(RETRY_STORE, self.retries + RETRY_SHARE)
@@ -415,6 +421,8 @@
         long = result is i.Result.TIMEOUT and server.heard_us >= self.now - took  # but it answered others
         if result is i.Result.FULL:
             server.avoid_until = max(server.avoid_until, self.now + AVOID_US)
+        elif result is i.Result.SPOILT:
+            self.note_spoilt(server)
         elif not long and result not in (i.Result.CANCELLED, i.Result.MOOT):
             self.note_result(server, result is i.Result.OK)
 
--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -10,17 +10,15 @@
 from collections import deque
 from collections.abc import Callable, Coroutine
 
-import hiredis
-
 from fennelwinch import interface as i
 from fennelwinch.codec import read_report
 from molereach.config import Address
+from molereach.resp import Answer, AnswerReader, ProtocolError, has_unread
 
 log = logging.getLogger(__name__)
 
-INCOMPLETE = object()
 IDLE_SHARE = 0.5  # of the backend's idle time: a request that crosses its close would end as a reset
-MOST_REPLY = 1 << 17  # bytes: a value of 64 KiB, the figures and the load report, with room to spare
+REST_US = 5_000  # before a connection is used again: what a backend sends behind an answer comes by then
 
 Done = Callable[["Attempt", i.Result, bytes | None, i.LoadReport | None], None]
 
@@ -70,24 +68,20 @@
         self.finish(result)
 
 
-def read_reply(reply: object) -> tuple[i.Result, bytes | None, i.LoadReport | None]:
+def outcome_of(answer: Answer) -> tuple[i.Result, bytes | None, i.LoadReport | None]:
     """What a backend's answer means."""
-    if isinstance(reply, hiredis.ReplyError):
-        text = str(reply)
-        report = text.rpartition(" ")[2].encode()
-        busy = text == "BUSY" or text.startswith("BUSY ")
-        if not busy and not text.startswith("ERR"):
-            log.error("a backend answers %s", text)
-        return (i.Result.FULL if busy else i.Result.ERROR), None, read_load(report)
-    if isinstance(reply, list) and reply and isinstance(reply[0], bytes):
-        return i.Result.OK, reply[0], read_load(reply[2] if len(reply) > 2 else None)
-    log.error("a backend's answer is of no known form: %.60r", reply)
-    return i.Result.ERROR, None, None  # in doubt: it may have run
-
-
-def read_load(text: object) -> i.LoadReport | None:
+    load = read_load(answer.report)
+    if answer.error is None:
+        return i.Result.OK, answer.value, load
+    word = answer.error.partition(b" ")[0]
+    if word not in (b"BUSY", b"ERR"):
+        log.error("a backend answers %.200r", answer.error)
+    return (i.Result.FULL if word == b"BUSY" else i.Result.ERROR), None, load
+
+
+def read_load(text: bytes | None) -> i.LoadReport | None:
     """A load report `name=value,...`; one that is malformed says nothing."""
-    if not isinstance(text, bytes) or b"=" not in text:
+    if not text or b"=" not in text:
         return None
     try:
         return read_report(part.split("=", 1) for part in text.decode().split(","))
@@ -99,11 +93,11 @@
     """A connection to a backend with at most one command on it."""
 
     def __init__(self, pool: "Pool") -> None:
-        self.pool, self.idle_since = pool, 0
+        self.pool, self.idle_since, self.heard_us = pool, 0, 0
         self.attempt: Attempt | None = None
         self.transport: asyncio.Transport | None = None
-        self.reader = hiredis.Reader(notEnoughData=INCOMPLETE)
-        self.paused, self.received = False, 0
+        self.reader = AnswerReader()
+        self.paused = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
@@ -112,7 +106,7 @@
 
     def send(self, attempt: Attempt) -> None:
         assert self.transport is not None
-        self.attempt, attempt.connection, self.received = attempt, self, 0
+        self.attempt, attempt.connection = attempt, self
         self.transport.write(attempt.payload)
         attempt.written = not self.paused
 
@@ -125,38 +119,49 @@
             self.attempt.written = True
 
     def data_received(self, data: bytes) -> None:
-        self.pool.heard_us = now_us()
-        self.received += len(data)
+        self.heard_us = self.pool.heard_us = now_us()
         attempt = self.attempt
-        if attempt is None or self.received > MOST_REPLY:
-            self.abort()  # nothing was asked, or nobody needs so much
+        if attempt is None:
+            self.abort()  # nothing was asked: it came behind an answer, and belongs to nobody
             return
         self.reader.feed(data)
         try:
-            reply = self.reader.gets()
-        except hiredis.ProtocolError as error:
-            log.error("malformed answer from %s: %s", self.pool.name, error)
-            self.abort()
+            answer = self.reader.next()
+        except ProtocolError as error:
+            self.spoilt(attempt, error)
             return
-        if reply is INCOMPLETE:
+        if answer is None:
             return
         self.attempt = attempt.connection = None
-        if self.reader.has_data() or not attempt.written:
+        if self.reader.buffer or not attempt.written:
             self.abort()
         else:
-            self.pool.release(self)
-        attempt.finish(*read_reply(reply))
+            self.pool.rest(self)
+        if attempt.written:
+            attempt.finish(*outcome_of(answer))
+        else:
+            attempt.finish(i.Result.CONNECT_FAILED)  # answered before it was whole: never begun
+
+    def spoilt(self, attempt: Attempt, error: ProtocolError) -> None:
+        """An answer that cannot be read: the request has run, and the rest of the stream is worth nothing.
+
+        It says nothing of the machine, so other connections to it stay.
+        """
+        log.warning("spoilt answer from %s: %s", self.pool.name, error)
+        self.attempt = attempt.connection = None
+        self.abort()
+        attempt.finish(i.Result.SPOILT if attempt.written else i.Result.CONNECT_FAILED)
 
     def eof_received(self) -> None:
         """No answer can come any more. Without the abort the loop would wait until all is written."""
         self.transport.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.pool.forget(self)
+        self.pool.lost(self)
         attempt, self.attempt = self.attempt, None
         if attempt:
             attempt.connection = None
-            self.pool.doubt(now_us())
+            self.pool.close_unheard(attempt.sent_us)
             attempt.finish(i.Result.RESET if attempt.written else i.Result.CONNECT_FAILED)
 
     def usable(self) -> bool:
@@ -168,7 +173,7 @@
 
     def abort(self) -> None:
         """Close at once; `close` would first send what is still buffered, and so let the attempt run."""
-        self.pool.forget(self)
+        self.pool.stop_using(self)
         if self.transport:
             self.transport.abort()
 
@@ -178,20 +183,18 @@
 
     def __init__(self, owner: "Backends", name: str, address: Address) -> None:
         self.owner, self.name, self.address = owner, name, address
-        self.connections: set[Connection] = set()
+        self.connections: set[Connection] = set()  # all that hold a socket, until it is let go of
         self.idle: list[Connection] = []  # the one used last at the end, so that spare ones grow old
         self.waiting: deque[Attempt] = deque()
-        self.connecting, self.heard_us, self.wanted = 0, 0, True
+        self.connecting, self.heard_us, self.wanted, self.retired = 0, 0, True, False
 
     def start(self, attempt: Attempt) -> None:
         attempt.pool = self
-        while self.idle:
-            connection = self.idle.pop()
-            if connection.usable():
-                connection.send(attempt)
-                return
+        if connection := self.take_idle():
+            connection.send(attempt)
+            return
         if not self.owner.may_open():
-            attempt.finish(i.Result.CONNECT_FAILED)
+            attempt.finish(i.Result.MOOT)  # a shortage of ours, which is not to be held against the backend
             return
         self.waiting.append(attempt)
         self.connecting += 1
@@ -199,47 +202,65 @@
         self.connections.add(connection)  # at once, as the bound counts those that are still connecting
         self.owner.spawn(self.connect(connection))
 
+    def take_idle(self) -> Connection | None:
+        """The connection used last of those that have rested, and on which nothing more has come.
+
+        What comes behind an answer, after the connection was given to the next request, would pass for that
+        one's answer.
+        """
+        rested = now_us() - REST_US
+        for connection in reversed(self.idle):
+            if connection.idle_since > rested:
+                continue
+            if connection.usable() and not has_unread(connection.transport):
+                self.idle.remove(connection)
+                return connection
+            connection.abort()
+            return self.take_idle()
+        return None
+
     async def connect(self, connection: Connection) -> None:
         """Open a connection for whoever waits longest; bounded, as a machine that is cut off says nothing."""
         try:
             async with asyncio.timeout(self.owner.connect_s):
                 await asyncio.get_running_loop().create_connection(lambda: connection, *self.address)
         except (OSError, TimeoutError):
+            connection.abort()
             self.connections.discard(connection)
+        finally:
             self.connecting -= 1
-            self.connect_failed()
-        else:
-            self.connecting -= 1
-            self.release(connection)
-
-    def connect_failed(self) -> None:
+        connected = connection.usable()  # a backend that is full takes a connection and ends it at once
         self.drop_over()
-        if len(self.waiting) > self.connecting:
+        if connected and self.waiting:
+            connection.send(self.waiting.popleft())
+        elif connected and self.wanted:
+            self.rest(connection)
+        elif connected:
+            connection.close()
+        elif len(self.waiting) > self.connecting:
             self.waiting.popleft().finish(i.Result.CONNECT_FAILED)
 
     def drop_over(self) -> None:
         while self.waiting and self.waiting[0].over:
             self.waiting.popleft()
 
-    def release(self, connection: Connection) -> None:
-        """A connection has nothing to do: the next that waits gets it, else it is kept for a while."""
-        if not connection.usable():
-            self.connect_failed()  # a backend that is full takes a connection and ends it at once
-            return
-        self.drop_over()
-        if self.waiting:
-            connection.send(self.waiting.popleft())
-        elif self.wanted:
+    def rest(self, connection: Connection) -> None:
+        """A connection has nothing to do: it is kept for a while."""
+        if self.wanted and connection.usable():
             connection.idle_since = now_us()
             self.idle.append(connection)
         else:
             connection.close()
 
-    def forget(self, connection: Connection) -> None:
-        self.connections.discard(connection)
+    def stop_using(self, connection: Connection) -> None:
         if connection in self.idle:
             self.idle.remove(connection)
 
+    def lost(self, connection: Connection) -> None:
+        """Its socket is let go of."""
+        self.stop_using(connection)
+        self.connections.discard(connection)
+
     def doubt(self, since_us: int) -> None:
         """Close what is idle where nothing was heard since: the machine may have vanished.
 
@@ -249,10 +270,23 @@
         if self.heard_us < since_us:
             self.close_idle()
 
+    def close_unheard(self, since_us: int) -> None:
+        """Close what is idle and was silent since: after a reset the machine may be another one."""
+        for connection in [connection for connection in self.idle if connection.heard_us < since_us]:
+            self.idle.remove(connection)
+            connection.close()
+
     def close_idle(self, before_us: int | None = None) -> None:
         while self.idle and (before_us is None or self.idle[0].idle_since < before_us):
             self.idle.pop(0).close()
 
+    def retire(self) -> None:
+        """Its backend is not at this address any more: what is not yet written there goes elsewhere."""
+        self.wanted, self.retired = False, True
+        self.close_idle()
+        while self.waiting:
+            self.waiting.popleft().finish(i.Result.CONNECT_FAILED)
+
 
 class Backends:
     """The pools by the backends' names, and the bound on all their connections."""
@@ -282,9 +316,8 @@
 
     def retire(self, name: str) -> None:
         if pool := self.pools.pop(name, None):
-            pool.wanted = False
-            pool.close_idle()
             self.old.append(pool)
+            pool.retire()
 
     def send(self, attempt: Attempt, timeout_us: int) -> None:
         pool = self.pools.get(attempt.server)
--- a/molereach/config.py
+++ b/molereach/config.py
@@ -32,6 +32,7 @@
     connect_timeout_us: int
     max_open: int
     sockets: int
+    memory_mb: int
     known: Mapping[str, Any]
     peer_listen: Address | None = None
     peers: tuple[Address, ...] = ()
@@ -74,6 +75,7 @@
     settings = values["settings"]
     pairs = Pairs(dict(flatten(settings)))
     peer_listen = values.get("peer_listen")
+    limits = values.get("limits") or {}
     config = Config(
         name=env.get("PROXY_NAME") or values["name"],
         listen=read_address(env.get("PROXY_LISTEN") or values["listen"]),
@@ -86,7 +88,8 @@
         conn_idle_us=pairs.whole("ceilings.conn-idle-us", 30_000_000),
         connect_timeout_us=pairs.whole("ceilings.connect-timeout-us", 250_000),
         max_open=pairs.whole("ceilings.max-open", 20_000),
-        sockets=int(values.get("limits", {}).get("sockets", 1024)),
+        sockets=int(limits.get("sockets", 1024)),
+        memory_mb=int(limits.get("memory_mb", 64)),
         known=values.get("known") or {},
         peer_listen=read_address(peer_listen) if peer_listen else None,
         peers=tuple(map(read_address, values.get("peers") or ())),
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -27,9 +27,10 @@
 RING_AGAIN_US = 20_000  # how soon a timer comes again on which the module failed
 SETTLE_S = 0.6  # after SIGTERM new connections go on coming for up to 0.4 s
 LAST_WRITES_S = 1.0  # how long clients may take to read their last answers, or to ask at last
-SPARE_SOCKETS = 64  # for listening, discovery, peers, the loop and log
-CLIENT_SHARE = 0.6  # of the other sockets
-MOST_HELD_BYTES = 32 << 20  # of commands that are not answered yet
+SPARE_SOCKETS = 32  # for listening, discovery, peers, the loop and log
+CLIENT_SHARE = 0.7  # of the other sockets
+HELD_SHARE = 1 / 8  # of the memory: for commands that are not answered yet
+UNREAD_SHARE = 1 / 8  # of the memory: for answers that clients don't read
 
 
 class Exchange:
@@ -53,12 +54,16 @@
         self.open: dict[str, Exchange] = {}  # requests that are owed an answer
         self.ended: dict[str, Exchange] = {}  # those answered with attempts still out
         self.held_bytes = 0
-        self.server: asyncio.Server | None = None
+        self.address = config.listen
+        memory = config.memory_mb << 20
+        self.most_held = round(memory * HELD_SHARE)
         sockets = max(16, config.sockets - SPARE_SOCKETS)
         most_clients = round(sockets * CLIENT_SHARE)
         self.backends = Backends(config.conn_idle_us, config.connect_timeout_us, sockets - most_clients)
         self.parser = CommandParser(config)
-        self.clients = Clients(most_clients, self.take, self.client_gone)
+        self.clients = Clients(
+            most_clients, round(memory * UNREAD_SHARE), self.take, self.client_gone, self.backends.spawn
+        )
         self.peers = Peers(config.peers, config.settings.me, self.post)
         self.catalog = Catalog(config)
         known = self.read_known()
@@ -96,11 +101,7 @@
             await asyncio.wait_for(self.discovery.first.wait(), FIRST_LIST_S)
         except TimeoutError:
             log.warning("discovery is silent; starting with the known list")
-        host, port = self.config.listen
-        # What a killed predecessor left in TIME_WAIT must not keep a restart from its address.
-        self.server = await self.loop.create_server(
-            self.clients.connection, host, port, backlog=1024, reuse_address=True
-        )
+        self.address = self.clients.listen(self.config.listen)
 
     def reconfigure(self, config: Config) -> None:
         """Take over what can change while it serves: the address of discovery."""
@@ -125,8 +126,6 @@
 
     def close(self) -> None:
         """Let go of all sockets."""
-        if self.server:
-            self.server.close()
         self.peers.close()
         self.clients.close()
         self.backends.close()
@@ -177,7 +176,7 @@
         request = command.request
         if request.id in self.open or request.id in self.ended:
             raise CommandError("this id is in use")
-        if len(self.open) >= self.config.max_open or self.held_bytes > MOST_HELD_BYTES:
+        if len(self.open) >= self.config.max_open or self.held_bytes > self.most_held:
             raise CommandError("too many requests are open")
         exchange = Exchange(command, reply, now_us() + request.left_us)
         delay = (request.left_us + BACKSTOP_US) / 1e6
