The cap goes by the deployment's own second; nothing unsent is held past half its time

At fault: START_PER_SERVER and CC_PERIOD_US in seconds, made for aims of 0.75 to 2 s; here aims, work and rates are scaled to a third.

--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -11,13 +11,14 @@
 S, NEVER = 1_000_000, 1 << 62  # microseconds in a second; a time that does not come
 
 TICK_US = 20_000  # how often held requests and words are looked at: well under any aim
-CC_PERIOD_US, FAIR_N, MOST_PERIODS = S, 10, 2  # control period and OPPUI: 1 or 2 s, for a fair-sized N
+FAIR_N, MOST_PERIODS = 10, 2  # control period and OPPUI: 1 or 2 s, for a fair-sized N
 MAX_INCREASE, MAX_DECREASE = 0.2, 0.1  # the largest step of N in a second, against noise
 ADDL_DECREMENT, MIN_FRACTION_CALLS = 0.1, 0.75  # extra step at occ_too_high; part of N that counts as low
 # max_occup, occ_too_high, min_occup: reports of busy cores are late; a mean at half the aim has a tail.
 TARGETS = {"util": (0.92, 0.97, 0.75), "latency": (0.5, 0.7, 0.35)}
 # For each ready server, by all gateways: attempts a second when the cap engages, and out at once ever.
 START_PER_SERVER, LEAST_OUT = 8, 2  # the second: for one gateway in any case
+USUAL_AIM_US = 1.5 * S  # what the figures for a second are meant for: where aims are shorter, all goes faster
 DEMAND_US = 0.5 * S  # ageing of demand: short, as the level of the store carries the longer memory
 ASK_US, ASKS, WORD_FRESH_US = 80_000, 2, 10 * S  # the wait for word from home, how often; how long it holds
 ASK_SHARE = 0.25  # part of a gateway's intake that the asks for one customer may take
@@ -80,10 +81,12 @@
         self.worth = rule.worth * customer.plan.worth_factor * req.units
         self.end_us = now + req.left_us
         self.aim_us = min(now + rule.aim_us, self.end_us)
+        self.half_us = now + req.left_us // 2  # a refusal after that, with nothing sent whole, comes too late
         self.servers: list[_Server] = []  # of its attempts, in order
         self.out: dict[int, int] = {}  # attempts out and when each was sent
         self.ran_on: _Server | None = None  # where it may first have run, and since when
         self.over, self.in_quota, self.ran_us, self.unrun = False, False, 0, 0  # unrun: proven so
+        self.unsent = 0  # attempts that never came whole to a server
         self.decide_us, self.asks = NEVER, 0  # until when it waits for word of its quota
 
     def may_refuse(self) -> bool:
@@ -101,8 +104,10 @@
         self.now, self.period_us, self.alarm_us, self.serial = 0, -1, NEVER, itertools.count()
         self.waits, self.words, self.told_us = [], {}, {}  # who waits for word; peers' words, when they left
         self.mean_us = [rule.aim_us / 4 for rule in settings.classes]
+        aims = [rule.aim_us for rule in settings.classes]
+        self.second = round(S * min(1.0, sum(aims) / max(1, len(aims)) / USUAL_AIM_US))  # of this deployment
         self.retries, self.n_past = RETRY_STORE / 2, None  # no N: the cap is lifted
-        self.overhead, self.accepted, self.out, self.cc_us = 1.0, 0, 0, CC_PERIOD_US  # accepted: this period
+        self.overhead, self.accepted, self.out, self.cc_us = 1.0, 0, 0, self.second  # accepted: this period
         self.signals: dict[str, list[float]] = {"util": [], "latency": []}
         self.rate, self.mean_load = 0.0, 0.0  # first attempts a second; load of the servers, as they say
         self.on = {i.Request: self.on_request, i.Outcome: self.on_outcome, i.Timer: self.on_tick,
@@ -162,8 +167,8 @@
         while self.customers and self.now - next(iter(self.customers.values())).at > FORGET_US:
             del self.customers[next(iter(self.customers))]
         self.update_cap(self.accepted)
-        was, most = self.cc_us, min(MOST_PERIODS, round(FAIR_N / max(1.0, self.rate)))
-        self.cc_us = CC_PERIOD_US * max(1, most)
+        was, most = self.cc_us, min(MOST_PERIODS, round(FAIR_N / max(1.0, self.rate * self.second / S)))
+        self.cc_us = self.second * max(1, most)
         self.n_past = None if self.n_past is None else max(1, self.n_past * self.cc_us // was)
         self.accepted = 0
 
@@ -181,9 +186,10 @@
         if occup < targets[2] and (was is None or na_past < MIN_FRACTION_CALLS * was):
             self.overhead, self.n_past = min(self.overhead, occup), None
         elif was is None:
-            self.n_past = max(1, START_PER_SERVER * len(self.up) * self.cc_us // S // self.set.gateways)
+            start = START_PER_SERVER * len(self.up) * self.cc_us // self.second
+            self.n_past = max(1, start // self.set.gateways)
         else:
-            seconds, overhead = self.cc_us / S, min(self.overhead, targets[2] / 2)
+            seconds, overhead = self.cc_us / self.second, min(self.overhead, targets[2] / 2)
             self.n_past = next_n(was, na_past, occup, overhead, targets, seconds)
 
     def allowance(self) -> bool:
@@ -208,9 +214,11 @@
             blocked = blocked or not self.allowance() or not (waits or server)
 
     def expire(self, job: _Job, means: float) -> bool:
-        """A held request is ended in time: refused when its aim is out of reach, where that is allowed."""
+        """A held request is ended in time: refused when its aim is out of reach, where that is allowed, and
+        before half of its time is over while nothing of it has been sent."""
         needed = min(means * self.mean_us[job.req.class_index], job.rule.aim_us / 2)
         late = job.may_refuse() and self.now + needed >= job.aim_us
+        late = late or (job.unsent == len(job.servers) and self.now + TICK_US >= job.half_us)
         if not job.over and (late or self.now + 2 * TICK_US >= job.end_us):
             self.end(job)
         return job.over
@@ -394,6 +402,7 @@
         server, job.customer.out, self.out = job.servers[event.attempt], job.customer.out - 1, self.out - 1
         del job.out[event.attempt], server.out[(event.id, event.attempt)]
         self.learn(job, server, event)
+        job.unsent += event.result in (i.Result.CONNECT_FAILED, i.Result.MOOT)
         job.unrun += event.result in (i.Result.FULL, i.Result.CONNECT_FAILED, i.Result.MOOT)
         job.ran_on = None if job.unrun == len(job.servers) else job.ran_on
         if event.over or job.over:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -489,3 +489,51 @@
     lines = (Path(__file__).parent.parent / "fennelwinch" / "rules.py").read_text().splitlines()
     assert sum(bool(line.strip()) for line in lines) <= 1200
     assert max(map(len, lines)) <= 110
+
+
+def test_request_of_which_nothing_was_sent_is_refused_before_half_of_its_time() -> None:
+    for fleet in ((), servers(1)):
+        world = World(fleet=fleet)
+        world.gateway.mean_us = [50.0 * MS]  # so that the aim alone would let it wait for longer
+        start = world.now
+        world.ask("a", left_us=S)
+        if fleet:  # a failed connect has sent nothing
+            world.gateway.up.clear()
+            world.answer("a", i.Result.CONNECT_FAILED)
+        world.run(S)
+        refused = [at for at, action in world.log if isinstance(action, i.Refuse)]
+        assert len(refused) == 1
+        assert 400 * MS < refused[0] - start < 500 * MS
+
+
+def test_request_that_was_sent_whole_may_wait_for_longer() -> None:
+    world = World()
+    world.ask("a", left_us=S)
+    world.run(900 * MS)
+    assert of(i.Refuse, world.run(0)) == [] and world.out
+
+
+def test_cap_starts_and_moves_by_the_second_of_the_deployment() -> None:
+    """Where aims are a third, servers do three times as much in a second, and jams build up as fast."""
+    for scale in (1, 3):
+        rule = replace(SAFE, aim_us=round(1.5 * S) // scale)
+        gateway = World(replace(SETTINGS, classes=(rule,), gateways=2)).gateway
+        assert gateway.cc_us == S // scale
+        gateway.signals["util"] = [0.9]
+        gateway.update_cap(100)
+        assert gateway.n_past == 16  # 8 for each of 4 ready servers, halved over two gateways
+        gateway.signals["util"] = [0.1]
+        gateway.update_cap(16)
+        assert gateway.n_past == 19
+
+
+def test_spoilt_answers_leave_a_server_in_that_answers_otherwise() -> None:
+    gateway = World(fleet=servers(1)).gateway
+    server = gateway.servers["s0"]
+    for _ in range(40):
+        gateway.note_spoilt(server)
+        gateway.note_result(server, True)
+    assert not server.on_trial and not server.avoid_until
+    for _ in range(4):
+        gateway.note_spoilt(server)
+    assert server.on_trial  # one that does nothing else is suspect
