Asks are counted as often as they are made; retries go by their first try's aim

Ruled out: lost words (0.5%), the split over front doors, the cap (not engaged). At fault: end_waits took back one ask though the home had counted each of two (with aims of 243 ms a wait was 30 ms, shorter than the 80 ms between words, so nearly all asked twice); _Job gave every retry an aim of its own, while a retry belongs to its first try and its time left tells when that was.

--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -20,9 +20,12 @@
 START_PER_SERVER, LEAST_OUT = 8, 2  # the second: for one gateway in any case
 USUAL_AIM_US = 1.5 * S  # what the figures for a second are meant for: where aims are shorter, all goes faster
 DEMAND_US = 0.5 * S  # ageing of demand: short, as the level of the store carries the longer memory
-ASK_US, ASKS, WORD_FRESH_US = 80_000, 2, 10 * S  # the wait for word from home, how often; how long it holds
+# The wait for word from home, its part of the aim, and how often it is asked; how long a word holds.
+ASK_US, ASK_PART, ASKS, WORD_FRESH_US = 160_000, 3, 2, 10 * S
+SPACE_US = 80_000  # between words to one peer, at most
 ASK_SHARE = 0.25  # part of a gateway's intake that the asks for one customer may take
 FORGET_US = 60 * S  # a customer that was quiet for so long has its burst back
+PATIENCE_STEPS = 200  # first tries by which the known patience of clients can rise by about its double
 SMOOTH, RATE_SMOOTH = 0.1, 0.3  # weight of a new latency, and of a period's sends, in a running mean
 CHOICES = 8  # servers looked at for one attempt: many gateways that all take the emptiest would flood it
 SUSPECT_AT = 1.7  # two failures running, or a mix with more failures than answers
@@ -76,11 +79,14 @@
 
 
 class _Job:
-    def __init__(self, req: i.Request, rule: i.RequestClass, customer: _Customer, now: int) -> None:
+    def __init__(
+        self, req: i.Request, rule: i.RequestClass, customer: _Customer, now: int, gone_us: int
+    ) -> None:
+        """`gone_us` is how long ago the client's first try was: a retry's aim counts from there."""
         self.req, self.rule, self.customer = req, rule, customer
         self.worth = rule.worth * customer.plan.worth_factor * req.units
         self.end_us = now + req.left_us
-        self.aim_us = min(now + rule.aim_us, self.end_us)
+        self.aim_us = min(now + rule.aim_us - gone_us, self.end_us)
         self.half_us = now + req.left_us // 2  # a refusal after that, with nothing sent whole, comes too late
         self.servers: list[_Server] = []  # of its attempts, in order
         self.out: dict[int, int] = {}  # attempts out and when each was sent
@@ -106,6 +112,7 @@
         self.mean_us = [rule.aim_us / 4 for rule in settings.classes]
         aims = [rule.aim_us for rule in settings.classes]
         self.second = round(S * min(1.0, sum(aims) / max(1, len(aims)) / USUAL_AIM_US))  # of this deployment
+        self.patience_us = [0] * len(settings.classes)  # how long clients wait for their first tries
         self.retries, self.n_past = RETRY_STORE / 2, None  # no N: the cap is lifted
         self.overhead, self.accepted, self.out, self.cc_us = 1.0, 0, 0, self.second  # accepted: this period
         self.signals: dict[str, list[float]] = {"util": [], "latency": []}
@@ -140,10 +147,26 @@
     def on_request(self, req: i.Request) -> None:
         key = (zlib.crc32(req.customer.encode()), req.plan_index, req.set_first, req.set_size)
         customer = self.customer(key)
-        job = self.jobs[req.id] = _Job(req, self.set.classes[req.class_index], customer, self.now)
+        rule = self.set.classes[req.class_index]
+        job = self.jobs[req.id] = _Job(req, rule, customer, self.now, self.gone_us(req))
         if not self.expire(job, NEEDED_NEW):  # some come with no time left: they cost no quota
             self.admit(job)
 
+    def gone_us(self, req: i.Request) -> int:
+        """How long ago the client first asked, at least: a retry has that much less of its time left.
+
+        What a retry would be served after the aim is worth nothing, and takes its customer's quota.
+        """
+        known, rule = self.patience_us[req.class_index], self.set.classes[req.class_index]
+        if rule.late_worth:
+            return 0
+        if req.is_repeat:
+            return max(0, known - req.left_us)
+        # The least of late, as clients may differ; it recovers should they wait for longer from now on.
+        longer = known + known // PATIENCE_STEPS + 1 if known else req.left_us
+        self.patience_us[req.class_index] = min(req.left_us, longer)
+        return 0
+
     def on_list(self, news: i.ServerList) -> None:
         if self.set.must_subscribe and news.kind in (i.ListKind.SAVED, i.ListKind.FAILED):
             self.actions.append(i.Subscribe(True))
@@ -243,7 +266,7 @@
             self.ask(job)
 
     def ask(self, job: _Job) -> None:
-        wait, job.asks = min(ASK_US, job.rule.aim_us // 8), job.asks + 1
+        wait, job.asks = min(ASK_US, job.rule.aim_us // ASK_PART), job.asks + 1
         job.decide_us = min(self.now + wait, job.end_us - 4 * TICK_US)
         self.waits.append(job)
         self.tell(job.customer.home, job.customer, job.req.units)
@@ -268,7 +291,8 @@
                 self.ask(job)  # words may be lost
                 continue
             chance = job.customer.chance(job.req.units)
-            job.customer.spent -= job.req.units * chance  # as much the home has counted already
+            # As much the home has counted already, each time that it was asked.
+            job.customer.spent -= job.req.units * chance * job.asks
             self.decide(job, chance)
 
     def spend(self, customer: _Customer, units: float) -> None:
@@ -286,7 +310,7 @@
 
     def send_words(self) -> None:
         """Words leave at once, but in a small set spaced so that all peers together take half an intake."""
-        space = min(ASK_US, 2 * S * (self.set.gateways - 1) / max(1, self.set.peer_messages_per_s))
+        space = min(SPACE_US, 2 * S * (self.set.gateways - 1) / max(1, self.set.peer_messages_per_s))
         for peer in [peer for peer in self.words if self.now - self.told_us.get(peer, -S) >= space]:
             self.told_us[peer] = self.now
             self.actions.append(i.Tell(peer, tuple(self.words.pop(peer))))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,5 +1,6 @@
 """Scripted events in, actions out: the cap, the quota, the five rules and health."""
 
+import zlib
 from dataclasses import replace
 from pathlib import Path
 
@@ -537,3 +538,36 @@
     for _ in range(4):
         gateway.note_spoilt(server)
     assert server.on_trial  # one that does nothing else is suspect
+
+
+def test_retry_that_comes_after_the_aim_of_its_first_try_is_refused_at_once() -> None:
+    world = World()
+    world.ask("first", left_us=6 * S)
+    assert of(i.Send, world.ask("soon", left_us=5 * S, is_repeat=True))
+    late = world.ask("late", left_us=4 * S, is_repeat=True)  # asked first 2 s ago, as long as the aim is
+    assert of(i.Refuse, late) and not of(i.Send, late)
+    worth = World(replace(SETTINGS, classes=(replace(SAFE, late_worth=0.5),)))
+    worth.ask("first", left_us=6 * S)
+    assert of(i.Send, worth.ask("late", left_us=4 * S, is_repeat=True))
+
+
+def test_clients_that_wait_for_different_times_are_no_reason_to_refuse_retries() -> None:
+    world = World()
+    for number, left in enumerate([6 * S, 3 * S, 6 * S, 3 * S]):
+        world.ask(f"first{number}", left_us=left)
+    assert of(i.Send, world.ask("retry", left_us=2 * S, is_repeat=True))
+
+
+def test_home_is_told_off_every_ask_that_it_may_have_counted() -> None:
+    """Each ask is counted at the home as spent in part; a second one is no second unit."""
+    world = World(replace(SETTINGS, gateways=2))
+    name = next(f"c{n}" for n in range(9) if zlib.crc32(f"c{n}".encode()) % 2)  # the other one is its home
+    for number in range(11):  # the eleventh is past this one's part of the burst
+        world.ask(f"a{number}", customer=name, set_size=2)
+    world.run(S)
+    words = [word for _, action in world.log if isinstance(action, i.Tell) for word in action.words]
+    asked = [word for word in words if word.asked]
+    assert len(asked) == 2
+    (customer,) = world.gateway.customers.values()
+    told = sum(word.spent for word in words) + customer.spent
+    assert told == 11 - 2 * 1.0  # twice a chance of 1
