--- a/fennelwinch/codec.py
+++ b/fennelwinch/codec.py
@@ -1,5 +1,7 @@
 """What the simulator's adapter and the real front door share: settings, load reports, peers' words."""
 
+import math
+import re
 import struct
 from collections.abc import Iterable, Mapping
 
@@ -26,6 +28,11 @@
     "eps": "errors_per_s",
 }
 
+# What a server says of itself is not trusted: plain numbers, none below 0, and none that no server can mean.
+REPORTED = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?(e-?[0-9]{1,2})?", re.ASCII)
+MOST_REPORTED = {"util": 2.0}  # busy cores over all; some noise may lie on it
+MOST_OTHERS = 1e9
+
 # A word between gateways; amounts in steps of 1 / UNIT.
 WORD = struct.Struct("!IBHHBhhhh")
 UNIT = 50
@@ -115,10 +122,18 @@
     )
 
 
+def read_reported(name: str, text: str) -> float:
+    """One value of a load report; one that is no number in its range is a ValueError."""
+    value = float(text) if REPORTED.fullmatch(text) else math.inf
+    if value > MOST_REPORTED.get(name, MOST_OTHERS):
+        raise ValueError(f"a load report says {name}={text:.20}")
+    return value
+
+
 def read_report(values: Iterable[tuple[str, str]]) -> i.LoadReport:
     """A load report from names and values; unknown names and absent values are skipped."""
     return i.LoadReport(**{
-        REPORT_FIELDS[name]: float(value)
+        REPORT_FIELDS[name]: read_reported(REPORT_FIELDS[name], value)
         for name, value in values
         if name in REPORT_FIELDS and value not in ("", "-")
     })
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -24,7 +24,6 @@
 ASK_US, ASK_PART, ASKS, WORD_FRESH_US = 160_000, 3, 2, 10 * S
 SPACE_US = 80_000  # between words to one peer, at most
 ASK_SHARE = 0.25  # part of a gateway's intake that the asks for one customer may take
-FORGET_US = 60 * S  # a customer that was quiet for so long has its burst back
 PATIENCE_STEPS = 200  # first tries by which the known patience of clients can rise by about its double
 SMOOTH, RATE_SMOOTH = 0.1, 0.3  # weight of a new latency, and of a period's sends, in a running mean
 CHOICES = 8  # servers looked at for one attempt: many gateways that all take the emptiest would flood it
@@ -50,11 +49,18 @@
 class _Customer:
     """A customer's part of quota and ceiling here, and what is known of its whole set: all, at its home."""
 
-    def __init__(self, plan: i.Plan, key: tuple[int, int, int, int], set_: i.Settings, now: int) -> None:
+    __slots__ = ("at", "ceiling", "demand", "heard_us", "home", "key", "level", "out", "part", "plan", "size",
+                 "spent", "untold")
+
+    def __init__(
+        self, plan: i.Plan, key: tuple[int, int, int, int], set_: i.Settings, now: int, since: int
+    ) -> None:
         self.plan, self.key, self.size, self.at = plan, key, key[3], now
         self.home = (key[2] + key[0] % self.size) % set_.gateways if set_.may_tell else set_.me
         self.part, self.level, self.demand = plan.burst / self.size, plan.burst, 0.0
-        self.ceiling, self.heard_us, self.out = 0.0, -NEVER, 0  # empty, as a restart looks like a first start
+        # Empty at the gateway's start, as a restart looks like a first one; it fills from then on.
+        self.ceiling = min(plan.ceiling_burst, plan.ceiling_rate * (now - since) / S) / self.size
+        self.heard_us, self.out = -NEVER, 0
         self.untold = self.spent = 0.0  # demand and spending that the home has not been told of
 
     def refill(self, now: int) -> "_Customer":
@@ -106,8 +112,10 @@
         self.random = random.Random(settings.seed)
         self.servers, self.up = {}, []  # by name; those that may be sent new work
         self.customers: dict[tuple[int, int, int, int], _Customer] = {}  # the one seen last at the end
+        self.sets: dict[tuple[int, int], tuple[int, int, int, int]] = {}  # under which a customer came first
         self.jobs, self.held = {}, []  # by id; highest worth first, then by arrival
         self.now, self.period_us, self.alarm_us, self.serial = 0, -1, NEVER, itertools.count()
+        self.since_us, self.forget_us = 0, max(WORD_FRESH_US, *map(full_again_us, settings.plans))
         self.waits, self.words, self.told_us = [], {}, {}  # who waits for word; peers' words, when they left
         self.mean_us = [rule.aim_us / 4 for rule in settings.classes]
         aims = [rule.aim_us for rule in settings.classes]
@@ -123,7 +131,8 @@
 
     def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
         self.now, self.actions = now_us, []
-        self.period_us = now_us if self.period_us < 0 else self.period_us
+        if self.period_us < 0:
+            self.period_us = self.since_us = now_us
         if act := self.on.get(type(event)):
             act(event)
         self.send_words()
@@ -178,6 +187,8 @@
             if known is None or known.entry.started_us != entry.started_us:
                 known = self.servers[entry.name] = _Server(entry)
             known.entry = entry
+            if entry.state is i.ServerState.GONE:  # its id does not come again
+                del self.servers[entry.name]
         self.up = [server for server in self.servers.values() if server.entry.state is i.ServerState.UP]
 
     # --- the cap: Dynamic Processor Overload Control, section 2 of the paper ---
@@ -187,14 +198,23 @@
         for server in self.servers.values():  # a slow one that is sent nothing must get its chance again
             server.slowness += SMOOTH * (1 - server.slowness)
         self.rate += (RATE_SMOOTH if self.rate else 1) * (self.accepted * S / self.cc_us - self.rate)
-        while self.customers and self.now - next(iter(self.customers.values())).at > FORGET_US:
-            del self.customers[next(iter(self.customers))]
+        self.forget_customers()
         self.update_cap(self.accepted)
         was, most = self.cc_us, min(MOST_PERIODS, round(FAIR_N / max(1.0, self.rate * self.second / S)))
         self.cc_us = self.second * max(1, most)
         self.n_past = None if self.n_past is None else max(1, self.n_past * self.cc_us // was)
         self.accepted = 0
 
+    def forget_customers(self) -> None:
+        """One whose stores are full again is as good as new; those that came only once would never end."""
+        while self.customers:
+            key, oldest = next(iter(self.customers.items()))
+            if oldest.out or self.now - oldest.at <= self.forget_us:
+                return
+            del self.customers[key]
+            if self.sets.get(key[:2]) == key:
+                del self.sets[key[:2]]
+
     def update_cap(self, na_past: float) -> None:
         """The paper's update. A cap in full use is not lifted: that floods servers that have just drained."""
         kind = "util" if self.signals["util"] else "latency"
@@ -247,7 +267,11 @@
         return job.over
 
     def customer(self, key: tuple[int, int, int, int]) -> _Customer:
-        known = self.customers.pop(key, None) or _Customer(self.set.plans[key[1]], key, self.set, self.now)
+        known = self.customers.pop(key, None)
+        if known is None:
+            known = _Customer(self.set.plans[key[1]], key, self.set, self.now, self.since_us)
+            if self.sets.setdefault(key[:2], key) != key:  # a name of another set must not open a fresh burst
+                known.part = known.level = known.ceiling = 0.0
         self.customers[key] = known
         return known.refill(self.now)
 
@@ -320,7 +344,8 @@
         for word in message.words:
             key = (word.customer, word.plan_index, word.set_first, word.set_size)
             in_set = (self.set.me - word.set_first) % self.set.gateways < word.set_size
-            if word.plan_index >= len(self.set.plans) or not in_set:
+            known = word.plan_index < len(self.set.plans) and word.set_first < self.set.gateways
+            if not known or not 0 < word.set_size <= self.set.gateways or not in_set:
                 continue
             new, customer = key not in self.customers, self.customer(key)
             if word.is_answer:
@@ -477,6 +502,13 @@
             self.jobs.pop(job.req.id, None)
 
 
+def full_again_us(plan: i.Plan) -> int:
+    """How long the stores of a customer take at most to be full, from what it may owe."""
+    quota = plan.burst / plan.rate + DEMAND_US / S if plan.rate else 0.0
+    ceiling = plan.ceiling_burst / plan.ceiling_rate if plan.ceiling_rate else 0.0
+    return round(S * max(quota, ceiling))
+
+
 def next_n(n_past: int, na_past: float, occup: float, overhead: float, targets: tuple[float, ...],
            seconds: float = 1.0) -> int:
     """The paper's update of N, rounded down; `targets` are max_occup, occ_too_high and min_occup."""
--- a/molereach/__main__.py
+++ b/molereach/__main__.py
@@ -14,6 +14,30 @@
 
 log = logging.getLogger("molereach")
 
+LINES_AT_ONCE = 10  # from one place in the code
+LINES_SPAN_S = 10.0
+
+
+class RateLimit(logging.Filter):
+    """Bounds the lines from each place in the code: what peers can cause must not flood the log.
+
+    The first line that is let through again says how many were left out.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.places: dict[tuple[str, int], tuple[float, int]] = {}  # start of the span and lines in it
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        place = record.pathname, record.lineno
+        start, count = self.places.get(place, (record.created, 0))
+        if record.created - start >= LINES_SPAN_S:
+            if count > LINES_AT_ONCE:
+                record.msg = f"{record.msg} ({count - LINES_AT_ONCE} like it were left out)"
+            start, count = record.created, 0
+        self.places[place] = start, count + 1
+        return count < LINES_AT_ONCE
+
 
 def take_over(door: FrontDoor) -> None:
     """Read the configuration again; one that is not usable changes nothing."""
@@ -50,6 +74,8 @@
     logging.basicConfig(
         stream=sys.stderr, level=logging.INFO, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
     )
+    for handler in logging.getLogger().handlers:
+        handler.addFilter(RateLimit())
     try:
         config = load(os.environ)
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
--- a/molereach/discovery.py
+++ b/molereach/discovery.py
@@ -23,7 +23,9 @@
 SILENT_S = 5.0  # an empty line comes every 2 s; a watch that is silent for longer is dead
 CONNECT_S = 1.0
 BACKOFF_S, MOST_BACKOFF_S = 0.1, 1.0
-MOST_LINE = 1 << 22  # bytes
+MOST_LINE = 1 << 20  # bytes
+MOST_WEIGHT = 1e6
+MOST_TIME_MS = 1e14  # some thousands of years
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +48,13 @@
         """0 stays 0, for long ago; nothing else becomes 0."""
         return (round(unix_ms * 1000) + self.offset_us) or 1 if unix_ms else 0
 
+    @staticmethod
+    def number(entry: Mapping[str, Any], name: str, most: float) -> float:
+        """A number that is finite and in range; 0 for one that says nothing."""
+        value = entry.get(name) or 0
+        known = isinstance(value, int | float) and 0 <= value <= most  # also false for what is no number
+        return float(value) if known else 0.0
+
     def server(self, entry: Mapping[str, Any]) -> i.Server:
         return i.Server(
             name=str(entry["instanceId"]),
@@ -54,8 +63,8 @@
             cell=int(entry.get("cell") or 0),
             # In a state that we do not know it is not said to serve: nothing new goes there.
             state=STATES.get(entry.get("lifecycle"), i.ServerState.DRAINING),
-            size=float(entry.get("weight") or 1.0),
-            started_us=self.started_us(float(entry.get("startedAtMs") or 0)),
+            size=self.number(entry, "weight", MOST_WEIGHT) or 1.0,
+            started_us=self.started_us(self.number(entry, "startedAtMs", MOST_TIME_MS)),
         )
 
     def news(self, value: Mapping[str, Any], kind: i.ListKind | None = None) -> News:
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import resource
 from collections.abc import Callable
 from dataclasses import fields, replace
 
@@ -57,7 +58,8 @@
         self.address = config.listen
         memory = config.memory_mb << 20
         self.most_held = round(memory * HELD_SHARE)
-        sockets = max(16, config.sockets - SPARE_SOCKETS)
+        granted, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        sockets = max(16, min(config.sockets, granted) - SPARE_SOCKETS)
         most_clients = round(sockets * CLIENT_SHARE)
         self.backends = Backends(config.conn_idle_us, config.connect_timeout_us, sockets - most_clients)
         self.parser = CommandParser(config)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,6 +1,7 @@
 """The watch on discovery and the datagrams between front doors."""
 
 import asyncio
+import math
 import socket
 import time
 from dataclasses import replace
@@ -93,6 +94,14 @@
     run(job())
 
 
+@pytest.mark.parametrize("odd", [math.nan, math.inf, -math.inf, -1, 1e300, "1", [], None, "nan"])
+def test_numbers_that_make_no_sense_say_nothing(odd: object) -> None:
+    listed = {**entry("s1", AT), "weight": odd, "startedAtMs": odd}
+    news = Catalog(CONFIG).news({"generation": 1, "instances": [listed]})
+    (server,) = news.event.servers
+    assert (server.size, server.started_us) == (1.0, 0)
+
+
 def test_start_times_go_over_to_our_clock() -> None:
     read = Catalog(CONFIG)
     assert read.started_us(0) == 0
--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 import time
 from dataclasses import replace
 
@@ -285,3 +286,36 @@
 
     run(job())
     assert "cannot carry out" in caplog.text
+
+
+def test_own_view_is_that_of_the_sockets_after_all_kinds_of_ends() -> None:
+    """Counts in flight, open requests, sockets: what is left behind would be held against a backend."""
+
+    async def job() -> None:
+        chance = random.Random(5)
+        good, odd = value(b"ok"), b"*9\r\n"
+        answers = [good, good, b"-BUSY\r\n", b"-ERR failed\r\n", b"", odd, good * 2, None]
+        fleet = [Backend(lambda words: chance.choice(answers)) for _ in range(3)]
+        async with front_door(*fleet, addresses=[refusing_address()]) as (door, address):
+            clients = [await Client.open(address) for _ in range(20)]
+            for number in range(200):
+                ask = query if number % 3 else submit
+                clients[number % 20].send(ask(f"a{number}", wait_ms=400))
+            for client in clients[:5]:
+                client.writer.close()  # with requests open
+            for client in clients[5:]:
+                for _ in range(10):
+                    assert await client.answer() is not None
+            view = door.gateway
+            while door.open or door.ended or view.jobs:
+                await asyncio.sleep(0.01)
+            assert view.out == 0 and not any(server.out for server in view.servers.values())
+            assert not view.held and not view.waits and door.held_bytes == 0
+            assert all(customer.out == 0 for customer in view.customers.values())
+            pools = door.backends.pools.values()
+            while door.backends.count() > sum(len(pool.idle) for pool in pools):
+                await asyncio.sleep(0.01)  # those that were aborted are let go of by the loop
+            assert not any(pool.connecting or pool.waiting for pool in pools)
+            assert door.clients.sockets == len(door.clients.connections) == 15
+
+    run(job())
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import logging
 import os
 import signal
 import subprocess
@@ -10,6 +11,7 @@
 
 import pytest
 
+from molereach.__main__ import LINES_AT_ONCE, LINES_SPAN_S, RateLimit
 from molereach.config import load
 from tests.sockets import (
     CUSTOMER,
@@ -168,3 +170,19 @@
         assert b"molereach: cannot start: " in errors and b"Traceback" not in errors
 
     run(job())
+
+
+def test_lines_that_peers_cause_are_bounded() -> None:
+    limit = RateLimit()
+
+    def line(at_s: float, number: int = 7) -> logging.LogRecord:
+        record = logging.LogRecord("x", logging.INFO, "x.py", number, "odd %s", ("one",), None)
+        record.created = at_s
+        return record
+
+    passed = [limit.filter(line(100.0 + at / 100)) for at in range(500)]
+    assert sum(passed) == LINES_AT_ONCE
+    assert limit.filter(line(100.0, number=8))  # another place has lines of its own
+    later = line(100.0 + LINES_SPAN_S)
+    assert limit.filter(later)
+    assert later.getMessage() == f"odd one ({500 - LINES_AT_ONCE} like it were left out)"
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -571,3 +571,55 @@
     (customer,) = world.gateway.customers.values()
     told = sum(word.spent for word in words) + customer.spent
     assert told == 11 - 2 * 1.0  # twice a chance of 1
+
+
+def test_servers_that_are_gone_and_customers_that_are_full_again_are_forgotten() -> None:
+    world = World(fleet=servers(2))
+    for number in range(200):
+        gone = i.Server(f"x{number}", 0, 0, 0, i.ServerState.UP)
+        world.tell(i.ServerList(i.ListKind.CHANGES, number, (gone,)))
+        world.tell(i.ServerList(i.ListKind.CHANGES, number, (replace(gone, state=i.ServerState.GONE),)))
+        world.ask(f"a{number}", customer=f"once{number}")
+        world.answer(f"a{number}")
+    assert set(world.gateway.servers) == {"s0", "s1"}
+    assert len(world.gateway.customers) == 200
+    world.run(12 * S)
+    assert not world.gateway.customers and not world.gateway.sets and not world.gateway.jobs
+
+
+def test_customer_is_kept_until_its_stores_are_full() -> None:
+    world = World(replace(SETTINGS, plans=(i.Plan(rate=1.0, burst=30.0),)))
+    for number in range(30):
+        world.ask(f"a{number}")
+        world.answer(f"a{number}")
+    world.run(29 * S)
+    (customer,) = world.gateway.customers.values()
+    assert customer.part == 0.0  # as it was when it was last looked at
+    world.run(4 * S)
+    assert not world.gateway.customers
+
+
+def test_ceiling_starts_empty_with_the_gateway_only() -> None:
+    plan = i.Plan(rate=10.0, burst=20.0, ceiling_rate=10.0, ceiling_burst=20.0)
+    world = World(replace(SETTINGS, plans=(plan,)))
+    assert not of(i.Send, world.ask("a"))  # what was let through before a restart is not known
+    world.run(2 * S)
+    sent = [of(i.Send, world.ask(f"b{number}", customer="another")) for number in range(20)]
+    assert sum(map(len, sent)) == 20
+
+
+def test_another_set_of_the_same_customer_opens_no_fresh_burst() -> None:
+    world = World(replace(SETTINGS, gateways=2, may_tell=False))
+    sent = [len(of(i.Send, world.ask(f"a{number}", set_size=1 + number % 2))) for number in range(60)]
+    assert sum(sent) <= 21  # the burst of 20, and chance
+    world = World(replace(SETTINGS, gateways=2, may_tell=False))
+    assert of(i.Send, world.ask("other", customer="other", set_size=2))
+
+
+@pytest.mark.parametrize(("first", "size"), [(0, 3), (0, 0), (0, 65535), (9, 2), (1, 1)])
+def test_words_of_a_set_that_cannot_be_are_passed_over(first: int, size: int) -> None:
+    world = World(replace(SETTINGS, gateways=2))
+    world.tell(i.PeerMessage(1, (i.Word(7, 0, first, size, demand=1.0, spent=1.0, asked=1.0),)))
+    assert not world.gateway.customers
+    world.tell(i.PeerMessage(1, (i.Word(7, 0, 0, 2, demand=1.0),)))
+    assert len(world.gateway.customers) == 1
