Kept connections are used while they are good; resets put no healthy backend out

Probe of the age of connections: resets met 7% of new ones and of those kept for under 100 ms, 31% of those kept for longer, at once after the write. Ruled out: the cap, the bound on sockets (88 of 384), has_unread (all ended only after the write). At fault: idle time taken from the settings alone; RESET counted as a whole failure in note_result, from all backends alike; the space between sends to a cold backend follows the rate of what was sent, so a fleet all cold is never sent more (rules.end_period).

--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -28,7 +28,7 @@
 SMOOTH, RATE_SMOOTH = 0.1, 0.3  # weight of a new latency, and of a period's sends, in a running mean
 CHOICES = 8  # servers looked at for one attempt: many gateways that all take the emptiest would flood it
 SUSPECT_AT = 1.7  # two failures running, or a mix with more failures than answers
-SPOILT_PART = 0.5  # of a failure: how much an answer that cannot be read counts
+BROKEN_PART = 0.5  # of a failure: how much a spoilt answer or a reset counts
 SUSPECT_US, SUSPECT_MAX_US = S, 8 * S  # the first and the longest time without a trial
 AVOID_US = 300_000  # a server that turned a request away is full for about a service time
 REPORT_FRESH_US = 1.5 * S  # a load report older than this says nothing
@@ -125,6 +125,7 @@
         self.overhead, self.accepted, self.out, self.cc_us = 1.0, 0, 0, self.second  # accepted: this period
         self.signals: dict[str, list[float]] = {"util": [], "latency": []}
         self.rate, self.mean_load = 0.0, 0.0  # first attempts a second; load of the servers, as they say
+        self.wanted = 0  # requests let through by their quotas in this period
         self.on = {i.Request: self.on_request, i.Outcome: self.on_outcome, i.Timer: self.on_tick,
                    i.ServerList: self.on_list, i.PeerMessage: self.on_peer,
                    i.ClientGone: self.on_end, i.StreamStarted: self.on_end}
@@ -197,7 +198,11 @@
         self.period_us += self.cc_us
         for server in self.servers.values():  # a slow one that is sent nothing must get its chance again
             server.slowness += SMOOTH * (1 - server.slowness)
-        self.rate += (RATE_SMOOTH if self.rate else 1) * (self.accepted * S / self.cc_us - self.rate)
+        # What was to be sent, not what was: a fleet of cold servers, each spaced by this rate, would never
+        # be sent more than before.
+        sent = max(self.accepted, self.wanted if self.n_past is None else min(self.wanted, self.n_past))
+        self.rate += (RATE_SMOOTH if self.rate else 1) * (sent * S / self.cc_us - self.rate)
+        self.wanted = 0
         self.forget_customers()
         self.update_cap(self.accepted)
         was, most = self.cc_us, min(MOST_PERIODS, round(FAIR_N / max(1.0, self.rate * self.second / S)))
@@ -302,6 +307,7 @@
         elif plan.over_worth <= plan.over_cost or self.n_past is not None:
             self.end(job)
             return
+        self.wanted += 1
         insort(self.held, (-job.worth, next(self.serial), job))
         self.release()
 
@@ -407,9 +413,10 @@
             server.backoff_us = min(SUSPECT_MAX_US, max(SUSPECT_US, server.backoff_us * 2))
             server.avoid_until, server.on_trial = self.now + server.backoff_us, True
 
-    def note_spoilt(self, server: _Server) -> None:
-        """It answers, if badly, as any may now and then: only one that does little else is suspect."""
-        server.fails += SPOILT_PART - 1
+    def note_broken(self, server: _Server) -> None:
+        """It is there, but an answer was spoilt or a connection ended, as any may now and then: only one
+        that does little else is suspect. One that has died refuses new connections."""
+        server.fails += BROKEN_PART - 1
         self.note_result(server, False)
 
     def send(self, job: _Job, server: _Server) -> None:
@@ -479,8 +486,8 @@
         long = result is i.Result.TIMEOUT and server.heard_us >= self.now - took  # but it answered others
         if result is i.Result.FULL:
             server.avoid_until = max(server.avoid_until, self.now + AVOID_US)
-        elif result is i.Result.SPOILT:
-            self.note_spoilt(server)
+        elif result in (i.Result.SPOILT, i.Result.RESET):
+            self.note_broken(server)
         elif not long and result not in (i.Result.CANCELLED, i.Result.MOOT):
             self.note_result(server, result is i.Result.OK)
 
--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -20,6 +20,11 @@
 IDLE_SHARE = 0.5  # of the backend's idle time: a request that crosses its close would end as a reset
 REST_US = 5_000  # before a connection is used again: what a backend sends behind an answer comes by then
 
+AGES = 24  # of kept connections, by the doubling of milliseconds; the first is that of new ones
+STALE_MARGIN = 0.1  # how much more often than new ones connections of an age may be reset and still be used
+LEAST_USES = 5.0  # of one age, before anything is made of it
+FADE_S = 5.0  # in which what was seen comes to count for half
+
 Done = Callable[["Attempt", i.Result, bytes | None, i.LoadReport | None], None]
 
 
@@ -89,11 +94,48 @@
         return None
 
 
+class Reuse:
+    """For how long kept connections are good, as seen: a backend, or what lies between, may let go of them
+    long before the time in the settings, and reset the next request, which an unsafe class cannot repeat."""
+
+    def __init__(self) -> None:
+        self.uses, self.resets = [0.0] * AGES, [0.0] * AGES
+        self.most = AGES  # ages from there on are not used
+
+    @staticmethod
+    def age(idle_us: int | None) -> int:
+        """The class of a connection's time without a request; of a new one, the first."""
+        return 0 if idle_us is None else min(AGES - 1, 1 + (idle_us // 1000).bit_length())
+
+    def good(self, idle_us: int) -> bool:
+        return self.age(idle_us) < self.most
+
+    def note(self, age: int, reset: bool) -> None:
+        self.uses[age] += 1
+        self.resets[age] += reset
+        if reset:
+            self.judge()
+
+    def judge(self) -> None:
+        fresh = self.resets[0] / max(LEAST_USES, self.uses[0])
+        bad = (age for age in range(1, AGES) if self.uses[age] >= LEAST_USES
+               and self.resets[age] / self.uses[age] > fresh + STALE_MARGIN)
+        self.most = min(bad, default=AGES)
+
+    def fade(self) -> None:
+        """What was seen counts for less, so that what is not used is tried again."""
+        self.uses = [count / 2 for count in self.uses]
+        self.resets = [count / 2 for count in self.resets]
+        self.judge()
+
+
 class Connection(asyncio.Protocol):
     """A connection to a backend with at most one command on it."""
 
     def __init__(self, pool: "Pool") -> None:
-        self.pool, self.idle_since, self.heard_us = pool, 0, 0
+        self.pool, self.heard_us = pool, 0
+        self.idle_since: int | None = None  # None: it has had no request
+        self.age = 0
         self.attempt: Attempt | None = None
         self.transport: asyncio.Transport | None = None
         self.reader = AnswerReader()
@@ -107,6 +149,7 @@
     def send(self, attempt: Attempt) -> None:
         assert self.transport is not None
         self.attempt, attempt.connection = attempt, self
+        self.age = Reuse.age(None if self.idle_since is None else now_us() - self.idle_since)
         self.transport.write(attempt.payload)
         attempt.written = not self.paused
 
@@ -121,6 +164,8 @@
     def data_received(self, data: bytes) -> None:
         self.heard_us = self.pool.heard_us = now_us()
         attempt = self.attempt
+        if attempt and not self.reader.buffer:
+            self.pool.owner.reuse.note(self.age, reset=False)
         if attempt is None:
             self.abort()  # nothing was asked: it came behind an answer, and belongs to nobody
             return
@@ -161,6 +206,8 @@
         attempt, self.attempt = self.attempt, None
         if attempt:
             attempt.connection = None
+            if not self.reader.buffer:  # within an answer it is no matter of age
+                self.pool.owner.reuse.note(self.age, reset=True)
             self.pool.close_unheard(attempt.sent_us)
             attempt.finish(i.Result.RESET if attempt.written else i.Result.CONNECT_FAILED)
 
@@ -203,20 +250,21 @@
         self.owner.spawn(self.connect(connection))
 
     def take_idle(self) -> Connection | None:
-        """The connection used last of those that have rested, and on which nothing more has come.
+        """The connection used last of those that have rested, are not too old, and have brought nothing more.
 
         What comes behind an answer, after the connection was given to the next request, would pass for that
         one's answer.
         """
-        rested = now_us() - REST_US
-        for connection in reversed(self.idle):
-            if connection.idle_since > rested:
+        now = now_us()
+        for connection in reversed(self.idle[:]):
+            idle_us = now - connection.idle_since
+            if idle_us < REST_US:
                 continue
-            if connection.usable() and not has_unread(connection.transport):
+            good = connection.usable() and self.owner.reuse.good(idle_us)
+            if good and not has_unread(connection.transport):
                 self.idle.remove(connection)
                 return connection
             connection.abort()
-            return self.take_idle()
         return None
 
     async def connect(self, connection: Connection) -> None:
@@ -296,6 +344,7 @@
         self.pools: dict[str, Pool] = {}
         self.old: list[Pool] = []  # of backends that moved or went, while attempts are out on them
         self.tasks: set[asyncio.Task[None]] = set()
+        self.reuse, self.fades_us = Reuse(), 0
 
     def update(
         self, states: dict[str, i.ServerState], addresses: dict[str, Address], whole: bool
@@ -347,7 +396,11 @@
 
     def sweep(self) -> None:
         """Close what has stood idle long, and again in a while."""
-        before = now_us() - self.idle_us
+        now = now_us()
+        if now >= self.fades_us:
+            self.reuse.fade()
+            self.fades_us = now + round(FADE_S * 1e6)
+        before = now - self.idle_us
         for pool in self.pools.values():
             pool.close_idle(before)
         self.old = [pool for pool in self.old if pool.connections]
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -345,6 +345,38 @@
     run(job())
 
 
+def test_kept_connections_that_are_reset_are_not_kept_for_long(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Whatever lets go of them: the next request on one ends as a reset, and an unsafe one is lost."""
+    monkeypatch.setattr(backends, "REST_US", 0)
+
+    async def job() -> None:
+        backend = Backend()
+        backend.answer = lambda words: b"" if backend.writers.index(backend.writers[-1]) < len(
+            backend.writers) - 1 else value(b"ok")  # the second command on a connection
+        sender = Sender(await backend.start())
+        results = []
+        for _ in range(40):
+            sender.send()
+            results.append(await sender.result())
+        assert i.Result.RESET in results
+        assert results.count(i.Result.RESET) <= backends.LEAST_USES
+        assert results[-20:] == [i.Result.OK] * 20
+        for _ in range(9):
+            sender.backends.reuse.fade()
+        assert sender.backends.reuse.most == backends.AGES  # it is tried again after a while
+        sender.backends.close()
+
+    run(job())
+
+
+def test_resets_that_meet_new_connections_alike_are_no_matter_of_age() -> None:
+    reuse = backends.Reuse()
+    for number in range(100):
+        reuse.note(0, reset=number % 5 == 0)
+        reuse.note(4, reset=number % 5 == 1)
+    assert reuse.good(29_000_000)
+
+
 def parsed(data: bytes, cuts: list[int]) -> list[Answer | None]:
     """The answers found in data that comes in pieces; None where they can be read no further."""
     reader, found = AnswerReader(), []
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -528,15 +528,15 @@
         assert gateway.n_past == 19
 
 
-def test_spoilt_answers_leave_a_server_in_that_answers_otherwise() -> None:
+def test_spoilt_answers_and_resets_leave_a_server_in_that_answers_otherwise() -> None:
     gateway = World(fleet=servers(1)).gateway
     server = gateway.servers["s0"]
     for _ in range(40):
-        gateway.note_spoilt(server)
+        gateway.note_broken(server)
         gateway.note_result(server, True)
     assert not server.on_trial and not server.avoid_until
     for _ in range(4):
-        gateway.note_spoilt(server)
+        gateway.note_broken(server)
     assert server.on_trial  # one that does nothing else is suspect
 
 
@@ -623,3 +623,18 @@
     assert not world.gateway.customers
     world.tell(i.PeerMessage(1, (i.Word(7, 0, 0, 2, demand=1.0),)))
     assert len(world.gateway.customers) == 1
+
+
+def test_fleet_that_is_all_cold_is_sent_what_comes() -> None:
+    """Spaced by the rate of what was sent, it would never be sent more than it was."""
+    world = World(replace(SETTINGS, plans=(i.Plan(rate=1e4, burst=1e4),), cold_from=0.9), servers(4))
+    for server in world.gateway.servers.values():
+        server.warm_from = world.now  # as after a suspicion
+    world.gateway.rate = 1.0
+    for number in range(400):
+        world.ask(f"a{number}", left_us=6 * S)
+        world.run(20 * MS)
+        for name, attempt in list(world.out):
+            world.answer(name, attempt=attempt)
+    sent = [at for at, action in world.log if isinstance(action, i.Send) and at > world.now - S]
+    assert len(sent) > 30  # 50 came in the last second; before, 4 were sent
