--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -296,7 +296,7 @@
 
     def ask(self, job: _Job) -> None:
         wait, job.asks = min(ASK_US, job.rule.aim_us // ASK_PART), job.asks + 1
-        job.decide_us = min(self.now + wait, job.end_us - 4 * TICK_US)
+        job.decide_us = min(self.now + wait, job.end_us - 4 * TICK_US, job.half_us - 2 * TICK_US)
         self.waits.append(job)
         self.tell(job.customer.home, job.customer, job.req.units)
 
@@ -317,7 +317,8 @@
         ready += [job for job in self.waits if job.decide_us <= self.now and job not in ready]
         self.waits = [job for job in self.waits if job not in ready]
         for job in [job for job in ready if not job.over]:
-            if told is None and job.asks < ASKS and self.now + ASK_US + 4 * TICK_US < job.end_us:
+            last = min(job.end_us - 4 * TICK_US, job.half_us - 2 * TICK_US)
+            if told is None and job.asks < ASKS and self.now + ASK_US < last:
                 self.ask(job)  # words may be lost
                 continue
             chance = job.customer.chance(job.req.units)
--- a/molereach/clients.py
+++ b/molereach/clients.py
@@ -371,15 +371,18 @@
         if self.transport:
             self.transport.abort()
 
+    def waiting_bytes(self) -> int:
+        return len(self.reader.buffer) + self.transport.get_write_buffer_size()
+
 
 class Clients:
     """All client connections, bounded in number."""
 
     def __init__(
-        self, most: int, most_unread: int, take: Callable[[list[bytes], Reply], None],
+        self, most: int, most_bytes: int, take: Callable[[list[bytes], Reply], None],
         gone: Callable[[Reply], None], spawn: Callable[[Coroutine[None, None, None]], object],
     ) -> None:
-        self.most, self.most_unread, self.take, self.gone, self.spawn = most, most_unread, take, gone, spawn
+        self.most, self.most_bytes, self.take, self.gone, self.spawn = most, most_bytes, take, gone, spawn
         self.loop = asyncio.get_running_loop()
         self.read_buffer = memoryview(bytearray(READ_BYTES))  # each read is copied from it at once
         self.sockets = 0  # accepted and not closed yet
@@ -484,16 +487,15 @@
             connection.overdue()
         if self.draining:
             self.close_idle()
-        self.bound_unread()
+        self.bound_bytes()
         self.loop.call_later(SWEEP_S, self.sweep)
 
-    def bound_unread(self) -> None:
-        """Answers that clients don't read are bounded over all of them; those with the most go first."""
-        sizes = {connection: connection.transport.get_write_buffer_size() for connection in self.connections
-                 if connection.clogged}
+    def bound_bytes(self) -> None:
+        """What clients have not read or not sent whole is bounded over all; those with the most go first."""
+        sizes = {connection: connection.waiting_bytes() for connection in self.connections}
         total = sum(sizes.values())
-        for connection in sorted(sizes, key=sizes.get, reverse=True):
-            if total <= self.most_unread:
+        for connection in sorted(sizes, key=sizes.get, reverse=True) if total > self.most_bytes else ():
+            if total <= self.most_bytes:
                 return
             total -= sizes[connection]
             connection.abort()
--- a/molereach/frontdoor.py
+++ b/molereach/frontdoor.py
@@ -31,7 +31,8 @@
 SPARE_SOCKETS = 32  # for listening, discovery, peers, the loop and log
 CLIENT_SHARE = 0.7  # of the other sockets
 HELD_SHARE = 1 / 8  # of the memory: for commands that are not answered yet
-UNREAD_SHARE = 1 / 8  # of the memory: for answers that clients don't read
+WAITING_SHARE = 1 / 8  # of the memory: for commands in part, and answers that clients don't read
+REQUEST_BYTES = 4096  # that an open request takes besides its command
 
 
 class Exchange:
@@ -64,7 +65,7 @@
         self.backends = Backends(config.conn_idle_us, config.connect_timeout_us, sockets - most_clients)
         self.parser = CommandParser(config)
         self.clients = Clients(
-            most_clients, round(memory * UNREAD_SHARE), self.take, self.client_gone, self.backends.spawn
+            most_clients, round(memory * WAITING_SHARE), self.take, self.client_gone, self.backends.spawn
         )
         self.peers = Peers(config.peers, config.settings.me, self.post)
         self.catalog = Catalog(config)
@@ -185,7 +186,7 @@
         exchange.timer = self.loop.call_later(delay, self.overdue, request.id)
         reply.id = request.id
         self.open[request.id] = exchange
-        self.held_bytes += command.size
+        self.held_bytes += command.size + REQUEST_BYTES
         self.post(request)
 
     def overdue(self, request_id: str) -> None:
@@ -255,7 +256,7 @@
         exchange = self.open.pop(name, None)
         if exchange is None:
             return None
-        self.held_bytes -= exchange.command.size
+        self.held_bytes -= exchange.command.size + REQUEST_BYTES
         if exchange.timer:
             exchange.timer.cancel()
         if exchange.out:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -229,6 +229,42 @@
     run(job())
 
 
+def test_bytes_that_wait_are_bounded_over_all_clients(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "SWEEP_S", 0.01)
+
+    async def job() -> None:
+        async with front_door() as (door, address):
+            door.clients.most_bytes = 100_000
+            small = await Client.open(address)
+            assert await small.ask(resp("PING")) == b"PONG"
+            large = [await Client.open(address) for _ in range(2)]
+            for client in large:
+                client.send(b"*1\r\n$60000\r\n" + b"x" * 59_000)
+            while len(door.clients.connections) == 3:
+                await asyncio.sleep(0)
+            assert len(door.clients.connections) == 2
+            assert await small.ask(resp("PING")) == b"PONG"
+
+    run(job())
+
+
+def test_open_requests_are_bounded_by_the_memory() -> None:
+    async def job() -> None:
+        async with front_door(Backend(lambda words: None), memory_mb=1) as (door, address):
+            for number in range(4):
+                client = await Client.open(address)
+                client.send(b"".join(query(f"a{number}x{other}") for other in range(16)))
+            last = await Client.open(address)
+            while len(door.open) < 30:
+                await asyncio.sleep(0)
+            while (answer := await last.ask(query(f"b{len(door.open)}", wait_ms=10))) == "-BUSY 750":
+                pass
+            assert answer == "-ERR too many requests are open"
+            assert door.held_bytes < (1 << 20) // 8 + 5000
+
+    run(job())
+
+
 def test_hundreds_of_commands_at_once_are_bounded_and_served_in_order() -> None:
     async def job() -> None:
         most = 0
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -638,3 +638,14 @@
             world.answer(name, attempt=attempt)
     sent = [at for at, action in world.log if isinstance(action, i.Send) and at > world.now - S]
     assert len(sent) > 30  # 50 came in the last second; before, 4 were sent
+
+
+def test_wait_for_word_ends_before_half_of_the_time() -> None:
+    world = World(replace(SETTINGS, gateways=2))
+    world.gateway.mean_us = [10.0 * MS]
+    name = next(f"c{n}" for n in range(9) if zlib.crc32(f"c{n}".encode()) % 2)  # the other one is its home
+    for number in range(10):
+        world.ask(f"a{number}", customer=name, set_size=2)
+    assert not of(i.Send, world.ask("last", customer=name, set_size=2, left_us=200 * MS))
+    world.run(100 * MS)
+    assert world.tries.get("last") == 1
