--- a/molereach/clients.py
+++ b/molereach/clients.py
@@ -41,6 +41,7 @@
 FAILED = b"-ERR failed\r\n"
 CROWDED = b"-ERR max number of clients reached\r\n"
 CUSTOMERS = 1 << 33
+MOST_WAITS = 2  # times the class's time, that a client may say it waits
 MOST_UNITS = 1e6  # where a plan has no burst
 HEX = frozenset(b"0123456789abcdefABCDEF")
 UNITS = re.compile(r"[0-9]{1,7}(\.[0-9]{1,6})?")
@@ -102,8 +103,9 @@
         plan = self.plans.get(values.get("t", ""))
         if plan is None:
             raise CommandError("unknown plan")
-        # Nobody waits for longer than the class's time; a day of waiting would hold memory for a day.
-        most_ms = self.settings.classes[number].deadline_us // 1000 + 1
+        # Clients wait a little longer than the class's time, seen by up to a tenth; a day of waiting would
+        # hold memory for a day.
+        most_ms = MOST_WAITS * self.settings.classes[number].deadline_us // 1000
         wait_ms = whole(values.get("d", ""), "time", 0, most_ms)
         size, first = self.customers_set(values)
         units = self.units(values, self.settings.plans[plan])
@@ -174,6 +176,7 @@
     """What a connection is waited for; each state has its time."""
 
     NEW = "no good command yet"
+    GREETED = "nothing but PING yet"
     IDLE = "between requests"
     PARTIAL = "within a command"
     BUSY = "requests are open"
@@ -182,11 +185,19 @@
 
 
 WAITS_US = {
-    State.IDLE: IDLE_US, State.PARTIAL: REST_OF_COMMAND_US, State.BUSY: NEVER, State.CLOGGED: READS_US,
-    State.CLOSING: LINGER_US,
+    State.GREETED: IDLE_US, State.IDLE: IDLE_US, State.PARTIAL: REST_OF_COMMAND_US, State.BUSY: NEVER,
+    State.CLOGGED: READS_US, State.CLOSING: LINGER_US,
 }
 
 
+# Who gives way when all places are taken, and after how long in that state: a good client keeps its place
+# for its least time, but one that has only greeted does so before a new one is turned away.
+GIVE_WAY = (
+    (State.CLOSING, 0), (State.NEW, 0), (State.PARTIAL, 0), (State.GREETED, LEAST_IDLE_US),
+    (State.IDLE, LEAST_IDLE_US), (State.GREETED, 0),
+)
+
+
 class ClientConnection(asyncio.BufferedProtocol):
     """A client's connection; answers leave in the order of its commands."""
 
@@ -196,7 +207,7 @@
         self.replies: deque[Reply] = deque()
         self.transport: asyncio.Transport | None = None
         self.closing, self.reading, self.clogged, self.processing = False, True, False, False
-        self.known, self.errors = False, 0  # known: it has sent a good command
+        self.known, self.asked, self.errors = False, False, 0  # it has sent a good command; a request
         self.more = self.scheduled = False  # whole commands may wait to be taken; that is due
         self.state, self.since_us = State.NEW, now_us()
         self.until_us = self.since_us + FIRST_US
@@ -260,6 +271,7 @@
                 reply.send(pong)
             else:
                 self.clients.take(words, reply)
+                self.asked = True
         except CommandError as error:
             self.errors += 1
             reply.send(b"-ERR %b\r\n" % str(error).encode())
@@ -328,7 +340,9 @@
             return State.BUSY
         if not self.known:
             return State.NEW
-        return State.PARTIAL if self.reader.buffer else State.IDLE
+        if self.reader.buffer:
+            return State.PARTIAL
+        return State.IDLE if self.asked else State.GREETED
 
     def pause_writing(self) -> None:
         self.clogged = True
@@ -345,7 +359,7 @@
         """It has been as it is for too long."""
         if self.transport.is_closing():
             return
-        if self.state is State.IDLE:
+        if self.state in (State.IDLE, State.GREETED):
             self.close()
         elif self.state in (State.CLOGGED, State.CLOSING):
             self.abort()
@@ -389,7 +403,7 @@
         self.connections: set[ClientConnection] = set()
         # Those that may give up their place, the longest in that state first.
         self.leaving: dict[State, dict[ClientConnection, None]] = {
-            State.CLOSING: {}, State.NEW: {}, State.PARTIAL: {}, State.IDLE: {},
+            state: {} for state, _ in GIVE_WAY
         }
         self.listener: socket.socket | None = None
         self.draining = False
@@ -446,15 +460,13 @@
 
     def make_room(self) -> bool:
         """Close one that is of the least use; whether there was one."""
-        for state, connections in self.leaving.items():
-            connection = next(iter(connections), None)
-            if connection is None or (
-                state is State.IDLE and now_us() - connection.since_us < LEAST_IDLE_US
-            ):
-                continue
-            del connections[connection]
-            connection.abort()
-            return True
+        now = now_us()
+        for state, least_us in GIVE_WAY:
+            connection = next(iter(self.leaving[state]), None)
+            if connection and now - connection.since_us >= least_us:
+                del self.leaving[state][connection]
+                connection.abort()
+                return True
         return False
 
     # --- what becomes of them ---
@@ -467,7 +479,7 @@
         """Its state is another one."""
         for connections in self.leaving.values():
             connections.pop(connection, None)
-        if self.draining and connection.state is State.IDLE:
+        if self.draining and connection.state in (State.IDLE, State.GREETED):
             connection.close()
         if connection.state in self.leaving:
             self.leaving[connection.state][connection] = None
@@ -501,7 +513,7 @@
             connection.abort()
 
     def close_idle(self) -> None:
-        for state in (State.IDLE, State.NEW):
+        for state in (State.IDLE, State.GREETED, State.NEW):
             for connection in list(self.leaving[state]):
                 connection.close()
 
