A home's word holds for a second, own demand ages, a silent home is not waited for

Ruled out: customers under several sets (0 of 65), lost words (messages come in at all four). At fault: WORD_FRESH_US of 10 s in refill, demand that was neither aged nor kept apart from the told one in admit, and two waits of 160 ms for a home that is down.

--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -21,7 +21,9 @@
 USUAL_AIM_US = 1.5 * S  # what the figures for a second are meant for: where aims are shorter, all goes faster
 DEMAND_US = 0.5 * S  # ageing of demand: short, as the level of the store carries the longer memory
 # The wait for word from home, its part of the aim, and how often it is asked; how long a word holds.
-ASK_US, ASK_PART, ASKS, WORD_FRESH_US = 160_000, 3, 2, 10 * S
+ASK_US, ASK_PART, ASKS, WORD_FRESH_US = 160_000, 3, 2, S
+SILENT_US, ASK_AGAIN_US = 500_000, 300_000  # a peer is silent that answers no ask for so long; asked again
+LEAST_KEPT_US = 10 * S  # for which a customer is remembered in any case
 SPACE_US = 80_000  # between words to one peer, at most
 ASK_SHARE = 0.25  # part of a gateway's intake that the asks for one customer may take
 PATIENCE_STEPS = 200  # first tries by which the known patience of clients can rise by about its double
@@ -49,30 +51,39 @@
 class _Customer:
     """A customer's part of quota and ceiling here, and what is known of its whole set: all, at its home."""
 
-    __slots__ = ("at", "ceiling", "demand", "heard_us", "home", "key", "level", "out", "part", "plan", "size",
-                 "spent", "untold")
+    __slots__ = ("at", "ceiling", "heard_us", "home", "key", "level", "others", "out", "own", "part", "plan",
+                 "size", "spent", "untold")
 
     def __init__(
         self, plan: i.Plan, key: tuple[int, int, int, int], set_: i.Settings, now: int, since: int
     ) -> None:
         self.plan, self.key, self.size, self.at = plan, key, key[3], now
         self.home = (key[2] + key[0] % self.size) % set_.gateways if set_.may_tell else set_.me
-        self.part, self.level, self.demand = plan.burst / self.size, plan.burst, 0.0
+        self.part, self.level = plan.burst / self.size, plan.burst
+        self.own, self.others = 0.0, 0.0  # aged demand, here and at the others of the set
         # Empty at the gateway's start, as a restart looks like a first one; it fills from then on.
         self.ceiling = min(plan.ceiling_burst, plan.ceiling_rate * (now - since) / S) / self.size
         self.heard_us, self.out = -NEVER, 0
         self.untold = self.spent = 0.0  # demand and spending that the home has not been told of
 
     def refill(self, now: int) -> "_Customer":
-        """Refill the parts. Demand and level stay as told while that is fresh, as others ask meanwhile."""
+        """Refill the parts. Others' demand and the level stay as told while that is fresh, as others go on
+        asking; after that, as when the home has gone, they are what may be by now."""
         took, plan, part, self.at = (now - self.at) / S, self.plan, 1 / self.size, now
         self.ceiling = min(plan.ceiling_burst * part, self.ceiling + plan.ceiling_rate * took * part)
+        aged = math.exp(-took * S / DEMAND_US)
+        self.own *= aged
         if now - self.heard_us > WORD_FRESH_US:
             self.level = min(plan.burst, self.level + plan.rate * took)
-            self.demand *= math.exp(-took * S / DEMAND_US)
+            self.others *= aged
         self.part = min(plan.burst * part, self.part + plan.rate * took * part, max(0.0, self.level))
         return self
 
+    @property
+    def demand(self) -> float:
+        """That of the whole set, as far as it is known."""
+        return self.own + self.others
+
     def chance(self, units: float) -> float:
         """Quota over summed demand; the quota is the rate while demand ages, and what the set has or owes."""
         if self.plan.max_out and self.out >= max(1, self.plan.max_out // self.size):
@@ -115,7 +126,8 @@
         self.sets: dict[tuple[int, int], tuple[int, int, int, int]] = {}  # under which a customer came first
         self.jobs, self.held = {}, []  # by id; highest worth first, then by arrival
         self.now, self.period_us, self.alarm_us, self.serial = 0, -1, NEVER, itertools.count()
-        self.since_us, self.forget_us = 0, max(WORD_FRESH_US, *map(full_again_us, settings.plans))
+        self.since_us, self.forget_us = 0, max(LEAST_KEPT_US, *map(full_again_us, settings.plans))
+        self.unanswered, self.asked_us = {}, {}  # by peer: the first ask without a word since; the last ask
         self.waits, self.words, self.told_us = [], {}, {}  # who waits for word; peers' words, when they left
         self.mean_us = [rule.aim_us / 4 for rule in settings.classes]
         aims = [rule.aim_us for rule in settings.classes]
@@ -283,18 +295,27 @@
     def admit(self, job: _Job) -> None:
         """The part while it lasts; else the chance rule, with word from the home where that is elsewhere."""
         customer, units, home = job.customer, job.req.units, job.customer.home
-        customer.demand, customer.untold = customer.demand + units, customer.untold + units
+        customer.own, customer.untold = customer.own + units, customer.untold + units
         most = ASK_SHARE * self.set.peer_messages_per_s * DEMAND_US / S  # past this the last word must do
         heard = self.now - customer.heard_us < WORD_FRESH_US and self.random.random() * customer.demand > most
         if not customer.plan.max_out and customer.part >= units:
             self.decide(job, 1.0)
             self.tell(home, customer, 0.0)
-        elif home == self.set.me or heard or not customer.plan.rate:
+        elif home == self.set.me or heard or self.is_silent(home) or not customer.plan.rate:
             self.decide(job, customer.chance(units))
         else:
             self.ask(job)
 
+    def is_silent(self, peer: int) -> bool:
+        """It has answered no ask for long, as one that restarts: waiting for it would cost the aim. Now and
+        then it is asked all the same."""
+        if self.now - self.unanswered.get(peer, self.now) <= SILENT_US:
+            return False
+        return self.now - self.asked_us.get(peer, 0) < ASK_AGAIN_US
+
     def ask(self, job: _Job) -> None:
+        self.unanswered.setdefault(job.customer.home, self.now)
+        self.asked_us[job.customer.home] = self.now
         wait, job.asks = min(ASK_US, job.rule.aim_us // ASK_PART), job.asks + 1
         job.decide_us = min(self.now + wait, job.end_us - 4 * TICK_US, job.half_us - 2 * TICK_US)
         self.waits.append(job)
@@ -348,6 +369,7 @@
 
     def on_peer(self, message: i.PeerMessage) -> None:
         """The home adds up what its set asks and spends, or takes over at its start, and answers."""
+        self.unanswered.pop(message.sender, None)
         for word in message.words:
             key = (word.customer, word.plan_index, word.set_first, word.set_size)
             in_set = (self.set.me - word.set_first) % self.set.gateways < word.set_size
@@ -356,12 +378,13 @@
                 continue
             new, customer = key not in self.customers, self.customer(key)
             if word.is_answer:
-                customer.heard_us, customer.demand, customer.level = self.now, word.demand, word.level
+                customer.heard_us, customer.level = self.now, word.level
+                customer.others = max(0.0, word.demand - customer.own)
                 customer.part = min(customer.part, max(0.0, word.level / customer.size))
                 self.end_waits(customer if word.asked else None)
             elif customer.home == self.set.me:
                 customer.level = min(customer.level, word.level) if new else customer.level
-                customer.demand += word.demand
+                customer.others += word.demand
                 customer.spend(word.spent)
                 if word.asked or customer.level < customer.plan.burst / 2:
                     self.tell(message.sender, customer, word.asked)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -649,3 +649,41 @@
     assert not of(i.Send, world.ask("last", customer=name, set_size=2, left_us=200 * MS))
     world.run(100 * MS)
     assert world.tries.get("last") == 1
+
+
+def peer_customer(world: World) -> str:
+    """A customer whose home is the other gateway of two, with this one's part of its burst used up."""
+    name = next(f"c{n}" for n in range(9) if zlib.crc32(f"c{n}".encode()) % 2)
+    for number in range(10):
+        world.ask(f"used{number}", customer=name, set_size=2)
+        world.answer(f"used{number}")
+    return name
+
+
+def test_word_of_a_home_that_has_gone_holds_for_a_second_only() -> None:
+    """What it said last stood for 10 s, while own demand only added to what it had said."""
+    world = World(replace(SETTINGS, gateways=2))
+    name = peer_customer(world)
+    key = zlib.crc32(name.encode()), 0, 0, 2
+    world.tell(i.PeerMessage(1, (i.Word(*key, True, demand=40.0, level=-5.0),)))
+    customer = world.gateway.customers[key]
+    for number in range(30):
+        world.ask(f"a{number}", customer=name, set_size=2, left_us=S)
+        world.run(100 * MS)
+    assert customer.refill(world.now).demand < 10  # 5 come in the time in which demand ages
+    sent = [at for at, action in world.log if isinstance(action, i.Send) and at > world.now - S]
+    assert len(sent) >= 8
+
+
+def test_home_that_answers_nothing_is_not_waited_for() -> None:
+    world = World(replace(SETTINGS, gateways=2))
+    name = peer_customer(world)
+    waited = 0
+    for number in range(30):
+        if not of(i.Send, world.ask(f"a{number}", customer=name, set_size=2)):
+            waited += 1
+        world.run(100 * MS)
+        for job, attempt in list(world.out):
+            world.answer(job, attempt=attempt)
+    assert waited < 15  # all of the first half second, then now and then
+    assert waited > 5  # and it is asked again
