--- a/fennelwinch/codec.py
+++ b/fennelwinch/codec.py
@@ -1,6 +1,5 @@
 """What the simulator's adapter and the real front door share: settings, load reports, peers' words."""
 
-import math
 import re
 import struct
 from collections.abc import Iterable, Mapping
@@ -29,7 +28,7 @@
 }
 
 # What a server says of itself is not trusted: plain numbers, none below 0, and none that no server can mean.
-REPORTED = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?(e-?[0-9]{1,2})?", re.ASCII)
+REPORTED = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?(e[-+]?[0-9]{1,2})?", re.ASCII)
 MOST_REPORTED = {"util": 2.0}  # busy cores over all; some noise may lie on it
 MOST_OTHERS = 1e9
 
@@ -122,12 +121,12 @@
     )
 
 
-def read_reported(name: str, text: str) -> float:
-    """One value of a load report; one that is no number in its range is a ValueError."""
-    value = float(text) if REPORTED.fullmatch(text) else math.inf
-    if value > MOST_REPORTED.get(name, MOST_OTHERS):
+def read_reported(name: str, text: str) -> float | None:
+    """One value of a load report; one out of its range says nothing, what is no number is a ValueError."""
+    if not REPORTED.fullmatch(text):
         raise ValueError(f"a load report says {name}={text:.20}")
-    return value
+    value = float(text)
+    return value if value <= MOST_REPORTED.get(name, MOST_OTHERS) else None
 
 
 def read_report(values: Iterable[tuple[str, str]]) -> i.LoadReport:
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -9,7 +9,7 @@
 
 from fennelwinch import interface as i
 from fennelwinch.adapter import Host, write_action
-from fennelwinch.codec import pack_words, unpack_words
+from fennelwinch.codec import pack_words, read_report, unpack_words
 
 ROOT = Path(__file__).parent.parent
 PARAMS = (
@@ -155,3 +155,10 @@
     assert sum((unpack_words(message) for message in messages), ()) == words
     assert unpack_words(messages[0][:-1]) == ()
     assert unpack_words(pack_words([i.Word(1, 0, 0, 2, level=1e9)])[0])[0].level == 32767 / 50
+
+
+def test_load_report_out_of_range_says_nothing() -> None:
+    """Not an error: the wire may carry what no server can mean."""
+    assert read_report([("util", "7"), ("queue", "3")]) == i.LoadReport(queue=3.0)
+    with pytest.raises(ValueError, match="nan"):
+        read_report([("util", "nan")])
