--- a/molereach/backends.py
+++ b/molereach/backends.py
@@ -233,7 +233,7 @@
         self.connections: set[Connection] = set()  # all that hold a socket, until it is let go of
         self.idle: list[Connection] = []  # the one used last at the end, so that spare ones grow old
         self.waiting: deque[Attempt] = deque()
-        self.connecting, self.heard_us, self.wanted, self.retired = 0, 0, True, False
+        self.connecting, self.heard_us, self.wanted = 0, 0, True
 
     def start(self, attempt: Attempt) -> None:
         attempt.pool = self
@@ -330,7 +330,7 @@
 
     def retire(self) -> None:
         """Its backend is not at this address any more: what is not yet written there goes elsewhere."""
-        self.wanted, self.retired = False, True
+        self.wanted = False
         self.close_idle()
         while self.waiting:
             self.waiting.popleft().finish(i.Result.CONNECT_FAILED)
