--- /dev/null
+++ b/rig/scenario.py
@@ -0,0 +1,270 @@
+"""Scenarios: a day with its faults as a TOML file, typed and checked before anything starts."""
+
+import tomllib
+from collections.abc import Iterator
+from importlib import resources
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+from msgspec import Meta
+
+MOST_DOORS, MOST_SERVERS, MOST_SECONDS = 9, 64, 600.0
+ANY = "any"  # a front door or server that the seed chooses
+
+Seconds = Annotated[float, Meta(ge=0.0, le=MOST_SECONDS)]
+Share = Annotated[float, Meta(ge=0.0, le=1.0)]
+Count = Annotated[int, Meta(ge=1, le=2000)]
+
+
+class ScenarioError(Exception):
+    """The scenario is not usable; the text is one plain line."""
+
+
+class Table(msgspec.Struct, frozen=True, forbid_unknown_fields=True, rename="kebab"):
+    """A table of the file."""
+
+
+class Fault(Table, frozen=True, kw_only=True, tag_field="fault"):
+    """Something that goes wrong, `at` seconds after the load starts, up to `jitter` later by the seed."""
+
+    at: Seconds
+    jitter: Seconds = 0.0
+
+
+class Kill(Fault, frozen=True, kw_only=True, tag="kill"):
+    """SIGKILL to a front door; it starts again after `back-after` seconds, unless that is 0."""
+
+    door: str
+    back_after: Seconds = 0.0
+
+
+class End(Fault, frozen=True, kw_only=True, tag="end"):
+    """SIGTERM to a front door, as at a planned restart; it starts again once it has ended."""
+
+    door: str
+    back_after: Seconds = 0.0
+
+
+class Stop(Fault, frozen=True, kw_only=True, tag="stop"):
+    """SIGSTOP to a front door, and SIGCONT `lasts` seconds later."""
+
+    door: str
+    lasts: Seconds
+
+
+class Reload(Fault, frozen=True, kw_only=True, tag="reload"):
+    """SIGHUP to a front door with the same file."""
+
+    door: str
+
+
+class Cut(Fault, frozen=True, kw_only=True, tag="cut"):
+    """Nothing goes between a front door and a server; open connections are reset when it is over."""
+
+    door: str
+    server: str
+    lasts: Seconds
+
+
+class Silence(Fault, frozen=True, kw_only=True, tag="silence"):
+    """A server takes everything and says nothing to anyone."""
+
+    server: str
+    lasts: Seconds
+
+
+class Vanish(Fault, frozen=True, kw_only=True, tag="vanish"):
+    """A server's machine says nothing any more, and comes back cold, with all connections reset."""
+
+    server: str
+    lasts: Seconds
+
+
+class Reset(Fault, frozen=True, kw_only=True, tag="reset"):
+    """A share of a server's answers is a reset connection instead."""
+
+    server: str
+    share: Share
+    lasts: Seconds
+
+
+class Spoil(Fault, frozen=True, kw_only=True, tag="spoilt"):
+    """A share of a server's answers cannot be read, in one of several ways."""
+
+    server: str
+    share: Share
+    lasts: Seconds
+
+
+class Slow(Fault, frozen=True, kw_only=True, tag="slow"):
+    """A server takes so many times as long."""
+
+    server: str
+    times: Annotated[float, Meta(ge=1.0, le=100.0)]
+    lasts: Seconds
+
+
+class Drain(Fault, frozen=True, kw_only=True, tag="drain"):
+    """A server drains, and serves again after it."""
+
+    server: str
+    lasts: Seconds
+
+
+class ColdDeploy(Fault, frozen=True, kw_only=True, tag="cold-deploy"):
+    """Servers are replaced one by one: each drains, goes, and its successor starts cold."""
+
+    servers: Annotated[int, Meta(ge=1, le=MOST_SERVERS)]
+    every: Seconds
+    drains: Seconds = 1.5
+
+
+class DiscoveryDown(Fault, frozen=True, kw_only=True, tag="discovery-down"):
+    """Discovery is silent to all front doors; what changed meanwhile is told when it is back."""
+
+    lasts: Seconds
+
+
+class DiscoveryLate(Fault, frozen=True, kw_only=True, tag="discovery-late"):
+    """What discovery has to tell comes so many seconds later than usual."""
+
+    by: Seconds
+    lasts: Seconds
+
+
+class DiscoveryMoved(Fault, frozen=True, kw_only=True, tag="discovery-moved"):
+    """Discovery of a front door moves to another address: a new file and SIGHUP."""
+
+    door: str
+
+
+class Split(Fault, frozen=True, kw_only=True, tag="split"):
+    """Datagrams pass only within the groups; a front door in none hears nobody."""
+
+    groups: tuple[tuple[str, ...], ...]
+    lasts: Seconds
+
+
+class Mail(Fault, frozen=True, kw_only=True, tag="mail"):
+    """Datagrams are lost, doubled and overtaken more often than usual."""
+
+    lasts: Seconds
+    loss: Share = 0.0
+    duplicate: Share = 0.0
+    reorder: Share = 0.0
+
+
+class Moved(Fault, frozen=True, kw_only=True, tag="moved"):
+    """A share of the requests of all customers that have this front door in their set gathers on it."""
+
+    door: str
+    share: Share
+    lasts: Seconds
+
+
+class Crowd(Fault, frozen=True, kw_only=True, tag="crowd"):
+    """So many clients connect to a front door, greet and stay idle."""
+
+    door: str
+    clients: Count
+    lasts: Seconds
+
+
+class Hostile(Fault, frozen=True, kw_only=True, tag="hostile"):
+    """Clients that send halves of commands, floods and wrong lengths, or read nothing."""
+
+    door: str
+    clients: Count
+
+
+AnyFault = (
+    Kill | End | Stop | Reload | Cut | Silence | Vanish | Reset | Spoil | Slow | Drain | ColdDeploy
+    | DiscoveryDown | DiscoveryLate | DiscoveryMoved | Split | Mail | Moved | Crowd | Hostile
+)
+
+
+class Load(Table, frozen=True):
+    """What clients ask for."""
+
+    rate: Annotated[float, Meta(gt=0.0, le=2000.0)] = 120.0
+    customers: Annotated[int, Meta(ge=1, le=5000)] = 24
+    greedy: Share = 0.1
+    impatient: Share = 0.03
+
+
+class Scenario(Table, frozen=True):
+    """A day."""
+
+    name: str
+    title: str
+    seconds: Annotated[float, Meta(gt=0.0, le=MOST_SECONDS)] = 10.0
+    doors: Annotated[int, Meta(ge=1, le=MOST_DOORS)] = 3
+    servers: Annotated[int, Meta(ge=1, le=MOST_SERVERS)] = 6
+    load: Load = Load()
+    fault: tuple[AnyFault, ...] = ()
+
+    def door_names(self) -> list[str]:
+        return [f"n{number}" for number in range(self.doors)]
+
+    def server_names(self) -> list[str]:
+        return [f"s-{number + 1}" for number in range(self.servers)]
+
+
+def one_line(error: object) -> str:
+    return " ".join(str(error).split())
+
+
+def check_names(scenario: Scenario) -> None:
+    """What the types cannot say: every front door and server that a fault names is there."""
+    known = {"door": set(scenario.door_names()), "server": set(scenario.server_names())}
+    for number, fault in enumerate(scenario.fault):
+        for what, names in known.items():
+            name = getattr(fault, what, ANY)
+            if name != ANY and name not in names:
+                raise ValueError(f"there is no {what} '{name}' - at `$.fault[{number}].{what}`")
+        if isinstance(fault, Split):
+            check_groups(fault, known["door"], number)
+        if isinstance(fault, ColdDeploy) and fault.servers > scenario.servers:
+            raise ValueError(f"there are only {scenario.servers} servers - at `$.fault[{number}].servers`")
+
+
+def check_groups(fault: Split, doors: set[str], number: int) -> None:
+    named = [name for group in fault.groups for name in group]
+    for name in named:
+        if name not in doors:
+            raise ValueError(f"there is no door '{name}' - at `$.fault[{number}].groups`")
+    if len(set(named)) != len(named):
+        raise ValueError(f"a door stands in two groups - at `$.fault[{number}].groups`")
+
+
+def decode(text: str, changes: dict[str, Any] | None = None) -> Scenario:
+    """The scenario in `text`, with top-level values changed; ValueError names the key that is wrong."""
+    values = {**tomllib.loads(text), **{key: value for key, value in (changes or {}).items() if value}}
+    scenario = msgspec.convert(values, Scenario)
+    check_names(scenario)
+    return scenario
+
+
+def shipped() -> Iterator[str]:
+    """The names of the scenarios that come with the rig."""
+    for entry in sorted(resources.files("rig").joinpath("scenarios").iterdir(), key=lambda file: file.name):
+        if entry.name.endswith(".toml"):
+            yield entry.name.removesuffix(".toml")
+
+
+def load(name_or_file: str, changes: dict[str, Any] | None = None) -> Scenario:
+    """A shipped scenario by its name, or one from a file; ScenarioError is one line."""
+    names = list(shipped())
+    try:
+        if name_or_file in names:
+            text = resources.files("rig").joinpath("scenarios", f"{name_or_file}.toml").read_text("utf-8")
+        elif Path(name_or_file).suffix == ".toml":
+            text = Path(name_or_file).read_text("utf-8")
+        else:
+            raise ScenarioError(f"there is no scenario '{name_or_file}'; shipped: {', '.join(names)}")
+        return decode(text, changes)
+    except OSError as error:
+        raise ScenarioError(f"{name_or_file}: {error.strerror}") from error
+    except (ValueError, msgspec.ValidationError) as error:
+        raise ScenarioError(f"{name_or_file}: {one_line(error)}") from error
