--- a/rig/clients.py
+++ b/rig/clients.py
@@ -37,12 +37,14 @@
         self.reader: Any = hiredis.Reader()
         self.waiter: asyncio.Future[object] | None = None
         self.transport: asyncio.Transport | None = None
-        self.used, self.rests_us, self.ended = False, 0, False
+        self.used, self.rests_us, self.ended, self.left = False, 0, False, False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
 
     def data_received(self, data: bytes) -> None:
+        if self.left:
+            return
         try:
             self.reader.feed(data)
             while (reply := self.reader.gets()) is not False:
@@ -241,6 +243,7 @@
             try:
                 reply = await asyncio.wait_for(waiter, listens_us / 1e6)
             except TimeoutError:
+                connection.left = True  # what crosses its going is nobody's fault
                 self.facts.append(Left(now_us(), made.id, pool.name))
                 pool.drop(connection)
                 return None
--- a/rig/doors.py
+++ b/rig/doors.py
@@ -52,7 +52,7 @@
         self.part = b""
         self.tracebacks = self.starts = 0
         self.told_to_end = self.killed = False
-        self.ended = asyncio.Event()
+        self.ended, self.log_ended = asyncio.Event(), asyncio.Event()
         self.cpu_before_s = 0.0  # of processes that have ended
         self.last_usage = (0.0, 0)
         self.on_end: Callable[[], None] = lambda: None
@@ -67,7 +67,7 @@
 
     def start(self) -> None:
         self.told_to_end = self.killed = False
-        self.ended = asyncio.Event()
+        self.ended, self.log_ended = asyncio.Event(), asyncio.Event()
         self.starts += 1
         env = {name: text for name, text in os.environ.items()
                if not name.startswith(("PROXY_", "MOLEREACH_"))}
@@ -85,7 +85,7 @@
     def watch(self, process: "subprocess.Popen[bytes]") -> None:
         loop = asyncio.get_running_loop()
         assert process.stderr is not None
-        pipe, pidfd = process.stderr, os.pidfd_open(process.pid)
+        pipe, pidfd, log_ended = process.stderr, os.pidfd_open(process.pid), self.log_ended
         fcntl.fcntl(pipe, fcntl.F_SETFL, os.O_NONBLOCK)
 
         def read() -> None:
@@ -95,6 +95,7 @@
                 if not data:
                     loop.remove_reader(pipe.fileno())
                     pipe.close()
+                    log_ended.set()
 
         def exited() -> None:
             loop.remove_reader(pidfd)
@@ -117,7 +118,8 @@
         """Wait until it answers; RuntimeError with its last lines where it does not."""
         async with asyncio.timeout(START_S):
             while True:
-                if self.process is None or self.process.poll() is not None:
+                if not self.up:
+                    await self.log_ended.wait()
                     raise RuntimeError(f"{self.name} did not start: {' | '.join(list(self.log)[-3:])}")
                 with contextlib.suppress(OSError):
                     reader, writer = await asyncio.open_connection(*self.address)
@@ -136,7 +138,7 @@
 
     @property
     def up(self) -> bool:
-        return self.process is not None and self.process.returncode is None
+        return self.process is not None and self.process.returncode is None and not self.ended.is_set()
 
     def signal(self, number: signal.Signals) -> None:
         if self.process is not None and self.up:
--- a/rig/member.py
+++ b/rig/member.py
@@ -199,7 +199,7 @@
 
     def next_us(self) -> int | None:
         """When a Tick is due."""
-        return self.running[0][0] if self.running else None
+        return self.running[0][0] if self.running and not self.fallen else None
 
     def on_command(self, now_us: int, command: Command) -> list[Action]:
         self.notes.append(Arrived(now_us, command.id, self.name, self.zone, command.door,
--- a/rig/servers.py
+++ b/rig/servers.py
@@ -135,7 +135,7 @@
         if self.timer:
             self.timer.cancel()
         due = self.member.next_us()
-        if due is not None and not self.member.fallen:
+        if due is not None:
             left = max(0, due - now_us()) / 1e6
             self.timer = asyncio.get_running_loop().call_later(left, self.tell, Tick())
 
--- a/rig/world.py
+++ b/rig/world.py
@@ -29,6 +29,7 @@
 DRAIN_US = 1 * S
 MAIL_PER_S = 60.0
 NOTICE_US = 500_000  # for which a front door's death goes unnoticed
+PLANNED_US = 300_000  # for which new connections go on coming after a planned end began
 LIST_LATE_US = 150_000  # how late discovery is in any case
 MEMORY_MB, SOCKETS = 192, 1024
 CONN_IDLE_US, CONNECT_US, MAX_WAIT_US = 10 * S, 250_000, 1 * S
@@ -310,6 +311,7 @@
                 door.kill()
             case Verb.END:
                 door.end()
+                self.front.died(now_us() + PLANNED_US - NOTICE_US, door.number)
             case Verb.START:
                 await door.ended.wait()
                 await self.restart(door)
--- /dev/null
+++ b/tests/rig/test_scenario.py
@@ -0,0 +1,84 @@
+"""Scenario files: typed, checked, one line for what is wrong, the same timeline for the same seed."""
+
+import subprocess
+import sys
+from pathlib import Path
+from random import Random
+
+import pytest
+
+from rig import scenario as sc
+from rig.timeline import Verb, expand
+
+ROOT = Path(__file__).parents[2]
+SHIPPED = ["calm", "cold-deploy", "crowd", "garbled-servers", "kill-a-door", "split", "vanish"]
+HEAD = 'name = "x"\ntitle = "x"\n'
+
+
+def fault(text: str) -> str:
+    return f"{HEAD}[[fault]]\n{text}\n"
+
+
+def test_shipped_scenarios_are_usable_and_named_as_their_files() -> None:
+    assert list(sc.shipped()) == SHIPPED
+    for name in SHIPPED:
+        scenario = sc.load(name)
+        assert scenario.name == name and scenario.fault and (scenario.doors, scenario.servers) == (3, 6)
+
+
+@pytest.mark.parametrize("name", SHIPPED)
+def test_same_seed_same_timeline(name: str) -> None:
+    scenario = sc.load(name)
+    steps = expand(scenario, Random(5))
+    assert steps == expand(scenario, Random(5)) and steps == sorted(steps, key=lambda step: step.at_us)
+    assert len(steps) >= len(scenario.fault)
+    doors, servers = {"", *scenario.door_names()}, {"", *scenario.server_names()}
+    assert all(step.door in doors and step.server in servers for step in steps)
+
+
+def test_what_begins_also_ends() -> None:
+    text = "".join(f'[[fault]]\nfault = "{kind}"\nat = 1\nlasts = 2\n{more}\n' for kind, more in (
+        ("stop", 'door = "n0"'), ("cut", 'door = "n0"\nserver = "s-1"'), ("silence", 'server = "s-1"'),
+        ("vanish", 'server = "s-1"'), ("drain", 'server = "s-1"'), ("discovery-down", ""),
+        ("split", 'groups = [["n0"]]'), ("moved", 'door = "n0"\nshare = 0.5'),
+        ("crowd", 'door = "n0"\nclients = 3'), ("slow", 'server = "s-1"\ntimes = 2'),
+    ))
+    steps = expand(sc.decode(HEAD + text), Random(1))
+    assert [step.at_us for step in steps] == [1_000_000] * 10 + [3_000_000] * 10
+    ends = {Verb.CONTINUE, Verb.JOIN, Verb.SPEAK, Verb.RETURN, Verb.UNDRAIN, Verb.DISCOVERY_UP, Verb.HEAL}
+    assert ends <= {step.verb for step in steps[10:]}
+
+
+BAD = [
+    (fault('fault = "melt"\nat = 1'), "melt"),
+    (fault('fault = "kill"\nat = 1\ndoor = "n7"'), "there is no door 'n7' - at `$.fault[0].door`"),
+    (fault('fault = "vanish"\nat = 1\nlasts = 1\nserver = "s-9"'), "there is no server 's-9'"),
+    (fault('fault = "kill"\nat = -1\ndoor = "n0"'), "$.fault[0].at"),
+    (fault('fault = "kill"\nat = 1\ndoor = "n0"\nhow = "hard"'), "unknown field `how`"),
+    (fault('fault = "kill"\nat = 1'), "`door`"),
+    (fault('fault = "reset"\nat = 1\nlasts = 1\nserver = "s-1"\nshare = 1.5'), "$.fault[0].share"),
+    (fault('fault = "split"\nat = 1\nlasts = 1\ngroups = [["n0"], ["n0"]]'), "two groups"),
+    (fault('fault = "split"\nat = 1\nlasts = 1\ngroups = [["n9"]]'), "there is no door 'n9'"),
+    (fault('fault = "cold-deploy"\nat = 1\nservers = 9\nevery = 1'), "only 6 servers"),
+    ("doors = 99\n" + HEAD, "$.doors"), (HEAD + "[load\n", "line"), ('title = "x"\n', "`name`"),
+]
+
+
+@pytest.mark.parametrize(("text", "reason"), BAD)
+def test_what_is_wrong_is_one_line(tmp_path: Path, text: str, reason: str) -> None:
+    file = tmp_path / "bad.toml"
+    file.write_text(text)
+    with pytest.raises(sc.ScenarioError) as caught:
+        sc.load(str(file))
+    assert str(caught.value).startswith(f"{file}: ") and reason in str(caught.value)
+    assert "\n" not in str(caught.value)
+
+
+@pytest.mark.parametrize("arguments", [
+    ["--scenario", "melt"], ["--scenario", "none.toml"], ["--doors", "77"], ["--seconds", "-1"],
+])
+def test_command_ends_with_2_and_one_line(arguments: list[str]) -> None:
+    done = subprocess.run([sys.executable, "-m", "molereach", "demo", "--json", *arguments], cwd=ROOT,
+                          capture_output=True, text=True, check=False, timeout=60)
+    assert done.returncode == 2 and done.stdout == ""
+    assert done.stderr.startswith("molereach demo: ") and done.stderr.count("\n") == 1
