--- a/rig/world.py
+++ b/rig/world.py
@@ -29,6 +29,7 @@
 DRAIN_US = 1 * S
 MAIL_PER_S = 60.0
 NOTICE_US = 500_000  # for which a front door's death goes unnoticed
+CROWD_GAP_S = 0.001  # between those of a crowd that connect: a burst, and not one turn of the rig's loop
 PLANNED_US = 300_000  # for which new connections go on coming after a planned end began
 LIST_LATE_US = 150_000  # how late discovery is in any case
 MEMORY_MB, SOCKETS = 192, 1024
@@ -361,6 +362,7 @@
         until = self.crowds.setdefault(door.name, asyncio.Event())
         for _ in range(count):
             self.spawn(greet_and_stay(door.address, until))
+            await asyncio.sleep(CROWD_GAP_S)
 
     def take_server(self, step: Step, server: Server) -> None:
         match step.verb:
