Benchmark of a door: its servers' load report has its true length

Cause: a length of 25 for a report of 26 bytes; every answer was spoilt, and the door rightly gave up.

--- a/benchmarks/door.py
+++ b/benchmarks/door.py
@@ -32,6 +32,7 @@
 WARM_UP = 300
 CUSTOMERS = 64
 WAIT_S = 60.0
+REPORT = b"util=0.200,latency_ms=2.00"
 
 
 class Instant(asyncio.Protocol):
@@ -48,8 +49,8 @@
         self.reader.feed(data)
         while (words := self.reader.gets()) is not False:
             value = words[2]
-            self.transport.write(b"*3\r\n$%d\r\n%b\r\n$-1\r\n$25\r\nutil=0.200,latency_ms=2.00\r\n"
-                                 % (len(value), value))
+            self.transport.write(b"*3\r\n$%d\r\n%b\r\n$-1\r\n$%d\r\n%b\r\n"
+                                 % (len(value), value, len(REPORT), REPORT))
 
 
 def cpu_s(pid: int) -> float:
