--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -303,6 +303,19 @@
         self.customers[key] = known
         return known.refill(self.now)
 
+    def standing(
+        self, customer: str, now_us: int
+    ) -> list[tuple[int, float, float, float, float, float | None]]:
+        """What is known here of a customer: plan, level, parts of quota and ceiling, demand (units), and how
+        many seconds ago its home's word came. It only reads."""
+        found = []
+        for plan in range(len(self.set.plans)):
+            key = self.sets.get((zlib.crc32(customer.encode()), plan))
+            if key and (known := self.customers.get(key)):
+                heard = round((now_us - known.heard_us) / S, 3) if known.heard_us >= 0 else None
+                found.append((plan, known.level, known.part, known.ceiling, known.demand, heard))
+        return found
+
     def admit(self, job: _Job) -> None:
         """The part while it lasts; else the chance rule, with word from the home where that is elsewhere."""
         customer, units, home = job.customer, job.req.units, job.customer.home
--- a/molereach/__main__.py
+++ b/molereach/__main__.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+from collections.abc import Awaitable, Callable
 
 import uvloop
 
@@ -14,6 +15,9 @@
 
 log = logging.getLogger("molereach")
 
+# Switches on what stands beside a front door before it starts; returns what switches it off.
+Attach = Callable[[FrontDoor], Awaitable[Callable[[], None]]]
+
 LINES_AT_ONCE = 10  # from one place in the code
 LINES_SPAN_S = 10.0
 
@@ -49,7 +53,7 @@
     door.reconfigure(config)
 
 
-async def serve(config: Config) -> None:
+async def serve(config: Config, attach: Attach | None = None) -> None:
     """Serve until SIGTERM or SIGINT, then drain; on SIGHUP take over the configuration."""
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -57,6 +61,7 @@
         loop.add_signal_handler(number, stopped.set)
     door = FrontDoor(config)
     loop.add_signal_handler(signal.SIGHUP, take_over, door)
+    detach = await attach(door) if attach else None
     await door.start()
     # What lives as long as the process need not be looked through by every collection.
     gc.collect()
@@ -65,10 +70,12 @@
     await stopped.wait()
     log.info("%s drains", config.name)
     await door.drain()
+    if detach:
+        detach()
     log.info("%s ends", config.name)
 
 
-def front_door(log_level: str = "INFO") -> int:
+def front_door(log_level: str = "INFO", attach: Attach | None = None) -> int:
     """Run one front door until it is told to end; its exit code."""
     # Whoever reloads too early is not to kill us; the start reads the file in any case.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
@@ -80,7 +87,7 @@
     try:
         config = load(os.environ)
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(config))
+            runner.run(serve(config, attach))
     except ConfigError as error:
         print(f"molereach: {error}", file=sys.stderr)
         return 2
--- a/molereach/clients/intake.py
+++ b/molereach/clients/intake.py
@@ -103,6 +103,8 @@
         # Those that may give up their place, the longest in that state first.
         self.leaving: dict[State, dict[Connection, None]] = {state: {} for state, _ in GIVE_WAY}
         self.listener: socket.socket | None = None
+        self.address: Address | None = None
+        self.held = self.ended = False  # no new connections by an order; it has been closed
         self.draining = False
         self.empty = asyncio.Event()
 
@@ -111,15 +113,35 @@
     def listen(self, address: Address) -> Address:
         """Take connections from now on. Not a server of the loop's, which accepts all that come at once:
         a burst would go past any bound on descriptors."""
+        self.address = address
+        if not self.held:
+            self.address = self.open_listener(address)
+        self.sweep()
+        return self.address
+
+    def open_listener(self, address: Address) -> Address:
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         # What a killed predecessor left in TIME_WAIT must not keep a restart from its address.
         self.listener = socket.create_server(address, family=family, backlog=BACKLOG)
         self.listener.setblocking(False)
         self.loop.add_reader(self.listener, self.accept)
-        self.sweep()
         bound: Address = self.listener.getsockname()
         return bound
 
+    def hold(self, on: bool) -> None:
+        """Take no new connections, so that clients are refused and go elsewhere; or take them again."""
+        if on and self.listener:
+            self.loop.remove_reader(self.listener)
+            self.listener.close()
+            self.listener = None
+        elif self.held and not on and self.address and not self.ended:
+            try:
+                self.open_listener(self.address)
+            except OSError as error:
+                log.error("cannot take clients again: %s", error)
+                return  # it stays held, as can be seen
+        self.held = on
+
     def accept(self) -> None:
         assert self.listener is not None
         for _ in range(ACCEPTS_AT_ONCE):
@@ -233,6 +255,7 @@
 
     def close(self) -> None:
         """End all connections, whatever is open on them."""
+        self.ended = True
         if listener := self.listener:
             self.listener = None
             self.loop.remove_reader(listener)
--- a/molereach/command.py
+++ b/molereach/command.py
@@ -69,16 +69,22 @@
     os.execv(sys.executable, [sys.executable, "-m", "rig", *arguments])
 
 
-def start(path: Path, serve: Callable[[str], int]) -> int:
+def start(path: Path, serve: Callable[..., int]) -> int:
     """Start the front door with an operator file; one that cannot be used starts nothing."""
     try:
         settings = operator.load(path)
     except operator.OperatorError as error:
         return complain(str(error))
-    return serve((settings.log or operator.LogSection()).level.name)
+    level = (settings.log or operator.LogSection()).level.name
+    if settings.control is None:
+        return serve(level)
+    from molereach.fleet import control  # off means not imported
 
+    section = settings.control
+    return serve(level, lambda door: control.attach(door, Path(section.socket), section.wait_for_orders_s))
 
-def run(arguments: Sequence[str], env: Mapping[str, str], serve: Callable[[str], int]) -> int:
+
+def run(arguments: Sequence[str], env: Mapping[str, str], serve: Callable[..., int]) -> int:
     """Carry out a command line; `serve` starts the front door and returns its exit code."""
     if arguments[:1] == ["demo"]:  # its options are the rig's
         return demo(arguments[1:])
--- a/molereach/door/frontdoor.py
+++ b/molereach/door/frontdoor.py
@@ -18,7 +18,7 @@
 from molereach.clients.requests import CommandError
 from molereach.clients.resp import FAILED, ClientConnection, Command, CommandParser, Reply
 from molereach.clock import now_us
-from molereach.door.config import Config
+from molereach.door.config import Address, Config
 from molereach.door.discovery import Catalog, Discovery, News
 from molereach.door.peers import Peers
 
@@ -56,6 +56,7 @@
         self.loop = asyncio.get_running_loop()
         self.gateway = Gateway(config.settings)
         self.inbox: list[i.Event] = []
+        self.see: Callable[[i.ServerList], i.ServerList] = lambda news: news  # orders may lie over the list
         self.open: dict[str, Exchange] = {}  # requests that are owed an answer
         self.ended: dict[str, Exchange] = {}  # those answered with attempts still out
         self.held_bytes = 0
@@ -73,7 +74,7 @@
         )
         self.peers = Peers(config.peers, config.settings.me, self.post)
         self.catalog = Catalog(config)
-        known = self.read_known()
+        self.known = known = self.read_known()  # the list that it started with
         version = known.event.version if known else 0
         self.discovery = Discovery(
             config.discovery, self.catalog, version, self.list_heard, self.backends.spawn
@@ -172,10 +173,14 @@
             self.post(i.ClientGone(request_id))
 
     def list_heard(self, news: News) -> None:
-        whole = news.event.kind is not i.ListKind.CHANGES
-        states = {server.name: server.state for server in news.event.servers}
-        self.backends.update(states, news.addresses, whole)
-        self.post(news.event)
+        self.hear(self.see(news.event), news.addresses)
+
+    def hear(self, event: i.ServerList, addresses: dict[str, Address]) -> None:
+        """News of the list as the module is to have them, and the addresses that are new with them."""
+        whole = event.kind is not i.ListKind.CHANGES
+        states = {server.name: server.state for server in event.servers}
+        self.backends.update(states, addresses, whole)
+        self.post(event)
 
     def take(self, words: list[bytes], reply: Reply) -> None:
         """A client's command; one that is wrong is a CommandError."""
--- /dev/null
+++ b/molereach/fleet/wire.py
@@ -0,0 +1,150 @@
+"""The control protocol of one front door: frames and messages, a core.
+
+A frame is four bytes of length (big-endian) and that many bytes of JSON. Every message names the protocol's
+version. Both sides bound what they take before they make room for it; a frame that breaks a bound ends the
+connection.
+"""
+
+from typing import Literal
+
+import msgspec
+
+VERSION = 1
+HEAD_BYTES = 4
+MOST_ASK_BYTES = 64 * 1024
+MOST_ANSWER_BYTES = 1 << 20
+
+
+class WireError(ValueError):
+    """What came is no frame, or no message, of this protocol."""
+
+
+class OrderFields(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A decided order, as it travels."""
+
+    revision: int
+    id: str
+    verb: Literal["drain", "undrain", "hold", "release"]
+    subject: str
+    issuer: str
+    reason: str
+    based_on: int
+    lapses_ms: int = 0
+    forced: bool = False
+
+
+class Ask(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What an agent asks of a front door. `number` comes back with the answer."""
+
+    version: int
+    number: int
+    what: Literal["state", "members", "orders", "counters", "quota", "put", "watch"]
+    customer: str = ""  # of `quota`: 16 hex digits
+    orders: tuple[OrderFields, ...] = ()  # of `put`
+
+
+class Member(msgspec.Struct, frozen=True):
+    """A server as this front door sees it."""
+
+    name: str
+    listed: str  # by discovery
+    drained: bool  # by an order
+    in_flight: int  # attempts of this front door that are out
+
+
+class State(msgspec.Struct, frozen=True):
+    """How a front door stands."""
+
+    name: str
+    pid: int
+    up_s: float
+    held: bool
+    revision: int  # of the orders that it has
+    list_version: int
+    clients: int
+    open_requests: int
+
+
+class Standing(msgspec.Struct, frozen=True):
+    """What a front door knows of a customer's quota, for each of its sets; units and seconds."""
+
+    plan: int
+    level: float
+    part: float
+    ceiling_part: float
+    demand: float
+    heard_s_ago: float | None  # since its home's word came; None for never
+
+
+class Answer(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What a front door answers; `error` is one plain line. With `number` -1 it is news for a watcher."""
+
+    version: int
+    number: int
+    error: str = ""
+    state: State | None = None
+    members: tuple[Member, ...] | None = None
+    orders: tuple[OrderFields, ...] | None = None
+    counters: dict[str, int] | None = None
+    quota: tuple[Standing, ...] | None = None
+
+
+NEWS = -1
+_encoder = msgspec.json.Encoder()
+_asks = msgspec.json.Decoder(Ask)
+_answers = msgspec.json.Decoder(Answer)
+
+
+def frame(message: Ask | Answer) -> bytes:
+    """A message as bytes; WireError for one that is too long."""
+    body = _encoder.encode(message)
+    most = MOST_ASK_BYTES if isinstance(message, Ask) else MOST_ANSWER_BYTES
+    if len(body) > most:
+        raise WireError(f"a message of {len(body)} bytes; {most} at most")
+    return len(body).to_bytes(HEAD_BYTES) + body
+
+
+class FrameReader:
+    """Cuts a stream of bytes into frames."""
+
+    def __init__(self, most: int) -> None:
+        self.buffer, self.most = bytearray(), most
+
+    def feed(self, data: bytes) -> None:
+        self.buffer += data
+
+    def next(self) -> bytes | None:
+        """The next whole frame's body; None if there is none yet."""
+        if len(self.buffer) < HEAD_BYTES:
+            return None
+        size = int.from_bytes(self.buffer[:HEAD_BYTES])
+        if not 0 < size <= self.most:
+            raise WireError(f"a frame of {size} bytes; 1 to {self.most} are taken")
+        end = HEAD_BYTES + size
+        if len(self.buffer) < end:
+            return None
+        body = bytes(self.buffer[HEAD_BYTES:end])
+        del self.buffer[:end]
+        return body
+
+
+def read_ask(body: bytes) -> Ask:
+    """WireError names the key that is wrong, or the version that is not ours."""
+    try:
+        ask = _asks.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise WireError(" ".join(str(error).split())) from error
+    if ask.version != VERSION:
+        raise WireError(f"version {ask.version} is not spoken here; {VERSION} is")
+    return ask
+
+
+def read_answer(body: bytes) -> Answer:
+    """As `read_ask`, on the other side."""
+    try:
+        answer = _answers.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise WireError(" ".join(str(error).split())) from error
+    if answer.version != VERSION:
+        raise WireError(f"version {answer.version} is not spoken here; {VERSION} is")
+    return answer
--- a/molereach/operator.py
+++ b/molereach/operator.py
@@ -7,11 +7,12 @@
 import tomllib
 from enum import Enum
 from pathlib import Path
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
 MOST_FILE_BYTES = 1 << 20
+MOST_SOCKET_PATH_BYTES = 100  # the kernel takes 107
 ENVIRONMENT = "MOLEREACH_OPERATOR"  # names the file where `--operator` does not
 
 
@@ -39,10 +40,22 @@
     level: LogLevel = LogLevel.INFO
 
 
+class ControlSection(Section, frozen=True):
+    """`[control]`: a private Unix-domain socket by which an agent sees and steers this front door."""
+
+    socket: str  # its path, in a folder that nobody else may write to
+    wait_for_orders_s: Annotated[float, msgspec.Meta(ge=0.0, le=30.0)] = 0.0  # at the start, for an agent
+
+    def __post_init__(self) -> None:
+        if not self.socket.startswith("/") or len(self.socket.encode()) > MOST_SOCKET_PATH_BYTES:
+            raise ValueError(f"socket: not an absolute path of at most {MOST_SOCKET_PATH_BYTES} bytes")
+
+
 class OperatorFile(Section, frozen=True):
     """The whole file; a section that is None is off."""
 
     log: LogSection | None = None
+    control: ControlSection | None = None
 
     def sections_on(self) -> list[str]:
         """The names of the sections that the file switches on, in the order of their definition."""
--- /dev/null
+++ b/tests/fleet/test_control.py
@@ -0,0 +1,283 @@
+"""Control of a front door over its socket: orders reach the module, and nobody can hold up a request."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from molereach.door.frontdoor import FrontDoor
+from molereach.fleet import control, wire
+from molereach.fleet.control import Control, ControlError, attach
+from molereach.fleet.wire import Answer, Ask, OrderFields
+from tests.sockets import CUSTOMER, HOST, Backend, Client, catalog, entry, front_door, query, refusing_address
+from tests.sockets import run as run_job
+from tests.test_program import ROOT, SETTINGS, config, write
+
+
+class Agent:
+    """An agent's end of the socket."""
+
+    @classmethod
+    async def open(cls, path: Path) -> "Agent":
+        agent = cls()
+        agent.reader, agent.writer = await asyncio.open_unix_connection(str(path))
+        agent.frames = wire.FrameReader(wire.MOST_ANSWER_BYTES)
+        agent.number = 0
+        return agent
+
+    async def answer(self) -> Answer:
+        while (body := self.frames.next()) is None:
+            data = await self.reader.read(1 << 16)
+            if not data:
+                raise EOFError
+            self.frames.feed(data)
+        return wire.read_answer(body)
+
+    async def ask(self, what: str, **more: object) -> Answer:
+        self.number += 1
+        self.writer.write(wire.frame(Ask(1, self.number, what, **more)))  # type: ignore[arg-type]
+        answer = await self.answer()
+        assert answer.number == self.number
+        return answer
+
+
+def order(revision: int, verb: str, subject: str, **more: object) -> OrderFields:
+    return OrderFields(revision, f"o{revision}", verb, subject, "duty", "why", 0, **more)  # type: ignore[arg-type]
+
+
+@contextlib.asynccontextmanager
+async def controlled(
+    path: Path, *backends: Backend
+) -> AsyncIterator[tuple[FrontDoor, tuple[str, int], Agent, Control]]:
+    async with front_door(*backends) as (door, address):
+        made = Control(door, path)
+        await made.start()
+        try:
+            yield door, address, await Agent.open(path), made
+        finally:
+            made.close()
+
+
+async def started(tmp_path: Path, backends: list[Backend], wait_s: float = 0.0) -> tuple[object, object]:
+    """The program with an operator file that switches control on."""
+    listen, silent, path = refusing_address(), refusing_address(), tmp_path / "n0.sock"
+    known = json.loads(catalog(4, [entry(f"s{number}", await backend.start())
+                                   for number, backend in enumerate(backends)]))
+    plenty = {**SETTINGS, "plans": [{"name": "team", "units-per-s": 1000, "burst": 1000}]}
+    values = config(listen=f"{HOST}:{listen[1]}", discovery=f"{HOST}:{silent[1]}", known=known,
+                    settings=plenty)
+    operator = tmp_path / "operator.toml"
+    operator.write_text(f'[control]\nsocket = "{path}"\nwait_for_orders_s = {wait_s}\n')
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "molereach", "--operator", str(operator), cwd=ROOT,
+        env={**os.environ, **write(tmp_path, values)}, stderr=asyncio.subprocess.PIPE,
+    )
+    return process, listen
+
+
+async def until_line(process: asyncio.subprocess.Process, text: bytes) -> None:
+    assert process.stderr is not None
+    while text not in (line := await process.stderr.readline()):
+        assert line
+
+
+async def opened(path: Path) -> Agent:
+    while True:
+        with contextlib.suppress(OSError):
+            return await Agent.open(path)
+        await asyncio.sleep(0.01)
+
+
+def test_program_carries_out_orders_that_came_before_its_first_request(tmp_path: Path) -> None:
+    """A drain that was given while it was away holds before it listens; an undrain ends it."""
+
+    async def job() -> None:
+        backends = [Backend(), Backend()]
+        process, address = await started(tmp_path, backends, wait_s=20.0)
+        assert isinstance(process, asyncio.subprocess.Process) and isinstance(address, tuple)
+        agent = await opened(tmp_path / "n0.sock")
+        with pytest.raises(OSError):
+            await Client.open(address)  # it does not listen yet
+        put = await agent.ask("put", orders=(order(1, "drain", "s0"),))
+        assert put.state and put.state.revision == 1
+        await until_line(process, b"serves at")
+        client = await Client.open(address)
+        for number in range(20):
+            assert await client.ask(query(f"a{number}")) == b"ok"
+        assert not backends[0].commands and len(backends[1].commands) == 20
+        members = (await agent.ask("members")).members
+        assert members and {(one.name, one.listed, one.drained) for one in members} == {
+            ("s0", "up", True), ("s1", "up", False)}
+        await agent.ask("put", orders=(order(2, "undrain", "s0"), order(3, "drain", "s1")))
+        for number in range(20, 40):
+            assert await client.ask(query(f"a{number}")) == b"ok"
+        assert len(backends[0].commands) == 20 and len(backends[1].commands) == 20
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
+        assert not (tmp_path / "n0.sock").exists()
+
+    run_job(job())
+
+
+def test_hold_takes_no_new_clients_and_keeps_those_it_has(tmp_path: Path) -> None:
+    async def job() -> None:
+        async with controlled(tmp_path / "s", Backend()) as (door, address, agent, _):
+            client = await Client.open(address)
+            assert await client.ask(query("a1")) == b"ok"
+            held = await agent.ask("put", orders=(order(1, "hold", "n0"), order(2, "hold", "n7")))
+            assert held.state and held.state.held
+            with pytest.raises(OSError):
+                await Client.open(address)
+            assert await client.ask(query("a2")) == b"ok"
+            await agent.ask("put", orders=(order(3, "release", "n0"),))
+            assert not door.clients.held
+            assert await (await Client.open(address)).ask(query("a3")) == b"ok"
+
+    run_job(job())
+
+
+def test_order_lapses_by_itself(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(control, "LAPSE_S", 0.01)
+
+    async def job() -> None:
+        async with controlled(tmp_path / "s", Backend()) as (door, address, agent, _):
+            lapses = control.unix_ms() + 200
+            await agent.ask("put", orders=(order(1, "hold", "n0", lapses_ms=lapses),))
+            assert door.clients.held
+            while door.clients.held:
+                await asyncio.sleep(0.01)
+            assert control.unix_ms() >= lapses
+            assert await (await Client.open(address)).ask(query("a1")) == b"ok"
+
+    run_job(job())
+
+
+def test_state_orders_counters_and_quota_are_told(tmp_path: Path) -> None:
+    async def job() -> None:
+        backend = Backend(lambda words: None)
+        async with controlled(tmp_path / "s", backend) as (_, address, agent, _):
+            client = await Client.open(address)
+            client.send(query("a1"))
+            await backend.came.wait()
+            state = (await agent.ask("state")).state
+            assert state and (state.name, state.open_requests, state.clients) == ("n0", 1, 1)
+            assert state.pid == os.getpid() and not state.held and state.revision == 0
+            counters = (await agent.ask("counters")).counters
+            assert counters and counters["open_requests"] == 1 and counters["backend_connections"] == 1
+            (standing,) = (await agent.ask("quota", customer=CUSTOMER.upper())).quota or ()
+            assert standing.plan == 0 and 999 <= standing.level <= 1000 and standing.demand > 0
+            assert (await agent.ask("quota", customer="0" * 16)).quota == ()
+            await agent.ask("put", orders=(order(1, "drain", "sx"),))
+            assert (await agent.ask("orders")).orders == (order(1, "drain", "sx"),)
+
+    run_job(job())
+
+
+def test_unusable_orders_change_nothing(tmp_path: Path) -> None:
+    async def job() -> None:
+        async with controlled(tmp_path / "s", Backend()) as (_, _, agent, made):
+            for wrong in (order(0, "hold", "n0"), order(2, "hold", "x" * 65), order(2, "drain", "")):
+                answer = await agent.ask("put", orders=(order(1, "hold", "n0"), wrong))
+                assert answer.error and made.book.revision == 0 and not made.door.clients.held
+
+    run_job(job())
+
+
+def test_malformed_asks_end_the_connection_and_not_the_front_door(tmp_path: Path) -> None:
+    async def job() -> None:
+        async with controlled(tmp_path / "s", Backend()) as (_, address, agent, _):
+            for data in (b"\xff\xff\xff\xff", b"\0\0\0\x02{}", b"\0\0\0\x01\xff"):
+                hostile = await Agent.open(tmp_path / "s")
+                hostile.writer.write(data * 3)
+                assert (await hostile.answer()).error
+                with pytest.raises((EOFError, ConnectionError)):
+                    await hostile.answer()
+            assert (await agent.ask("state")).state
+            assert await (await Client.open(address)).ask(query("a1")) == b"ok"
+
+    run_job(job())
+
+
+def test_watcher_hears_of_changes_and_one_that_reads_nothing_is_dropped(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(control, "NEWS_S", 0.0)
+    monkeypatch.setattr(control, "MOST_UNREAD_BYTES", 20_000)
+
+    async def job() -> None:
+        async with controlled(tmp_path / "s", Backend()) as (_, address, agent, made):
+            watcher = await Agent.open(tmp_path / "s")
+            await watcher.ask("watch")
+            await agent.ask("put", orders=(order(1, "hold", "n0"), order(2, "release", "n0")))
+            news = await watcher.answer()
+            assert news.number == wire.NEWS and news.state and news.state.revision == 2
+            silent = socket.socket(socket.AF_UNIX)
+            silent.connect(str(tmp_path / "s"))
+            asks = b"".join(wire.frame(Ask(1, number, "orders")) for number in range(3000))
+            silent.setblocking(False)
+            with contextlib.suppress(OSError):
+                silent.send(asks)
+            while len(made.connections) > 2:  # it asks and asks, and reads nothing
+                with contextlib.suppress(BlockingIOError):
+                    if made.connections:
+                        silent.send(asks[:200])
+                await asyncio.sleep(0)
+            assert await (await Client.open(address)).ask(query("a1")) == b"ok"
+            silent.close()
+
+    run_job(job())
+
+
+def test_too_many_and_strangers_are_refused(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def job() -> None:
+        async with controlled(tmp_path / "s", Backend()) as (_, _, agent, made):
+            more = [await Agent.open(tmp_path / "s") for _ in range(control.MOST_CONNECTIONS)]
+            assert (await agent.ask("state")).state
+            with pytest.raises((EOFError, ConnectionError)):
+                await more[-1].ask("state")
+            for one in more:
+                one.writer.close()
+            while len(made.connections) > 1:
+                await asyncio.sleep(0)
+            monkeypatch.setattr(control, "peer_user", lambda connection: 12345)
+            stranger = await Agent.open(tmp_path / "s")
+            with pytest.raises((EOFError, ConnectionError)):
+                await stranger.ask("state")
+
+    run_job(job())
+
+
+def test_socket_is_private_and_its_place_is_checked(tmp_path: Path) -> None:
+    async def job() -> None:
+        async with controlled(tmp_path / "s", Backend()) as (door, _, _, _):
+            assert (tmp_path / "s").stat().st_mode & 0o777 == 0o600
+            (tmp_path / "file").write_text("x")
+            (tmp_path / "open").mkdir()
+            (tmp_path / "open").chmod(0o777)
+            for name, reason in (("s", "another front door"), ("file", "no socket"),
+                                 ("none/s", "no such folder"), ("open/s", "others may write")):
+                with pytest.raises(ControlError, match=reason):
+                    await Control(door, tmp_path / name).start()
+            with socket.socket(socket.AF_UNIX) as dead:  # a predecessor's that was killed
+                dead.bind(str(tmp_path / "dead"))
+            (await attach(door, tmp_path / "dead", 0.0))()
+            assert not (tmp_path / "dead").exists() and (tmp_path / "file").read_text() == "x"
+
+    run_job(job())
+
+
+def test_start_goes_on_without_an_agent(tmp_path: Path, caplog: pytest.LogCaptureFixture) -> None:
+    async def job() -> None:
+        async with front_door(Backend()) as (door, _):
+            detach = await attach(door, tmp_path / "s", 0.05)
+            detach()
+
+    run_job(job())
+    assert "no agent has brought orders" in caplog.text
--- /dev/null
+++ b/tests/fleet/test_orders.py
@@ -0,0 +1,190 @@
+"""Orders, the book of what was decided, and the list with orders over it."""
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fennelwinch import interface as i
+from molereach.fleet import orders
+from molereach.fleet.orders import Book, Decided, Order, OrderError, Overlay, Refusal, Verb, Why
+
+READY = {"s1": "east", "s2": "east", "s3": "west"}
+
+
+def order(name: str = "o1", verb: Verb = Verb.DRAIN, subject: str = "s1", based_on: int = 0,
+          lapses_ms: int = 0, forced: bool = False) -> Order:
+    return Order(name, verb, subject, "duty", "replaced", based_on, lapses_ms, forced)
+
+
+def book(*given_orders: Order) -> Book:
+    made = Book()
+    for revision, one in enumerate(given_orders, 1):
+        made.learn(Decided(revision, one))
+    return made
+
+
+@pytest.mark.parametrize("wrong", [
+    {"id": ""}, {"id": "x" * 65}, {"subject": "a\nb"}, {"issuer": ""}, {"reason": "r" * 257},
+    {"based_on": -1}, {"lapses_ms": -1},
+])
+def test_unusable_order_is_named(wrong: dict[str, object]) -> None:
+    order().check()
+    with pytest.raises(OrderError, match=next(iter(wrong))):
+        replace(order(), **wrong).check()  # type: ignore[arg-type]
+
+
+def test_drain_holds_until_it_is_taken_back_or_lapses() -> None:
+    made = book(order(), order("o2", subject="s2", lapses_ms=500), order("o3", Verb.HOLD, "n1"))
+    assert made.wanted(Verb.DRAIN, 499) == {"s1", "s2"} and made.wanted(Verb.DRAIN, 500) == {"s1"}
+    assert made.wanted(Verb.HOLD, 0) == {"n1"}
+    made.forget_lapsed(500)
+    assert made.wanted(Verb.DRAIN, 499) == {"s1"}
+    made.learn(Decided(4, order("o4", Verb.UNDRAIN)))
+    made.learn(Decided(5, order("o5", Verb.RELEASE, "n1")))
+    assert not made.wanted(Verb.DRAIN, 0) and not made.wanted(Verb.HOLD, 0)
+
+
+def test_order_given_twice_is_one() -> None:
+    made = book(order(), order("o2", Verb.UNDRAIN), order())
+    assert made.revision == 3 and not made.wanted(Verb.DRAIN, 0)  # the repeat did not drain it again
+    assert made.judge(order(), 0, READY, 0) == Decided(1, order())
+
+
+def test_loser_is_told_who_won() -> None:
+    made = book(order(), order("o2", Verb.UNDRAIN, based_on=1))
+    refusal = made.judge(order("o3", based_on=1), 0, READY, 0)
+    assert isinstance(refusal, Refusal) and refusal.why is Why.CONFLICT
+    assert refusal.winner == Decided(2, order("o2", Verb.UNDRAIN, based_on=1))
+    assert "duty" in refusal.text and "revision 2" in refusal.text and "replaced" in refusal.text
+    assert made.judge(order("o3", based_on=2), 0, READY, 0) is None  # its issuer has seen it
+    assert made.judge(order("o3", subject="s2", based_on=0), 0, READY, 0) is None  # about another server
+    assert made.judge(order("o3", Verb.UNDRAIN, based_on=0), 0, READY, 0) is None  # both want the same
+
+
+def test_drain_leaves_each_building_its_floor_unless_forced() -> None:
+    made = book(order())
+    refusal = made.judge(order("o2", subject="s2", based_on=1), 0, READY, 1)
+    assert isinstance(refusal, Refusal) and refusal.why is Why.FLOOR and "east" in refusal.text
+    assert refusal.winner == Decided(1, order())
+    assert made.judge(order("o2", subject="s2", based_on=1, forced=True), 0, READY, 1) is None
+    assert made.judge(order("o2", subject="s2", based_on=1), 0, READY, 0) is None
+    assert made.judge(order("o2", subject="gone", based_on=1), 0, READY, 1) is None
+    assert isinstance(made.judge(order("o2", subject="s3"), 0, READY, 1), Refusal)
+    west = book(order(), order("o2", subject="s3", forced=True))
+    refusal = west.judge(order("o3", subject="s2", based_on=2), 0, READY, 1)
+    assert isinstance(refusal, Refusal) and refusal.winner == Decided(1, order())
+    lapsing = book(order(lapses_ms=100))
+    assert lapsing.judge(order("o2", subject="s2", based_on=1), 100, READY, 1) is None
+
+
+def test_lapsed_order_and_too_many_are_refused(monkeypatch: pytest.MonkeyPatch) -> None:
+    late = Book().judge(order(lapses_ms=5), 5, READY, 0)
+    assert isinstance(late, Refusal) and late.why is Why.LAPSED
+    monkeypatch.setattr(orders, "MOST_IN_FORCE", 1)
+    full = book(order()).judge(order("o2", subject="s2", based_on=1), 0, READY, 0)
+    assert isinstance(full, Refusal) and full.why is Why.FULL
+    assert book(order()).judge(order("o2", Verb.UNDRAIN, based_on=1), 0, READY, 0) is None
+
+
+ORDERS = st.lists(st.builds(
+    order, st.sampled_from([f"o{number}" for number in range(12)]), st.sampled_from(list(Verb)),
+    st.sampled_from(["s1", "s2", "n1"]),
+), max_size=12)
+
+
+@given(ORDERS, st.randoms(use_true_random=False))
+def test_book_is_the_same_however_its_orders_come(given_orders: list[Order], random: object) -> None:
+    """Late, doubled and in any order: the same revisions make the same book."""
+    first = book(*given_orders)
+    decided = [Decided(revision, one) for revision, one in enumerate(given_orders, 1)] * 2
+    random.shuffle(decided)  # type: ignore[attr-defined]
+    second = Book()
+    entered = [one for each in decided for one in second.learn(each)]
+    assert [one.revision for one in entered] == list(range(1, len(given_orders) + 1))
+    assert (second.revision, second.in_force, second.ids) == (first.revision, first.in_force, first.ids)
+
+
+def test_what_waits_and_what_is_remembered_is_bounded() -> None:
+    made = Book()
+    for revision in range(2, 10_000):
+        made.learn(Decided(revision, order(f"o{revision}")))
+    assert len(made.ahead) == orders.MOST_AHEAD and made.revision == 0
+    long = Book()
+    for revision in range(1, 3000):
+        long.learn(Decided(revision, order(f"o{revision}", subject=f"s{revision}")))
+    assert len(long.ids) == len(long.last) == orders.MOST_REMEMBERED
+
+
+# --- the list with orders over it ---
+
+
+def server(name: str, state: i.ServerState = i.ServerState.UP) -> i.Server:
+    return i.Server(name, 0, 0, 0, state)
+
+
+def states(news: i.ServerList | None) -> dict[str, i.ServerState]:
+    return {one.name: one.state for one in news.servers} if news else {}
+
+
+def test_module_sees_a_drained_server_as_draining_and_nothing_added() -> None:
+    overlay = Overlay()
+    full = i.ServerList(i.ListKind.FULL, 4, (server("s1"), server("s2", i.ServerState.DRAINING)))
+    assert overlay.on_list(full) == full
+    changes = overlay.on_orders({"s1", "s2", "unheard"})
+    assert states(changes) == {"s1": i.ServerState.DRAINING} and changes and changes.version == 4
+    assert overlay.on_orders({"s1", "s2", "unheard"}) is None
+    again = overlay.on_list(i.ServerList(i.ListKind.CHANGES, 5, (server("s1"), server("s3"))))
+    assert states(again) == {"s1": i.ServerState.DRAINING, "s3": i.ServerState.UP}
+    assert states(overlay.on_orders(())) == {"s1": i.ServerState.UP}  # and s2 stays as discovery has it
+
+
+def test_drain_waits_for_a_server_that_is_not_listed_yet() -> None:
+    overlay = Overlay()
+    assert overlay.on_orders({"s1"}) is None
+    first = overlay.on_list(i.ServerList(i.ListKind.FULL, 1, (server("s1"),)))
+    assert states(first) == {"s1": i.ServerState.DRAINING}  # before any request could reach it
+
+
+def test_server_that_is_listed_no_more_is_not_told_of() -> None:
+    overlay = Overlay()
+    overlay.on_list(i.ServerList(i.ListKind.FULL, 1, (server("s1"), server("s2"))))
+    overlay.on_list(i.ServerList(i.ListKind.FULL, 2, (server("s2"),)))
+    assert overlay.on_orders({"s1"}) is None
+
+
+STATES = st.sampled_from(list(i.ServerState))
+NAMES = st.sampled_from(["s1", "s2", "s3"])
+STEPS = st.lists(st.one_of(
+    st.tuples(st.sampled_from([i.ListKind.FULL, i.ListKind.CHANGES, i.ListKind.SAVED, i.ListKind.FAILED]),
+              st.dictionaries(NAMES, STATES)),
+    st.frozensets(NAMES),
+), max_size=30)
+
+
+@given(STEPS)
+def test_module_never_sees_more_than_discovery_and_orders_allow(
+    steps: list[tuple[i.ListKind, dict[str, i.ServerState]] | frozenset[str]]
+) -> None:
+    overlay = Overlay()
+    listed: dict[str, i.ServerState] = {}
+    seen: dict[str, i.ServerState] = {}
+    drained: frozenset[str] = frozenset()
+    for step in steps:
+        if isinstance(step, frozenset):
+            drained, news = step, overlay.on_orders(step)
+        else:
+            kind, entries = step
+            entries = {} if kind is i.ListKind.FAILED else entries
+            listed = entries if kind in (i.ListKind.FULL, i.ListKind.SAVED) else listed | entries
+            news = overlay.on_list(i.ServerList(
+                kind, 1, tuple(server(name, state) for name, state in entries.items())))
+            if kind in (i.ListKind.FULL, i.ListKind.SAVED):
+                seen = {}
+        seen |= states(news)
+        for name in ("s1", "s2", "s3"):
+            up = listed.get(name) is i.ServerState.UP and name not in drained
+            assert (seen.get(name) is i.ServerState.UP) == up
+            if name in listed and listed[name] is not i.ServerState.UP:
+                assert seen[name] is listed[name]  # discovery's own word on what is not up goes through
