--- a/rig/scenario.py
+++ b/rig/scenario.py
@@ -7,6 +7,7 @@
 from msgspec import Meta
 
 MOST_DOORS, MOST_SERVERS, MOST_SECONDS = 9, 64, 600.0
+MOST_REQUESTS = 200_000  # first tries of a day: about 250 MB of journals
 ANY = "any"  # a front door or server that the seed chooses
 
 Seconds = Annotated[float, Meta(ge=0.0, le=MOST_SECONDS)]
@@ -205,7 +206,10 @@
 
 
 def check_names(scenario: Scenario) -> None:
-    """What the types cannot say: every front door and server that a fault names is there."""
+    """What the types cannot say: every front door and server that a fault names is there, and a day's journals
+    fit into memory."""
+    if scenario.seconds * scenario.load.rate > MOST_REQUESTS:
+        raise ValueError(f"seconds times rate is more than {MOST_REQUESTS} requests - at `$.load.rate`")
     known = {"door": set(scenario.door_names()), "server": set(scenario.server_names())}
     for number, fault in enumerate(scenario.fault):
         for what, names in known.items():
--- a/tests/rig/test_scenario.py
+++ b/tests/rig/test_scenario.py
@@ -61,6 +61,7 @@
     (fault('fault = "split"\nat = 1\nlasts = 1\ngroups = [["n0"], ["n0"]]'), "two groups"),
     (fault('fault = "split"\nat = 1\nlasts = 1\ngroups = [["n9"]]'), "there is no door 'n9'"),
     (fault('fault = "cold-deploy"\nat = 1\nservers = 9\nevery = 1'), "only 6 servers"),
+    ("seconds = 600\n" + HEAD + "[load]\nrate = 2000\n", "more than 200000 requests"),
     ("doors = 99\n" + HEAD, "$.doors"), (HEAD + "[load\n", "line"), ('title = "x"\n', "`name`"),
 ]
 
