--- a/rig/doors.py
+++ b/rig/doors.py
@@ -140,6 +140,13 @@
     def up(self) -> bool:
         return self.process is not None and self.process.returncode is None and not self.ended.is_set()
 
+    @property
+    def state(self) -> str:
+        """For people: up, ended (as it was told to) or down."""
+        if self.up:
+            return "up"
+        return "ended" if self.told_to_end and not self.killed else "down"
+
     def signal(self, number: signal.Signals) -> None:
         if self.process is not None and self.up:
             self.process.send_signal(number)
--- a/rig/scenario.py
+++ b/rig/scenario.py
@@ -206,10 +206,10 @@
 
 
 def check_names(scenario: Scenario) -> None:
-    """What the types cannot say: every front door and server that a fault names is there, and a day's journals
-    fit into memory."""
+    """What the types cannot say: whom a fault names is there, and a day's journals fit into memory."""
     if scenario.seconds * scenario.load.rate > MOST_REQUESTS:
-        raise ValueError(f"seconds times rate is more than {MOST_REQUESTS} requests - at `$.load.rate`")
+        text = f"seconds times rate is more than {MOST_REQUESTS} requests"
+        raise ValueError(f"{text} - at `$.load.rate`")
     known = {"door": set(scenario.door_names()), "server": set(scenario.server_names())}
     for number, fault in enumerate(scenario.fault):
         for what, names in known.items():
--- a/rig/world.py
+++ b/rig/world.py
@@ -428,7 +428,7 @@
         return DoorReport(
             door.name, count.served, count.refused, count.failed, count.lost, count.open,
             quantile(pool.took_us, 0.5), quantile(pool.took_us, 0.99), round(cpu_s, 2),
-            round(memory / (1 << 20), 1), door.starts, door.tracebacks, "up" if door.up else "ended" if door.told_to_end and not door.killed else "down",
+            round(memory / (1 << 20), 1), door.starts, door.tracebacks, door.state,
         )
 
     def report(self) -> Report:
