--- /dev/null
+++ b/tests/rig/test_demo.py
@@ -0,0 +1,47 @@
+"""What the demo says of a day, and its exit codes."""
+
+from rig.audit import Broken, Ledger, Outcome, Rule
+from rig.demo import BROKEN, DONE, NO_VERDICT, exit_code
+from rig.facts import Left
+from rig.table import ledger_lines
+from rig.world import DoorReport, Report, quantile
+
+
+def report(ledger: Ledger, *trouble: str) -> Report:
+    return Report("calm", 1, 10.0, ledger, [DoorReport("n0", served=1, p50_ms=3.0)], list(trouble))
+
+
+def broken() -> Ledger:
+    fact = Left(1, "a", "n0")
+    ledger = Ledger(broken=[Broken(Rule.LOST, "a", "taken and never answered", (fact, fact))])
+    ledger.broken_count[Rule.LOST] = 30
+    return ledger
+
+
+def test_exit_codes() -> None:
+    unaccounted = Ledger()
+    unaccounted.counts[Outcome.UNACCOUNTED] = 1
+    late = Ledger(late_us=150_000)
+    assert exit_code(report(Ledger())) == DONE and exit_code(report(late)) == NO_VERDICT
+    wrongs = report(broken()), report(unaccounted), report(Ledger(), "a fault"), report(late, "a fault")
+    for wrong in wrongs:
+        assert exit_code(wrong) == BROKEN and wrong.json()["ok"] is False
+
+
+def test_late_rig_says_so_and_gives_no_verdict() -> None:
+    lines = ledger_lines(report(Ledger(late_us=150_000)))
+    assert "the rig was late by 150 ms: no verdict on times" in lines and lines[-1] == "NOT in order"
+    assert ledger_lines(report(Ledger()))[-1].startswith("no rule is broken")
+
+
+def test_findings_are_named_and_counted() -> None:
+    lines = ledger_lines(report(broken(), "a fault"))
+    assert any("no request is lost: a: taken and never answered" in line for line in lines)
+    assert "broken: 29 more" in lines and "trouble in the rig: a fault" in lines
+    found = report(broken()).json()
+    assert found["broken_rules"] == ["no request is lost"] and len(str(found["broken"])) > 50
+
+
+def test_quantiles_are_in_milliseconds() -> None:
+    assert quantile([], 0.5) == 0.0
+    assert (quantile(range(1000, 101_000, 1000), 0.5), quantile([5000], 0.99)) == (51.0, 5.0)
