A front door that a test of control starts ends with the test, also when it fails

Cause: test runs that failed on purpose left four front doors running. Change: the test kills its process at its end.

--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -104,26 +104,30 @@
         backends = [Backend(), Backend()]
         process, address = await started(tmp_path, backends, wait_s=30.0)
         assert isinstance(process, asyncio.subprocess.Process) and isinstance(address, tuple)
-        agent = await opened(tmp_path / "n0.sock")
-        with pytest.raises(OSError):
-            await Client.open(address)  # it does not listen yet
-        put = await agent.ask("put", orders=(order(1, "drain", "s0"),))
-        assert put.state and put.state.revision == 1
-        await until_line(process, b"serves at")
-        client = await Client.open(address)
-        for number in range(20):
-            assert await client.ask(query(f"a{number}")) == b"ok"
-        assert not backends[0].commands and len(backends[1].commands) == 20
-        members = (await agent.ask("members")).members
-        assert members and {(one.name, one.listed, one.drained) for one in members} == {
-            ("s0", "up", True), ("s1", "up", False)}
-        await agent.ask("put", orders=(order(2, "undrain", "s0"), order(3, "drain", "s1")))
-        for number in range(20, 40):
-            assert await client.ask(query(f"a{number}")) == b"ok"
-        assert len(backends[0].commands) == 20 and len(backends[1].commands) == 20
-        process.send_signal(signal.SIGTERM)
-        assert await process.wait() == 0
-        assert not (tmp_path / "n0.sock").exists()
+        try:
+            agent = await opened(tmp_path / "n0.sock")
+            with pytest.raises(OSError):
+                await Client.open(address)  # it does not listen yet
+            put = await agent.ask("put", orders=(order(1, "drain", "s0"),))
+            assert put.state and put.state.revision == 1
+            await until_line(process, b"serves at")
+            client = await Client.open(address)
+            for number in range(20):
+                assert await client.ask(query(f"a{number}")) == b"ok"
+            assert not backends[0].commands and len(backends[1].commands) == 20
+            members = (await agent.ask("members")).members
+            assert members and {(one.name, one.listed, one.drained) for one in members} == {
+                ("s0", "up", True), ("s1", "up", False)}
+            await agent.ask("put", orders=(order(2, "undrain", "s0"), order(3, "drain", "s1")))
+            for number in range(20, 40):
+                assert await client.ask(query(f"a{number}")) == b"ok"
+            assert len(backends[0].commands) == 20 and len(backends[1].commands) == 20
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+            assert not (tmp_path / "n0.sock").exists()
+        finally:  # a front door does not outlive a test that fails
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
 
     run_job(job())
 
