The rig judges datagrams past 256 bytes; what nothing used is gone

Cause: a reading of the whole change. The network's stand-in counted datagrams longer than the protocol's 256 bytes and nobody looked at the count, though one voids a run; an assertion had a second half that could not be true; a function and a callback had no user.

Change: such a datagram is a finding under the first rule; the rest is removed.

--- a/rig/doors.py
+++ b/rig/doors.py
@@ -14,7 +14,7 @@
 import subprocess
 import sys
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from pathlib import Path
 
 from rig.clock import now_us
@@ -55,7 +55,6 @@
         self.ended, self.log_ended = asyncio.Event(), asyncio.Event()
         self.cpu_before_s = 0.0  # of processes that have ended
         self.last_usage = (0.0, 0)
-        self.on_end: Callable[[], None] = lambda: None
 
     # --- start ---
 
@@ -179,7 +178,6 @@
             well = self.told_to_end and process.returncode == 0
             self.facts.append(DoorDown(now_us(), self.name, Down.ENDED if well else Down.CRASHED))
         self.ended.set()
-        self.on_end()
 
     async def finish(self) -> None:
         """End it in order; one that does not end in time is killed."""
--- a/rig/world.py
+++ b/rig/world.py
@@ -1,7 +1,6 @@
 """A world on loopback: servers, discovery, the network, front doors and clients, and a scenario's faults."""
 
 import asyncio
-import contextlib
 import signal
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -13,9 +12,9 @@
 from rig.clock import Heartbeat, now_us
 from rig.discovery import Agent
 from rig.doors import FRONT_DOOR, Door
-from rig.facts import Fact, Listed, Started, Told
+from rig.facts import Extra, Fact, Listed, Started, Told
 from rig.front import Front
-from rig.mail import Mail, MailSpec
+from rig.mail import MOST_BYTES, Mail, MailSpec
 from rig.member import Building, Member, MemberSpec, SetDraining, SetSlow
 from rig.registry import Entry, Registry
 from rig.relay import Network
@@ -432,6 +431,10 @@
         )
 
     def report(self) -> Report:
+        mail = self.network.mail
+        if mail.oversized:  # the protocol's bound: one of these voids a run
+            text = f"{mail.oversized} datagrams of more than {MOST_BYTES} bytes were sent"
+            self.facts.append(Extra(now_us(), "front doors", text))
         auditor = Auditor(figures(self.spec))
         auditor.feed(self.facts)
         ledger = auditor.judge()
@@ -440,14 +443,5 @@
             counts = ledger.by_door[door.name]
             door.served, door.refused = counts[Outcome.SERVED], counts[Outcome.REFUSED]
             door.failed, door.lost = counts[Outcome.FAILED], counts[Outcome.LOST_TO_KILL]
-        mail = self.network.mail
         return Report(self.scenario.name, self.seed, self.scenario.seconds, ledger, doors,
                       self.trouble + self.clients.trouble, mail.lost, mail.delivered)
-
-
-async def play(scenario: sc.Scenario, seed: int, command: Sequence[str] = FRONT_DOOR) -> Report:
-    """Run a scenario once."""
-    world = World(scenario, seed, command)
-    with contextlib.suppress(asyncio.CancelledError):
-        return await world.run()
-    raise KeyboardInterrupt
--- a/tests/rig/test_audit.py
+++ b/tests/rig/test_audit.py
@@ -256,7 +256,7 @@
     assert audit(start, *push, fell).ok  # nobody had been told of its start
     half = [replace(fact, door="n1") if isinstance(fact, Arrived) and number % 2 else fact
             for number, fact in enumerate(push)]
-    assert audit(start, replace(told, door="n1"), *half, fell).ok or half == push
+    assert audit(start, replace(told, door="n1"), *half, fell).ok  # five ninths knew
 
 
 # --- ceilings are kept ---
--- a/tests/rig/test_demo.py
+++ b/tests/rig/test_demo.py
@@ -1,10 +1,12 @@
 """What the demo says of a day, and its exit codes."""
 
+from rig import scenario_files as sc
 from rig.audit import Broken, Ledger, Outcome, Rule
 from rig.demo import BROKEN, DONE, NO_VERDICT, exit_code
 from rig.facts import Left
+from rig.mail import Datagram
 from rig.table import ledger_lines
-from rig.world import DoorReport, Report, quantile
+from rig.world import DoorReport, Report, World, quantile
 
 
 def report(ledger: Ledger, *trouble: str) -> Report:
@@ -42,6 +44,17 @@
     assert found["broken_rules"] == ["no request is lost"] and len(str(found["broken"])) > 50
 
 
+def test_datagram_past_the_protocols_bound_is_a_finding() -> None:
+    world = World(sc.load("calm"), 1)
+    try:
+        assert world.report().ok
+        world.network.mail.handle(0, Datagram(0, 1, 257, (0.5, 0.5, 0.5, 0.5)))
+        found = world.report()
+        assert not found.ok and "1 datagrams of more than 256 bytes" in str(found.json()["broken"])
+    finally:
+        world.close()
+
+
 def test_quantiles_are_in_milliseconds() -> None:
     assert quantile([], 0.5) == 0.0
     assert (quantile(range(1000, 101_000, 1000), 0.5), quantile([5000], 0.99)) == (51.0, 5.0)
