--- a/molereach/fleet/agreement.py
+++ b/molereach/fleet/agreement.py
@@ -6,19 +6,23 @@
 acceptor's state must be on disk before its reply leaves: `Acceptor.state` is what to write.
 """
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 
-from molereach.fleet.orders import Book, Decided, Order
+import msgspec
+
+from molereach.fleet.orders import Book, BookState, Decided, Order
 
 MOST_TOLD = 64  # decided orders in one reply
 MOST_BALLOT = 1 << 32
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class Ballot:
-    """A try at a revision; each proposer's are its own, so no two are equal."""
+class Ballot(msgspec.Struct, frozen=True, order=True, forbid_unknown_fields=True):
+    """A try at a revision.
+
+    No two proposals may carry the same one, so a proposer's name is drawn anew for each run of a tool, also
+    where the same issuer gives the same order again.
+    """
 
     number: int
     proposer: str
@@ -27,14 +31,16 @@
 # --- messages ---
 
 
-@dataclass(frozen=True, slots=True)
-class Prepare:
+class Told(msgspec.Struct, frozen=True, forbid_unknown_fields=True, tag_field="kind", tag=str.lower):
+    """A message."""
+
+
+class Prepare(Told, frozen=True):
     revision: int
     ballot: Ballot
 
 
-@dataclass(frozen=True, slots=True)
-class Promise:
+class Promise(Told, frozen=True):
     """Nothing under this ballot will be accepted; and what was accepted before, if anything."""
 
     revision: int
@@ -43,21 +49,18 @@
     accepted: Order | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Accept:
+class Accept(Told, frozen=True):
     revision: int
     ballot: Ballot
     order: Order
 
 
-@dataclass(frozen=True, slots=True)
-class Accepted:
+class Accepted(Told, frozen=True):
     revision: int
     ballot: Ballot
 
 
-@dataclass(frozen=True, slots=True)
-class Outbid:
+class Outbid(Told, frozen=True):
     """A higher ballot was promised."""
 
     revision: int
@@ -65,15 +68,16 @@
     promised: Ballot
 
 
-@dataclass(frozen=True, slots=True)
-class Known:
-    """Decided orders, for one that is behind; an answer to whatever is about a revision that is decided."""
+class Known(Told, frozen=True):
+    """Decided orders, for one that is behind; an answer to whatever is about a revision that is decided.
+
+    `base` is a whole book, where single orders would not do."""
 
-    decided: tuple[Decided, ...]
+    decided: tuple[Decided, ...] = ()
+    base: BookState | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Behind:
+class Behind(Told, frozen=True):
     """The acceptor lacks the revisions from here on, and cannot judge a later one."""
 
     next_revision: int
@@ -85,8 +89,7 @@
 # --- an agent ---
 
 
-@dataclass(frozen=True, slots=True)
-class Promised:
+class Promised(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What an acceptor must not forget about the revision under way."""
 
     revision: int = 0
@@ -98,26 +101,17 @@
 class Acceptor:
     """One agent's part: at most one order accepted at a ballot, and none under a promise.
 
-    `log` holds all decided orders that it may be asked for; `state` and `log` outlive a restart.
+    `state` and `book` outlive a restart.
     """
 
-    def __init__(self, state: Promised = Promised(), log: Iterable[Decided] = ()) -> None:
-        self.state, self.book = state, Book()
-        self.log: dict[int, Order] = {}
-        for decided in log:
-            self.learn(decided)
-
-    def learn(self, decided: Decided) -> list[Decided]:
-        """A decided order; those that are in the book now."""
-        self.log.setdefault(decided.revision, decided.order)
-        return self.book.learn(decided)
+    def __init__(self, state: Promised = Promised(), book: BookState = BookState()) -> None:
+        self.state, self.book = state, Book(book)
 
     def handle(self, message: Message) -> list[Message]:
         """The replies to one message. Those that are replies themselves say nothing to an acceptor."""
         match message:
             case Known():
-                for decided in message.decided:
-                    self.learn(decided)
+                self.learn(message)
                 return []
             case Prepare() | Accept():
                 if message.revision <= self.book.revision:
@@ -128,10 +122,23 @@
             case _:
                 return []
 
+    def learn(self, known: Known) -> None:
+        """What was decided elsewhere."""
+        if known.base:
+            self.book.adopt(known.base)
+        for decided in known.decided:
+            self.book.learn(decided)
+
     def known(self, since: int) -> Known:
         last = min(self.book.revision, since + MOST_TOLD - 1)
-        return Known(tuple(Decided(revision, self.log[revision])
-                           for revision in range(since, last + 1) if revision in self.log))
+        recent = self.book.recent
+        if any(revision not in recent for revision in range(since, last + 1)):
+            return Known(base=self.book.state())
+        return Known(tuple(recent[revision] for revision in range(since, last + 1)))
+
+    def pending(self) -> Order | None:
+        """An order that was accepted here and is not known to be decided."""
+        return self.current(self.book.revision + 1).accepted
 
     def current(self, revision: int) -> Promised:
         """What was promised about the revision under way; of an earlier one nothing holds any more."""
@@ -166,10 +173,10 @@
 
 @dataclass(slots=True)
 class Proposer:
-    """Gives one order at one revision; `messages` are for all agents unless one is named.
+    """Gives one order at one revision; its messages are for all agents.
 
-    After `DONE` or `LOST` `outcome` is what stands at the revision. A tool that lost may look at the book,
-    judge its order anew, and propose it at the next revision.
+    After `DONE` or `LOST` `outcome` is what stands at the revision, or `overtaken` a book that is past it. A
+    tool that lost may look at the book, judge its order anew, and propose it at the next revision.
     """
 
     name: str
@@ -182,18 +189,23 @@
     accepts: set[str] = field(default_factory=set)
     chosen: Order | None = None
     outcome: Decided | None = None
+    overtaken: BookState | None = None  # a book that is past the revision, where no outcome is known
     outbid: int = 0  # the highest number heard of
 
     def __post_init__(self) -> None:
         self.ballot = Ballot(1, self.name)
 
+    @property
+    def finished(self) -> bool:
+        return self.phase in (Phase.DONE, Phase.LOST)
+
     @property
     def majority(self) -> int:
         return len(self.agents) // 2 + 1
 
     def begin(self) -> list[Message]:
         """Ask all agents; also to try again after a time, with a ballot above all that were heard of."""
-        if self.outcome:
+        if self.finished:
             return []
         number = min(MOST_BALLOT, max(self.ballot.number, self.outbid) + 1)
         self.ballot, self.phase = Ballot(number, self.name), Phase.PREPARING
@@ -202,7 +214,7 @@
 
     def handle(self, agent: str, message: Message) -> list[Message]:
         """A reply of an agent; what to send to all of them now."""
-        if self.outcome or agent not in self.agents:
+        if self.finished or agent not in self.agents:
             return []
         match message:
             case Known():
@@ -234,6 +246,11 @@
         for decided in message.decided:
             if decided.revision == self.revision:
                 return self.settle(decided)
+        if message.base and message.base.revision >= self.revision:
+            mine = Book(message.base).find(self.order.id)
+            self.phase, self.outcome = (Phase.DONE if mine else Phase.LOST), mine
+            self.overtaken = message.base
+            return [Known(base=message.base)]
         return []
 
     def settle(self, decided: Decided) -> list[Message]:
--- a/molereach/fleet/control.py
+++ b/molereach/fleet/control.py
@@ -20,7 +20,7 @@
 from molereach.clock import now_us
 from molereach.door.frontdoor import FrontDoor
 from molereach.fleet import wire
-from molereach.fleet.orders import Book, Decided, Order, OrderError, Overlay, Verb
+from molereach.fleet.orders import Book, Overlay, Verb
 
 log = logging.getLogger(__name__)
 
@@ -79,7 +79,7 @@
             ask = wire.read_ask(body)
             number = ask.number
             self.send(self.control.answer(ask, self))
-        except (wire.WireError, OrderError) as error:
+        except wire.WireError as error:
             self.send(wire.Answer(wire.VERSION, number, error=str(error)))
             if number == wire.NEWS:  # what follows cannot be trusted to be a frame
                 self.transport.close()
@@ -205,14 +205,16 @@
         for exchange in (*self.door.open.values(), *self.door.ended.values()):
             for attempt in exchange.out.values():
                 out[attempt.server] = out.get(attempt.server, 0) + 1
+        buildings = {number: name for name, number in self.door.config.zone_numbers.items()}
         members = tuple(
-            wire.Member(name, server.state.value, name in self.overlay.drained, out.get(name, 0))
+            wire.Member(name, buildings.get(server.zone, str(server.zone)), server.state.value,
+                        name in self.overlay.drained, out.get(name, 0))
             for name, server in self.overlay.listed.items()
         )
         return wire.Answer(wire.VERSION, ask.number, members=members)
 
     def on_orders(self, ask: wire.Ask, _: ControlConnection) -> wire.Answer:
-        found = tuple(fields_of(decided) for decided in self.book.in_force.values())
+        found = self.book.state().in_force
         return wire.Answer(wire.VERSION, ask.number, orders=found, state=self.state())
 
     def on_counters(self, ask: wire.Ask, _: ControlConnection) -> wire.Answer:
@@ -229,15 +231,16 @@
         ))
 
     def on_put(self, ask: wire.Ask, _: ControlConnection) -> wire.Answer:
-        """Decided orders, in any order and as often as one likes; all are checked before one is taken."""
-        decided = [decided_of(fields) for fields in ask.orders]
-        for each in decided:
-            each.order.check()
-        entered = [one for each in decided for one in self.book.learn(each)]
-        for one in entered:
-            log.info("order %s: %s %s, by %s at revision %d: %s", one.order.id, one.order.verb.value,
-                     one.order.subject, one.order.issuer, one.revision, one.order.reason)
-        self.carry_out()
+        """All orders in force at a revision; one that is behind what holds here changes nothing."""
+        before = dict(self.book.in_force)
+        if ask.book and self.book.adopt(ask.book):
+            for key, one in self.book.in_force.items():
+                if before.get(key) != one:
+                    log.info("order %s: %s %s, by %s at revision %d: %s", one.order.id, one.order.verb.value,
+                             one.order.subject, one.order.issuer, one.revision, one.order.reason)
+            for verb, subject in before.keys() - self.book.in_force.keys():
+                log.info("order ended: %s %s, at revision %d", verb.value, subject, self.book.revision)
+            self.carry_out()
         self.told.set()
         return wire.Answer(wire.VERSION, ask.number, state=self.state())
 
@@ -287,19 +290,3 @@
         except TimeoutError:
             log.warning("no agent has brought orders within %.1f s; starting without", wait_s)
     return control.close
-
-
-def fields_of(decided: Decided) -> wire.OrderFields:
-    order = decided.order
-    return wire.OrderFields(decided.revision, order.id, order.verb.value, order.subject, order.issuer,
-                            order.reason, order.based_on, order.lapses_ms, order.forced)
-
-
-def decided_of(fields: wire.OrderFields) -> Decided:
-    if fields.revision < 1:
-        raise OrderError("revision: not below 1")
-    return Decided(fields.revision, Order(
-        fields.id, Verb(fields.verb), fields.subject, fields.issuer, fields.reason, fields.based_on,
-        fields.lapses_ms, fields.forced,
-    ))
-
--- a/molereach/fleet/journal.py
+++ b/molereach/fleet/journal.py
@@ -1,4 +1,5 @@
-"""What an agent must not forget, on its disk: its promise under way and the decided orders.
+"""What an agent must not forget, on its disk: its promise under way and the book of decided
+orders.
 
 The file is written whole beside the old one, synced, and put in its place; a reader finds the old one or the
 new one and nothing between. A file that is damaged is refused and never taken for an empty one: an acceptor
@@ -9,19 +10,18 @@
 import fcntl
 import hashlib
 import os
-from dataclasses import dataclass, field
 from pathlib import Path
 
 import msgspec
 
 from molereach.fleet.agreement import Promised
-from molereach.fleet.orders import Decided
+from molereach.fleet.orders import BookState
 
 MAGIC = b"molereach-agent-journal"
-VERSION = 1
+VERSION = 2
 DIGEST_BYTES = 16
 HEAD_BYTES = len(MAGIC) + 1 + 4 + DIGEST_BYTES  # magic, version, length of the body, digest of all of these
-MOST_BYTES = 16 << 20
+MOST_BYTES = 4 << 20  # a book holds 512 orders of about 1 KB at most
 PRIVATE = 0o600
 
 
@@ -29,13 +29,12 @@
     """The journal cannot be read or written; the text is one plain line that names the file."""
 
 
-@dataclass(frozen=True, slots=True)
-class AgentState:
+class AgentState(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What outlives an agent."""
 
     agent: str  # its name: another agent's journal is not its own
-    promised: Promised = field(default_factory=Promised)
-    log: tuple[Decided, ...] = ()  # in order of revision
+    promised: Promised = Promised()
+    book: BookState = BookState()
 
 
 _encoder = msgspec.json.Encoder()
@@ -68,9 +67,7 @@
     if digest(data[:start], body) != data[start:HEAD_BYTES]:
         raise ValueError("is damaged: its checksum is another")
     state = _decoder.decode(body)
-    revisions = [decided.revision for decided in state.log]
-    if revisions != list(range(1, len(revisions) + 1)):
-        raise ValueError("has a log with gaps")
+    state.book.check()
     return state
 
 
--- a/molereach/fleet/orders.py
+++ b/molereach/fleet/orders.py
@@ -5,18 +5,20 @@
 events.
 """
 
-from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 from enum import Enum
 
+import msgspec
+
 from fennelwinch import interface as i
 
-MOST_NAME = 64  # characters of an id, a subject or an issuer
-MOST_REASON = 256
-MOST_REMEMBERED = 1024  # ids of decided orders, so that one given again is known
+MOST_NAME_BYTES = 64  # of an id, a subject or an issuer, in UTF-8
+MOST_REASON_BYTES = 256
+MOST_RECENT = 256  # revisions that are remembered one by one, so that an order given again is known
 MOST_AHEAD = 256  # decided orders that wait for those before them
-MOST_IN_FORCE = 512  # wanted orders at once
+MOST_IN_FORCE = 256  # wanted orders at once
+MOST_REVISION = 1 << 53  # whole numbers beyond that are not safe in JSON
 
 
 class OrderError(ValueError):
@@ -37,8 +39,7 @@
         return {Verb.UNDRAIN: Verb.DRAIN, Verb.RELEASE: Verb.HOLD}.get(self)
 
 
-@dataclass(frozen=True, slots=True)
-class Order:
+class Order(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One order.
 
     `based_on` is the revision of the book that its issuer saw; `lapses_ms` is Unix time in milliseconds from
@@ -56,21 +57,51 @@
 
     def check(self) -> None:
         """OrderError where a field is empty, too long, not printable or out of range."""
-        for name, text, most in (("id", self.id, MOST_NAME), ("subject", self.subject, MOST_NAME),
-                                 ("issuer", self.issuer, MOST_NAME), ("reason", self.reason, MOST_REASON)):
-            if not text or len(text) > most or not text.isprintable():
-                raise OrderError(f"{name}: not 1 to {most} printable characters")
-        if self.based_on < 0 or self.lapses_ms < 0:
-            raise OrderError("based_on and lapses_ms: not below 0")
+        for name, text, most in (("id", self.id, MOST_NAME_BYTES), ("subject", self.subject, MOST_NAME_BYTES),
+                                 ("issuer", self.issuer, MOST_NAME_BYTES),
+                                 ("reason", self.reason, MOST_REASON_BYTES)):
+            if not text or len(text.encode("utf-8", "replace")) > most or not text.isprintable():
+                raise OrderError(f"{name}: not 1 to {most} bytes of printable text")
+        if not 0 <= self.based_on <= MOST_REVISION or not 0 <= self.lapses_ms <= MOST_REVISION:
+            raise OrderError(f"based_on and lapses_ms: not 0 to {MOST_REVISION}")
 
 
-@dataclass(frozen=True, slots=True)
-class Decided:
+class Decided(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """An order that stands at a revision, at every agent alike."""
 
     revision: int
     order: Order
 
+    def check(self) -> None:
+        """OrderError where the order or its revision cannot be."""
+        self.order.check()
+        if not 1 <= self.revision <= MOST_REVISION:
+            raise OrderError(f"revision: not 1 to {MOST_REVISION}")
+
+
+class BookState(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All that a book holds, as it travels and as it is stored; in order of revision."""
+
+    revision: int = 0
+    in_force: tuple[Decided, ...] = ()
+    recent: tuple[Decided, ...] = ()  # the latest that had an effect, for repeats and for those who lose
+
+    def check(self) -> None:
+        """OrderError where no book can be like that."""
+        if not 0 <= self.revision <= MOST_REVISION:
+            raise OrderError(f"revision: not 0 to {MOST_REVISION}")
+        for name, found, most in (("in_force", self.in_force, MOST_IN_FORCE),
+                                  ("recent", self.recent, MOST_RECENT)):
+            revisions = [decided.revision for decided in found]
+            if len(found) > most or sorted(set(revisions)) != revisions:
+                raise OrderError(f"{name}: not {most} orders at most, in order of revision")
+            for decided in found:
+                decided.check()
+            if revisions and revisions[-1] > self.revision:
+                raise OrderError(f"{name}: an order from after revision {self.revision}")
+        if any(decided.order.verb.takes_back for decided in self.in_force):
+            raise OrderError("in_force: an order that ends others is never in force itself")
+
 
 class Why(Enum):
     """Why an order cannot be given."""
@@ -93,17 +124,47 @@
 class Book:
     """What was decided so far: the orders in force, by what they ask for and of whom."""
 
-    def __init__(self) -> None:
-        self.revision = 0  # all up to here are in
+    def __init__(self, state: BookState = BookState()) -> None:
+        self.revision = state.revision  # all up to here are in
         self.in_force: dict[tuple[Verb, str], Decided] = {}
-        self.last: dict[str, Decided] = {}  # by subject: the latest order about it, for those who lose to it
-        self.ids: OrderedDict[str, Decided] = OrderedDict()
+        self.recent: dict[int, Decided] = {}
         self.ahead: dict[int, Order] = {}
+        self.take_over(state)
+
+    def take_over(self, state: BookState) -> None:
+        self.revision = state.revision
+        self.in_force = {(each.order.verb, each.order.subject): each for each in state.in_force}
+        self.recent = {each.revision: each for each in state.recent}
+
+    def state(self) -> BookState:
+        """What another book needs to be like this one."""
+        in_force = sorted(self.in_force.values(), key=lambda decided: decided.revision)
+        return BookState(self.revision, tuple(in_force), tuple(self.recent.values()))
+
+    def adopt(self, state: BookState) -> bool:
+        """Take over a checked book that is further on; whether it was. It never goes back."""
+        if state.revision <= self.revision:
+            return False
+        self.take_over(state)
+        self.ahead = {revision: order for revision, order in self.ahead.items() if revision > self.revision}
+        self.catch_up()
+        return True
+
+    def find(self, order_id: str) -> Decided | None:
+        """The decided order with an id, if it is remembered."""
+        return next((each for each in self.recent.values() if each.order.id == order_id), None)
+
+    def last_about(self, subject: str) -> Decided | None:
+        """The latest order about a subject, if it is remembered."""
+        return next((each for each in reversed(self.recent.values()) if each.order.subject == subject), None)
 
     def learn(self, decided: Decided) -> list[Decided]:
         """Take a decided order; those that are in now, in order. Repeats and gaps are harmless."""
         if decided.revision > self.revision and len(self.ahead) < MOST_AHEAD:
             self.ahead.setdefault(decided.revision, decided.order)
+        return self.catch_up()
+
+    def catch_up(self) -> list[Decided]:
         entered: list[Decided] = []
         while (order := self.ahead.pop(self.revision + 1, None)) is not None:
             entered.append(Decided(self.revision + 1, order))
@@ -113,19 +174,19 @@
     def enter(self, decided: Decided) -> None:
         order = decided.order
         self.revision = decided.revision
-        if order.id in self.ids:  # given twice, it is one order
+        if self.find(order.id):  # given twice, it is one order
             return
-        self.ids[order.id] = decided
-        while len(self.ids) > MOST_REMEMBERED:
-            self.ids.popitem(last=False)
-        self.last.pop(order.subject, None)
-        self.last[order.subject] = decided
-        while len(self.last) > MOST_REMEMBERED:
-            del self.last[next(iter(self.last))]
+        while self.recent and next(iter(self.recent)) <= self.revision - MOST_RECENT:
+            del self.recent[next(iter(self.recent))]
+        self.recent[decided.revision] = decided
         if ended := order.verb.takes_back:
             self.in_force.pop((ended, order.subject), None)
-        else:
-            self.in_force[order.verb, order.subject] = decided
+            return
+        self.in_force[order.verb, order.subject] = decided
+        if len(self.in_force) > MOST_IN_FORCE:  # `judge` saw to it that one has lapsed: the same at every book
+            lapsing = [key for key, each in self.in_force.items() if each.order.lapses_ms]
+            oldest = min(lapsing or self.in_force, key=lambda key: self.in_force[key].order.lapses_ms)
+            del self.in_force[oldest]
 
     def wanted(self, verb: Verb, now_ms: int) -> frozenset[str]:
         """The subjects of the orders of a verb that are in force and have not lapsed."""
@@ -145,16 +206,19 @@
         `ready` has the ready servers and their buildings, as discovery lists them; `floor` is how many of
         each building must be left. An order that stands already is given back as it was decided.
         """
-        if known := self.ids.get(order.id):
+        if known := self.find(order.id):
             return known
         if lapsed(order, now_ms):
             return Refusal(Why.LAPSED, "its time is over")
-        winner = self.last.get(order.subject)
+        if order.based_on < self.revision - MOST_RECENT:
+            return Refusal(Why.CONFLICT, f"it is based on revision {order.based_on}; {self.revision} stands")
+        winner = self.last_about(order.subject)
         if winner and winner.revision > order.based_on and winner.order.verb is not order.verb:
             by = winner.order
             return Refusal(Why.CONFLICT, f"{by.verb.value} by {by.issuer} stands at revision "
                                          f"{winner.revision}: {by.reason}", winner)
-        if order.verb.takes_back is None and len(self.in_force) >= MOST_IN_FORCE:
+        standing = sum(not lapsed(each.order, now_ms) for each in self.in_force.values())
+        if order.verb.takes_back is None and standing >= MOST_IN_FORCE:
             return Refusal(Why.FULL, f"{MOST_IN_FORCE} orders are in force")
         return self.judge_floor(order, now_ms, ready, floor) if order.verb is Verb.DRAIN else None
 
--- /dev/null
+++ b/molereach/fleet/view.py
@@ -0,0 +1,105 @@
+"""What an agent tells of itself and its front doors: the bodies of its API. A core."""
+
+from collections.abc import Iterable
+from typing import Literal
+
+import msgspec
+
+from molereach.fleet.orders import BookState, Decided, Order
+from molereach.fleet.wire import Member, Standing, State
+
+Reach = Literal["new", "up", "silent", "gone", "ended"]
+
+
+class Body(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A body of the API."""
+
+
+class DoorView(Body, frozen=True):
+    """A front door as its agent knows it; times in milliseconds."""
+
+    name: str
+    reach: Reach  # new: not heard yet; silent: takes all and says nothing; ended: in order, by itself
+    heard_ago_ms: int | None  # since its last word; None for never
+    why: str = ""
+    state: State | None = None  # as it was told last
+
+    @property
+    def revision(self) -> int:
+        """The orders that it had at its last word."""
+        return self.state.revision if self.state else 0
+
+
+class Status(Body, frozen=True):
+    """An agent and its front doors."""
+
+    agent: str
+    fleet: tuple[str, ...]  # the names of all agents, which decide together
+    revision: int
+    synced: bool  # whether it has heard from a majority since it started
+    journal: str  # "" or why nothing can be promised any more
+    pending: Order | None  # accepted here and not known to be decided
+    doors: tuple[DoorView, ...]
+
+
+class View(Body, frozen=True):
+    """All that a tool needs to give an order."""
+
+    status: Status
+    book: BookState
+    ready: dict[str, str]  # servers that are up at each front door that answers, and their buildings
+
+
+class Members(Body, frozen=True):
+    """The servers as each front door that answers sees them."""
+
+    agent: str
+    doors: dict[str, tuple[Member, ...]]
+    missing: dict[str, str]  # front doors that did not answer, and why
+
+
+class Quota(Body, frozen=True):
+    """What each front door that answers knows of a customer's quota."""
+
+    agent: str
+    doors: dict[str, tuple[Standing, ...]]
+    missing: dict[str, str]
+
+
+class Orders(Body, frozen=True):
+    """Orders in force, the latest ones, and one that is under way."""
+
+    agent: str
+    revision: int
+    in_force: tuple[Decided, ...]
+    recent: tuple[Decided, ...]
+    pending: Order | None
+
+
+class Event(Body, frozen=True):
+    """Something that an agent saw or did; `number` counts up, so that a gap can be seen."""
+
+    number: int
+    at_ms: int
+    agent: str
+    kind: Literal["door", "order", "agent", "refusal", "dropped"]
+    subject: str
+    text: str
+
+
+class Problem(Body, frozen=True):
+    """Why something could not be answered, in one line."""
+
+    error: str
+
+
+def ready_servers(doors: Iterable[Iterable[Member]]) -> dict[str, str]:
+    """Servers that discovery lists as up at each of the front doors that list them, and their buildings."""
+    found: dict[str, str] = {}
+    lost: set[str] = set()
+    for members in doors:
+        for member in members:
+            found[member.name] = member.building
+            if member.listed != "up":
+                lost.add(member.name)
+    return {name: building for name, building in found.items() if name not in lost}
--- a/molereach/fleet/wire.py
+++ b/molereach/fleet/wire.py
@@ -9,9 +9,11 @@
 
 import msgspec
 
-VERSION = 1
+from molereach.fleet.orders import BookState, Decided, OrderError
+
+VERSION = 2
 HEAD_BYTES = 4
-MOST_ASK_BYTES = 64 * 1024
+MOST_ASK_BYTES = 512 * 1024  # a book with the most orders in force, each as long as can be
 MOST_ANSWER_BYTES = 1 << 20
 
 
@@ -19,20 +21,6 @@
     """What came is no frame, or no message, of this protocol."""
 
 
-class OrderFields(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A decided order, as it travels."""
-
-    revision: int
-    id: str
-    verb: Literal["drain", "undrain", "hold", "release"]
-    subject: str
-    issuer: str
-    reason: str
-    based_on: int
-    lapses_ms: int = 0
-    forced: bool = False
-
-
 class Ask(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What an agent asks of a front door. `number` comes back with the answer."""
 
@@ -40,13 +28,14 @@
     number: int
     what: Literal["state", "members", "orders", "counters", "quota", "put", "watch"]
     customer: str = ""  # of `quota`: 16 hex digits
-    orders: tuple[OrderFields, ...] = ()  # of `put`
+    book: BookState | None = None  # of `put`: all orders in force at its revision
 
 
 class Member(msgspec.Struct, frozen=True):
     """A server as this front door sees it."""
 
     name: str
+    building: str
     listed: str  # by discovery
     drained: bool  # by an order
     in_flight: int  # attempts of this front door that are out
@@ -84,7 +73,7 @@
     error: str = ""
     state: State | None = None
     members: tuple[Member, ...] | None = None
-    orders: tuple[OrderFields, ...] | None = None
+    orders: tuple[Decided, ...] | None = None
     counters: dict[str, int] | None = None
     quota: tuple[Standing, ...] | None = None
 
@@ -132,7 +121,9 @@
     """WireError names the key that is wrong, or the version that is not ours."""
     try:
         ask = _asks.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        if ask.book:
+            ask.book.check()
+    except (msgspec.DecodeError, UnicodeDecodeError, OrderError) as error:
         raise WireError(" ".join(str(error).split())) from error
     if ask.version != VERSION:
         raise WireError(f"version {ask.version} is not spoken here; {VERSION} is")
--- a/tests/fleet/test_agreement.py
+++ b/tests/fleet/test_agreement.py
@@ -46,9 +46,7 @@
         chance = self.random.random()
         if chance < 0.03:  # an agent starts again with what is on its disk
             name = self.random.choice(AGENTS)
-            old = self.agents[name]
-            self.agents[name] = Acceptor(
-                old.state, [Decided(revision, one) for revision, one in old.log.items()])
+            self.agents[name] = Acceptor(self.agents[name].state, self.agents[name].book.state())
         elif chance < 0.08 or not self.wires:  # a tool's patience is over
             tool = self.random.choice(list(self.tools.values()))
             if tool.name not in self.dead:
@@ -73,8 +71,7 @@
         """No two agents and no tool ever hold different orders at one revision."""
         stand: dict[int, str] = {}
         outcomes = [tool.outcome for tool in self.tools.values() if tool.outcome]
-        logs = [Decided(revision, one) for agent in self.agents.values()
-                for revision, one in agent.log.items()]
+        logs = [decided for agent in self.agents.values() for decided in agent.book.recent.values()]
         for decided in (*outcomes, *logs):
             assert stand.setdefault(decided.revision, decided.order.id) == decided.order.id
         for tool in self.tools.values():
@@ -100,7 +97,7 @@
         assert winner
         for agent in fleet.agents.values():  # whoever was away is told on its return
             agent.handle(Known((winner,)))
-            assert agent.book.last["s1"] == winner and agent.book.revision == 1
+            assert agent.book.last_about("s1") == winner and agent.book.revision == 1
 
 
 def test_tool_killed_at_any_point_leaves_one_order_that_the_next_finishes() -> None:
--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -17,7 +17,8 @@
 from molereach.door.frontdoor import FrontDoor
 from molereach.fleet import control, wire
 from molereach.fleet.control import Control, ControlError, attach
-from molereach.fleet.wire import Answer, Ask, OrderFields
+from molereach.fleet.orders import Book, BookState, Decided, Order, Verb
+from molereach.fleet.wire import Answer, Ask
 from tests.sockets import CUSTOMER, HOST, Backend, Client, catalog, entry, front_door, query, refusing_address
 from tests.sockets import run as run_job
 from tests.test_program import ROOT, SETTINGS, config, write
@@ -44,14 +45,22 @@
 
     async def ask(self, what: str, **more: object) -> Answer:
         self.number += 1
-        self.writer.write(wire.frame(Ask(1, self.number, what, **more)))  # type: ignore[arg-type]
+        self.writer.write(wire.frame(Ask(wire.VERSION, self.number, what, **more)))  # type: ignore[arg-type]
         answer = await self.answer()
         assert answer.number == self.number
         return answer
 
 
-def order(revision: int, verb: str, subject: str, **more: object) -> OrderFields:
-    return OrderFields(revision, f"o{revision}", verb, subject, "duty", "why", 0, **more)  # type: ignore[arg-type]
+def order(revision: int, verb: str, subject: str, **more: object) -> Decided:
+    return Decided(revision, Order(f"o{revision}", Verb(verb), subject, "duty", "why", 0, **more))
+
+
+def book(*decided: Decided) -> BookState:
+    """What an agent puts that has these orders."""
+    made = Book()
+    for one in decided:
+        made.learn(one)
+    return BookState(made.revision, made.state().in_force)
 
 
 @contextlib.asynccontextmanager
@@ -108,7 +117,7 @@
             agent = await opened(tmp_path / "n0.sock")
             with pytest.raises(OSError):
                 await Client.open(address)  # it does not listen yet
-            put = await agent.ask("put", orders=(order(1, "drain", "s0"),))
+            put = await agent.ask("put", book=book(order(1, "drain", "s0")))
             assert put.state and put.state.revision == 1
             await until_line(process, b"serves at")
             client = await Client.open(address)
@@ -118,7 +127,8 @@
             members = (await agent.ask("members")).members
             assert members and {(one.name, one.listed, one.drained) for one in members} == {
                 ("s0", "up", True), ("s1", "up", False)}
-            await agent.ask("put", orders=(order(2, "undrain", "s0"), order(3, "drain", "s1")))
+            await agent.ask("put", book=book(order(1, "drain", "s0"), order(2, "undrain", "s0"),
+                                              order(3, "drain", "s1")))
             for number in range(20, 40):
                 assert await client.ask(query(f"a{number}")) == b"ok"
             assert len(backends[0].commands) == 20 and len(backends[1].commands) == 20
@@ -136,7 +146,7 @@
     async def job() -> None:
         backend = Backend()
         async with controlled(tmp_path / "s", backend) as (door, address, agent, _):
-            await agent.ask("put", orders=(order(1, "drain", "s9"),))
+            await agent.ask("put", book=book(order(1, "drain", "s9")))
             there = backend.server.sockets[0].getsockname()
             servers = tuple(i.Server(name, 0, 0, 0, i.ServerState.UP) for name in ("s8", "s9"))
             door.list_heard(News(i.ServerList(i.ListKind.FULL, 9, servers), {"s8": there, "s9": there}))
@@ -154,13 +164,17 @@
         async with controlled(tmp_path / "s", Backend()) as (door, address, agent, _):
             client = await Client.open(address)
             assert await client.ask(query("a1")) == b"ok"
-            held = await agent.ask("put", orders=(order(1, "hold", "n0"), order(2, "hold", "n7")))
+            held = await agent.ask("put", book=book(order(1, "hold", "n0"), order(2, "hold", "n7")))
             assert held.state and held.state.held
             with pytest.raises(OSError):
                 await Client.open(address)
             assert await client.ask(query("a2")) == b"ok"
-            await agent.ask("put", orders=(order(3, "release", "n0"),))
+            released = book(order(1, "hold", "n0"), order(2, "hold", "n7"), order(3, "release", "n0"))
+            await agent.ask("put", book=released)
             assert not door.clients.held
+            for older in (book(order(1, "hold", "n0")), book(), None):  # it never goes back
+                state = (await agent.ask("put", book=older)).state
+                assert state and state.revision == 3 and not door.clients.held
             assert await (await Client.open(address)).ask(query("a3")) == b"ok"
 
     run_job(job())
@@ -172,7 +186,7 @@
     async def job() -> None:
         async with controlled(tmp_path / "s", Backend()) as (door, address, agent, made):
             lapses = control.unix_ms() + 200
-            await agent.ask("put", orders=(order(1, "hold", "n0", lapses_ms=lapses),))
+            await agent.ask("put", book=book(order(1, "hold", "n0", lapses_ms=lapses)))
             assert door.clients.held
             while door.clients.held:
                 await asyncio.sleep(0.01)
@@ -197,7 +211,7 @@
             (standing,) = (await agent.ask("quota", customer=CUSTOMER.upper())).quota or ()
             assert standing.plan == 0 and 999 <= standing.level <= 1000 and standing.demand > 0
             assert (await agent.ask("quota", customer="0" * 16)).quota == ()
-            await agent.ask("put", orders=(order(1, "drain", "sx"),))
+            await agent.ask("put", book=book(order(1, "drain", "sx")))
             assert (await agent.ask("orders")).orders == (order(1, "drain", "sx"),)
 
     run_job(job())
@@ -206,9 +220,13 @@
 def test_unusable_orders_change_nothing(tmp_path: Path) -> None:
     async def job() -> None:
         async with controlled(tmp_path / "s", Backend()) as (_, _, agent, made):
-            for wrong in (order(0, "hold", "n0"), order(2, "hold", "x" * 65), order(2, "drain", "")):
-                answer = await agent.ask("put", orders=(order(1, "hold", "n0"), wrong))
-                assert answer.error and made.book.revision == 0 and not made.door.clients.held
+            good = order(1, "hold", "n0")
+            for wrong in (order(0, "hold", "n0"), order(2, "hold", "x" * 65), order(2, "drain", ""),
+                          order(2, "release", "n0"), order(1, "hold", "n1"), order(9, "hold", "n1")):
+                hostile = await Agent.open(tmp_path / "s")
+                hostile.writer.write(wire.frame(Ask(wire.VERSION, 1, "put", book=BookState(3, (good, wrong)))))
+                assert (await hostile.answer()).error
+                assert made.book.revision == 0 and not made.door.clients.held
 
     run_job(job())
 
@@ -238,12 +256,12 @@
         async with controlled(tmp_path / "s", Backend()) as (_, address, agent, made):
             watcher = await Agent.open(tmp_path / "s")
             await watcher.ask("watch")
-            await agent.ask("put", orders=(order(1, "hold", "n0"), order(2, "release", "n0")))
+            await agent.ask("put", book=book(order(1, "hold", "n0"), order(2, "release", "n0")))
             news = await watcher.answer()
             assert news.number == wire.NEWS and news.state and news.state.revision == 2
             silent = await Agent.open(tmp_path / "s")
             silent.writer.transport.pause_reading()  # type: ignore[attr-defined]
-            silent.writer.write(b"".join(wire.frame(Ask(1, number, "counters")) for number in range(9000)))
+            silent.writer.write(b"".join(wire.frame(Ask(wire.VERSION, number, "counters")) for number in range(9000)))
             while len(made.connections) > 2:  # it asks and asks, and reads nothing
                 await asyncio.sleep(0)
             assert await (await Client.open(address)).ask(query("a1")) == b"ok"
--- a/tests/fleet/test_journal.py
+++ b/tests/fleet/test_journal.py
@@ -14,7 +14,7 @@
 from molereach.fleet import journal
 from molereach.fleet.agreement import Acceptor, Ballot, Prepare, Promised
 from molereach.fleet.journal import AgentState, Journal, JournalError, decode, encode
-from molereach.fleet.orders import Decided, Order, Verb
+from molereach.fleet.orders import BookState, Decided, Order, Verb
 
 ROOT = Path(__file__).parents[2]
 
@@ -24,7 +24,7 @@
                 for number in range(1, revisions + 1))
     promised = Promised(revisions + 1, Ballot(7, "t1"), Ballot(5, "t2"),
                         Order("x", Verb.HOLD, "n1", "duty", "r", 0, 99, True))
-    return AgentState("a1", promised, log)
+    return AgentState("a1", promised, BookState(revisions, log, log))
 
 
 def test_what_is_saved_is_loaded(tmp_path: Path) -> None:
@@ -35,7 +35,7 @@
     two = Journal(tmp_path / "j", "a1")
     assert two.load() == state()
     assert (tmp_path / "j").stat().st_mode & 0o777 == 0o600
-    agent = Acceptor(two.load().promised, two.load().log)
+    agent = Acceptor(two.load().promised, two.load().book)
     assert agent.book.revision == 3 and agent.handle(Prepare(4, Ballot(6, "t9")))[0] != []
     two.close()
 
@@ -57,10 +57,10 @@
 def test_damaged_foreign_or_newer_file_is_one_line_and_not_an_empty_state(tmp_path: Path) -> None:
     file = tmp_path / "j"
     newer = bytearray(encode(state()))
-    newer[len(journal.MAGIC)] = 2
-    gap = encode(AgentState("a1", log=(Decided(2, state().log[1].order),)))
+    newer[len(journal.MAGIC)] = 9
+    wrong = encode(AgentState("a1", book=BookState(1, state().book.in_force)))
     for data, reason in ((encode(state())[:-1], "as long as it says"), (b"", "no journal"),
-                         (bytes(newer), "version 2"), (gap, "gaps"),
+                         (bytes(newer), "version 9"), (wrong, "in_force"),
                          (encode(AgentState("a9")), "agent 'a9'")):
         file.write_bytes(data)
         made = Journal(file, "a1")
@@ -121,12 +121,12 @@
 import itertools, sys
 from pathlib import Path
 from molereach.fleet.journal import AgentState, Journal
-from molereach.fleet.orders import Decided, Order, Verb
+from molereach.fleet.orders import BookState, Decided, Order, Verb
 made = Journal(Path(sys.argv[1]), "a1")
-log = made.load().log
+log = made.load().book.recent
 for number in itertools.count(len(log) + 1):
     log += (Decided(number, Order(f"o{number}", Verb.DRAIN, "s1", "duty", "r" * 200, 0)),)
-    made.save(AgentState("a1", log=log))
+    made.save(AgentState("a1", book=BookState(number, (), log)))
     print(number, flush=True)
 """
 
@@ -145,5 +145,5 @@
         rest, _ = process.communicate()
         said = int(rest.split()[-1]) if rest.split() else said
         made = Journal(tmp_path / "j", "a1")
-        assert len(made.load().log) in (said, said + 1)
+        assert len(made.load().book.recent) in (said, said + 1)
         made.close()
--- a/tests/fleet/test_orders.py
+++ b/tests/fleet/test_orders.py
@@ -1,14 +1,13 @@
 """Orders, the book of what was decided, and the list with orders over it."""
 
-from dataclasses import replace
-
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec.structs import replace
 
 from fennelwinch import interface as i
 from molereach.fleet import orders
-from molereach.fleet.orders import Book, Decided, Order, OrderError, Overlay, Refusal, Verb, Why
+from molereach.fleet.orders import Book, BookState, Decided, Order, OrderError, Overlay, Refusal, Verb, Why
 
 READY = {"s1": "east", "s2": "east", "s3": "west"}
 
@@ -32,7 +31,7 @@
 def test_unusable_order_is_named(wrong: dict[str, object]) -> None:
     order().check()
     with pytest.raises(OrderError, match=next(iter(wrong))):
-        replace(order(), **wrong).check()  # type: ignore[arg-type]
+        replace(order(), **wrong).check()
 
 
 def test_drain_holds_until_it_is_taken_back_or_lapses() -> None:
@@ -86,6 +85,10 @@
     full = book(order()).judge(order("o2", subject="s2", based_on=1), 0, READY, 0)
     assert isinstance(full, Refusal) and full.why is Why.FULL
     assert book(order()).judge(order("o2", Verb.UNDRAIN, based_on=1), 0, READY, 0) is None
+    full = book(order(lapses_ms=50))
+    assert full.judge(order("o2", subject="s2", based_on=1), 50, READY, 0) is None
+    full.learn(Decided(2, order("o2", subject="s2", based_on=1)))
+    assert full.wanted(Verb.DRAIN, 0) == {"s2"}  # what has lapsed gave way
 
 
 ORDERS = st.lists(st.builds(
@@ -103,7 +106,7 @@
     second = Book()
     entered = [one for each in decided for one in second.learn(each)]
     assert [one.revision for one in entered] == list(range(1, len(given_orders) + 1))
-    assert (second.revision, second.in_force, second.ids) == (first.revision, first.in_force, first.ids)
+    assert second.state() == first.state()
 
 
 def test_what_waits_and_what_is_remembered_is_bounded() -> None:
@@ -114,7 +117,36 @@
     long = Book()
     for revision in range(1, 3000):
         long.learn(Decided(revision, order(f"o{revision}", subject=f"s{revision}")))
-    assert len(long.ids) == len(long.last) == orders.MOST_REMEMBERED
+    assert len(long.recent) == orders.MOST_RECENT and long.find("o2999") and not long.find("o2000")
+    assert isinstance(long.judge(order("late"), 0, READY, 0), Refusal)  # nobody knows what it did not see
+    long.state().check()
+
+
+@given(ORDERS, st.integers(0, 12), st.integers(1, 3))
+def test_book_goes_on_from_another_ones_state_as_if_it_had_learned_all(
+    given_orders: list[Order], at: int, recent: int
+) -> None:
+    with pytest.MonkeyPatch.context() as small:
+        small.setattr(orders, "MOST_RECENT", recent)
+        whole, late = Book(), Book()
+        for revision, one in enumerate(given_orders, 1):
+            whole.learn(Decided(revision, one))
+            if revision == at:
+                assert late.adopt(whole.state()) and not late.adopt(whole.state())
+            elif revision > at:
+                late.learn(Decided(revision, one))
+        if at and at <= len(given_orders):
+            assert late.state() == whole.state()
+
+
+def test_state_that_no_book_can_have_is_refused() -> None:
+    one, two = Decided(1, order()), Decided(2, order("o2", subject="s2"))
+    BookState(2, (one, two), (one, two)).check()
+    for wrong in (BookState(-1), BookState(1, (one, two)), BookState(2, (two, one)), BookState(2, (one, one)),
+                  BookState(2, (Decided(2, order(verb=Verb.UNDRAIN)),)), BookState(2, (), (Decided(0, order()),)),
+                  BookState(1000, tuple(Decided(n, order()) for n in range(1, orders.MOST_IN_FORCE + 2)))):
+        with pytest.raises(OrderError):
+            wrong.check()
 
 
 # --- the list with orders over it ---
--- a/tests/fleet/test_wire.py
+++ b/tests/fleet/test_wire.py
@@ -5,22 +5,22 @@
 from hypothesis import strategies as st
 
 from molereach.fleet import wire
+from molereach.fleet.orders import BookState, Decided, Order, Verb
 from molereach.fleet.wire import (
     Answer,
     Ask,
     FrameReader,
-    OrderFields,
     WireError,
     frame,
     read_answer,
     read_ask,
 )
 
-ORDER = OrderFields(3, "o1", "drain", "s1", "duty", "replaced", 2)
+BOOK = BookState(3, (Decided(3, Order("o1", Verb.DRAIN, "s1", "duty", "replaced", 2)),))
 
 
 @given(st.lists(st.sampled_from([
-    Ask(1, 7, "state"), Ask(1, 8, "quota", customer="0" * 16), Ask(1, 9, "put", orders=(ORDER, ORDER)),
+    Ask(2, 7, "state"), Ask(2, 8, "quota", customer="0" * 16), Ask(2, 9, "put", book=BOOK),
 ]), max_size=5), st.integers(1, 40))
 def test_frames_come_out_whole_however_they_are_cut(asks: list[Ask], size: int) -> None:
     data = b"".join(map(frame, asks))
@@ -44,8 +44,8 @@
     (b"", "truncated"), (b"\xff", "JSON"), (b"[]", "object"), (b"{}", "version"),
     (b'{"version":1,"number":1,"what":"fly"}', r"\$\.what"),
     (b'{"version":1,"number":1,"what":"state","more":1}', "more"),
-    (b'{"version":2,"number":1,"what":"state"}', "version 2 is not spoken here; 1 is"),
-    (b'{"version":1,"number":1,"what":"put","orders":[{"revision":1}]}', r"orders"),
+    (b'{"version":1,"number":1,"what":"state"}', "version 1 is not spoken here; 2 is"),
+    (b'{"version":2,"number":1,"what":"put","book":{"revision":1,"in_force":[{}]}}', r"in_force"),
 ])
 def test_what_is_no_ask_is_named(body: bytes, reason: str) -> None:
     with pytest.raises(WireError, match=reason):
@@ -53,10 +53,10 @@
 
 
 def test_answers_are_checked_too_and_bounded() -> None:
-    answer = Answer(1, 4, counters={"asks": 2})
+    answer = Answer(2, 4, counters={"asks": 2})
     assert read_answer(frame(answer)[4:]) == answer
     for body in (b"{}", b'{"version":9,"number":1}'):
         with pytest.raises(WireError):
             read_answer(body)
     with pytest.raises(WireError, match="at most"):
-        frame(Ask(1, 1, "quota", customer="x" * wire.MOST_ASK_BYTES))
+        frame(Ask(2, 1, "quota", customer="x" * wire.MOST_ASK_BYTES))
