--- a/molereach/fleet/campaign.py
+++ b/molereach/fleet/campaign.py
@@ -189,7 +189,7 @@
         return len(self.agents) // 2 + 1
 
     def begin(self, now_us: int) -> list[Action]:
-        """Start; the shell then hands in what comes and a `Tick` every `STEP_US`, until there is a `report`."""
+        """Start; then hand in what comes, and a `Tick` every `STEP_US`, until there is a `report`."""
         self.begun_us = now_us
         self.until_us, self.look_us = now_us + self.times.agree_us, now_us + LOOK_US
         return [Step("looking"), *self.look_at(self.agents)]
@@ -369,8 +369,8 @@
         what = f"{self.decided.order.verb.value} {self.decided.order.subject}"
         stands = f"{what} stands at revision {self.decided.revision}"
         if told < self.majority:
-            heard = f"only {told} of {len(self.agents)} agents have said that they know it"
-            return Verdict.UNREACHABLE, f"{stands}; {heard}"
+            knowing = f"only {told} of {len(self.agents)} agents have said that they know it"
+            return Verdict.UNREACHABLE, f"{stands}; {knowing}"
         missing = [word.door for word in self.door_words() if not word.carried_out and word.reach != "ended"]
         if not missing and told == len(self.agents):
             return Verdict.DONE, stands
--- a/molereach/fleet/orders.py
+++ b/molereach/fleet/orders.py
@@ -183,7 +183,7 @@
             self.in_force.pop((ended, order.subject), None)
             return
         self.in_force[order.verb, order.subject] = decided
-        if len(self.in_force) > MOST_IN_FORCE:  # `judge` saw to it that one has lapsed: the same at every book
+        if len(self.in_force) > MOST_IN_FORCE:  # `judge` saw to it that one has lapsed; every book drops it
             lapsing = [key for key, each in self.in_force.items() if each.order.lapses_ms]
             oldest = min(lapsing or self.in_force, key=lambda key: self.in_force[key].order.lapses_ms)
             del self.in_force[oldest]
--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -219,12 +219,13 @@
 
 def test_unusable_orders_change_nothing(tmp_path: Path) -> None:
     async def job() -> None:
-        async with controlled(tmp_path / "s", Backend()) as (_, _, agent, made):
+        async with controlled(tmp_path / "s", Backend()) as (_, _, _, made):
             good = order(1, "hold", "n0")
             for wrong in (order(0, "hold", "n0"), order(2, "hold", "x" * 65), order(2, "drain", ""),
                           order(2, "release", "n0"), order(1, "hold", "n1"), order(9, "hold", "n1")):
                 hostile = await Agent.open(tmp_path / "s")
-                hostile.writer.write(wire.frame(Ask(wire.VERSION, 1, "put", book=BookState(3, (good, wrong)))))
+                ask = Ask(wire.VERSION, 1, "put", book=BookState(3, (good, wrong)))
+                hostile.writer.write(wire.frame(ask))
                 assert (await hostile.answer()).error
                 assert made.book.revision == 0 and not made.door.clients.held
 
@@ -261,7 +262,8 @@
             assert news.number == wire.NEWS and news.state and news.state.revision == 2
             silent = await Agent.open(tmp_path / "s")
             silent.writer.transport.pause_reading()  # type: ignore[attr-defined]
-            silent.writer.write(b"".join(wire.frame(Ask(wire.VERSION, number, "counters")) for number in range(9000)))
+            asks = (wire.frame(Ask(wire.VERSION, number, "counters")) for number in range(9000))
+            silent.writer.write(b"".join(asks))
             while len(made.connections) > 2:  # it asks and asks, and reads nothing
                 await asyncio.sleep(0)
             assert await (await Client.open(address)).ask(query("a1")) == b"ok"
--- a/tests/fleet/test_orders.py
+++ b/tests/fleet/test_orders.py
@@ -143,7 +143,8 @@
     one, two = Decided(1, order()), Decided(2, order("o2", subject="s2"))
     BookState(2, (one, two), (one, two)).check()
     for wrong in (BookState(-1), BookState(1, (one, two)), BookState(2, (two, one)), BookState(2, (one, one)),
-                  BookState(2, (Decided(2, order(verb=Verb.UNDRAIN)),)), BookState(2, (), (Decided(0, order()),)),
+                  BookState(2, (Decided(2, order(verb=Verb.UNDRAIN)),)),
+                  BookState(2, (), (Decided(0, order()),)),
                   BookState(1000, tuple(Decided(n, order()) for n in range(1, orders.MOST_IN_FORCE + 2)))):
         with pytest.raises(OrderError):
             wrong.check()
