The agent, its API and the fleet tool: one order at all front doors, and a report of what each said

Operators could neither see nor steer front doors together. Commands are on click, the demo's tables on rich. On SIGTERM the demo's discovery left three tracebacks.

--- a/molereach/__init__.py
+++ b/molereach/__init__.py
@@ -1,1 +1,2 @@
 """molereach: a front door on real sockets around the decisions of fennelwinch."""
+__version__ = "0.3.0"
--- a/molereach/command.py
+++ b/molereach/command.py
@@ -1,43 +1,31 @@
 """The `molereach` command: what stands beside the front door itself. Imported only when it is asked for.
 
-Exit codes: 0 done, 1 failed in service, 2 bad input or usage.
+Exit codes: 0 done, 1 failed in service, 2 bad input or usage; `molereach fleet` has more.
 """
 
-import argparse
 import importlib.util
 import json
 import os
 import sys
 from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from molereach import operator
 
+if TYPE_CHECKING:
+    import click
+
 BAD_INPUT = 2
 DEFAULT_LEVEL = "INFO"
-EPILOG = """\
-With no command the front door itself starts, as the environment tells it (PROXY_CONFIG and others);
-MOLEREACH_OPERATOR or --operator names its operator file.
-exit codes: 0 done, 1 failed in service, 2 bad input or usage"""
-
-
-def parser() -> argparse.ArgumentParser:
-    top = argparse.ArgumentParser(
-        prog="molereach", description="A front door that keeps customers' quotas, and what goes with it.",
-        epilog=EPILOG, formatter_class=argparse.RawDescriptionHelpFormatter,
-    )
-    top.add_argument("--operator", metavar="PATH", type=Path, help="operator file of the front door to start")
-    commands = top.add_subparsers(dest="command", metavar="COMMAND")
-    commands.add_parser(
-        "demo", add_help=False,
-        help="front doors, servers, discovery and clients on loopback, with an audit at the end",
-    )
-    config = commands.add_parser("config", help="look at an operator file without starting anything")
-    inner = config.add_subparsers(dest="config_command", metavar="COMMAND", required=True)
-    check = inner.add_parser("check", help="check an operator file: exit 0 if it can be used, 2 if not")
-    check.add_argument("file", metavar="FILE", type=Path)
-    check.add_argument("--json", action="store_true", help="print one JSON object")
-    return top
+OPERATOR_OPTION = "--operator"
+FLEET_PACKAGES = ("httpx", "hypercorn", "rich", "starlette", "structlog")
+EPILOG = """\b
+With no command the front door itself starts, as the environment tells it
+(PROXY_CONFIG and others); MOLEREACH_OPERATOR or --operator names its operator
+file. exit codes: 0 done, 1 failed in service, 2 bad input or usage"""
+
+Serve = Callable[..., int]
 
 
 def complain(text: str) -> int:
@@ -61,15 +49,19 @@
     return 0
 
 
+def installed(*packages: str) -> bool:
+    return all(importlib.util.find_spec(name) is not None for name in packages)
+
+
 def demo(arguments: Sequence[str]) -> int:
     """Become the rig, which the front door never imports."""
-    if importlib.util.find_spec("rig") is None or importlib.util.find_spec("hiredis") is None:
+    if not installed("rig", "hiredis"):
         return complain("demo: the rig is not installed; install the package with its extra, molereach[rig]")
     sys.stdout.flush()
     os.execv(sys.executable, [sys.executable, "-m", "rig", *arguments])
 
 
-def start(path: Path, serve: Callable[..., int]) -> int:
+def start(path: Path, serve: Serve) -> int:
     """Start the front door with an operator file; one that cannot be used starts nothing."""
     try:
         settings = operator.load(path)
@@ -84,12 +76,78 @@
     return serve(level, lambda door: control.attach(door, Path(section.socket), section.wait_for_orders_s))
 
 
-def run(arguments: Sequence[str], env: Mapping[str, str], serve: Callable[..., int]) -> int:
+def fleet_commands(top: "click.Group") -> None:
+    """`fleet` and `agent`, or one line on how to have them."""
+    import click
+
+    if not installed(*FLEET_PACKAGES):
+        for name in ("fleet", "agent"):
+            @top.command(name, context_settings={"ignore_unknown_options": True})
+            @click.argument("arguments", nargs=-1, type=click.UNPROCESSED)
+            def missing(arguments: tuple[str, ...]) -> None:
+                """Not installed: install the package with its extra, molereach[fleet]."""
+                raise SystemExit(complain("install the package with its extra, molereach[fleet]"))
+        return
+    from molereach.fleet.cli.commands import fleet
+
+    top.add_command(fleet)
+
+    @top.command()
+    @click.option("--config", "file", type=click.Path(path_type=Path), required=True, metavar="FILE",
+                  help="The agent's file.")
+    def agent(file: Path) -> None:
+        """Run the agent of this machine's front doors."""
+        from molereach.fleet.agent import run as agent_run
+
+        raise SystemExit(agent_run.main(file))
+
+
+def group(serve: Serve) -> "click.Group":
+    """The whole command line."""
+    import click
+
+    @click.group("molereach", invoke_without_command=True, epilog=EPILOG)
+    @click.option(OPERATOR_OPTION, "path", type=click.Path(path_type=Path), metavar="PATH",
+                  help="Operator file of the front door to start.")
+    @click.pass_context
+    def top(context: click.Context, path: Path | None) -> None:
+        """A front door that keeps customers' quotas, and what goes with it."""
+        if context.invoked_subcommand is None:
+            raise SystemExit(start(path, serve) if path else serve(DEFAULT_LEVEL))
+
+    @top.command("demo", add_help_option=False, context_settings={"ignore_unknown_options": True})
+    @click.argument("arguments", nargs=-1, type=click.UNPROCESSED)
+    def run_demo(arguments: tuple[str, ...]) -> None:
+        """Front doors, servers, discovery and clients on loopback, with an audit at the end."""
+        raise SystemExit(demo(arguments))
+
+    @top.group()
+    def config() -> None:
+        """Look at an operator file without starting anything."""
+
+    @config.command()
+    @click.argument("file", type=click.Path(path_type=Path))
+    @click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+    def check(file: Path, as_json: bool) -> None:
+        """Check an operator file: exit 0 if it can be used, 2 if not."""
+        raise SystemExit(check_config(file, as_json))
+
+    fleet_commands(top)
+    return top
+
+
+def run(arguments: Sequence[str], env: Mapping[str, str], serve: Serve) -> int:
     """Carry out a command line; `serve` starts the front door and returns its exit code."""
     if arguments[:1] == ["demo"]:  # its options are the rig's
         return demo(arguments[1:])
-    options = parser().parse_args(arguments)
-    if options.command == "config":
-        return check_config(options.file, options.json)
-    path = options.operator or (Path(env[operator.ENVIRONMENT]) if env.get(operator.ENVIRONMENT) else None)
-    return start(path, serve) if path else serve(DEFAULT_LEVEL)
+    # A front door with an operator file takes nothing of the command line's library into its memory.
+    if len(arguments) == 2 and arguments[0] == OPERATOR_OPTION:
+        return start(Path(arguments[1]), serve)
+    if not arguments:
+        path = env.get(operator.ENVIRONMENT)
+        return start(Path(path), serve) if path else serve(DEFAULT_LEVEL)
+    try:
+        group(serve).main(list(arguments), prog_name="molereach")
+    except SystemExit as end:
+        return end.code if isinstance(end.code, int) else 1
+    return 0
--- /dev/null
+++ b/molereach/fleet/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent: one process on each machine, for all front doors there."""
--- /dev/null
+++ b/molereach/fleet/agent/agent.py
@@ -0,0 +1,335 @@
+"""The agent: an acceptor with its journal, the front doors of its machine, and what it learns of its peers.
+
+The shell of `agreement`, `roster` and `journal`. One message of the agreement is taken at a time, and its
+reply leaves when the journal is on the disk.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable, Coroutine
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import structlog
+
+from molereach.fleet import roster as r
+from molereach.fleet.agent.link import ASK_S, Link, LinkError
+from molereach.fleet.agreement import Acceptor, Message
+from molereach.fleet.journal import AgentState, Journal, JournalError
+from molereach.fleet.orders import BookState, Decided
+from molereach.fleet.view import Event, Members, Orders, Quota, Status, View, ready_servers
+from molereach.fleet.wall import anchored
+from molereach.fleet.wire import Answer, What
+
+SCAN_S = 0.1  # between looks into the folder of sockets, and at how old the doors' words are
+BEAT_S = 0.3  # between asks for a front door's state
+SYNC_S = 1.0  # between asks of a peer, about
+FIRST_SYNC_S = 0.2  # the same, until a majority has been heard
+MOST_WATCHERS = 16
+WATCHER_EVENTS = 256  # that wait for a watcher; beyond that they are counted
+SUFFIX = ".sock"
+
+log = structlog.get_logger()
+Fetch = Callable[[str, int], Awaitable[BookState | None]]
+
+
+class Watcher:
+    """Somebody who hears of what happens; one who does not read misses events, and is told how many."""
+
+    def __init__(self) -> None:
+        self.queue: asyncio.Queue[Event] = asyncio.Queue(WATCHER_EVENTS)
+        self.missed = 0
+
+    def tell(self, event: Event) -> None:
+        if self.queue.full():
+            self.missed += 1
+        else:
+            self.queue.put_nowait(event)
+
+
+class Agent:
+    """One agent; `fetch` asks a peer for a book that is past a revision."""
+
+    def __init__(
+        self, name: str, fleet: tuple[str, ...], folder: Path, journal: Journal, fetch: Fetch,
+        start_alone_s: float = 3.0, random: Random | None = None,
+    ) -> None:
+        self.name, self.fleet, self.folder, self.journal, self.fetch = name, fleet, folder, journal, fetch
+        self.start_alone_s, self.random = start_alone_s, random or Random()
+        state = journal.load()
+        self.acceptor = Acceptor(state.promised, state.book)
+        self.roster = r.Roster(name)
+        self.now_ms = anchored()
+        self.lock = asyncio.Lock()
+        self.links: dict[str, Link] = {}
+        self.putting: set[str] = set()
+        self.heard = {name}  # agents that have told their book since the start
+        self.alone = False  # it goes on without a majority
+        self.journal_error = ""
+        self.watchers: set[Watcher] = set()
+        self.told = 0  # the last event that watchers have heard
+        self.tasks: set[asyncio.Task[Any]] = set()
+
+    @property
+    def synced(self) -> bool:
+        return len(self.heard) > len(self.fleet) // 2
+
+    # --- life ---
+
+    def start(self) -> None:
+        """Begin to look for front doors and to ask peers."""
+        self.note("agent", self.name, f"starts at revision {self.acceptor.book.revision}")
+        for job in (self.scan_always(), self.beat_always(), self.sync_always()):
+            self.spawn(job)
+
+    async def close(self) -> None:
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for link in list(self.links.values()):
+            await link.close()
+        self.journal.close()
+
+    def spawn(self, job: Coroutine[Any, Any, Any]) -> None:
+        task = asyncio.get_running_loop().create_task(job)
+        self.tasks.add(task)
+        task.add_done_callback(self.done)
+
+    def done(self, task: asyncio.Task[Any]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()):
+            log.error("a task of the agent failed", exc_info=error)
+
+    async def scan_always(self) -> None:
+        while True:
+            self.scan()
+            await asyncio.sleep(SCAN_S)
+
+    def scan(self) -> None:
+        try:
+            names = frozenset(path.name.removesuffix(SUFFIX) for path in self.folder.iterdir()
+                              if path.name.endswith(SUFFIX))
+        except OSError as error:
+            log.error("the folder of sockets cannot be read", folder=str(self.folder), error=error.strerror)
+            return
+        self.tell_roster(r.Sockets(names))
+        self.tell_roster(r.Look())
+
+    async def beat_always(self) -> None:
+        while True:
+            for name in list(self.links):
+                self.spawn(self.beat(name))
+            await asyncio.sleep(BEAT_S)
+
+    async def beat(self, name: str) -> None:
+        with contextlib.suppress(LinkError):  # its age tells
+            self.hear(name, await self.ask(name, "state", BEAT_S))
+
+    # --- front doors ---
+
+    def tell_roster(self, event: r.RosterEvent) -> None:
+        for action in self.roster.handle(self.now_ms(), event):
+            match action:
+                case r.Connect():
+                    self.spawn(self.connect(action.door))
+                case r.Put():
+                    self.spawn(self.put(action.door))
+                case r.Drop():
+                    self.spawn(self.drop(action.door))
+        self.tell_watchers()
+
+    async def connect(self, name: str) -> None:
+        link = Link(lambda state: self.tell_roster(r.Heard(name, state)), lambda why: self.lost(name, why))
+        try:
+            await link.open(self.folder / f"{name}{SUFFIX}")
+            self.links[name] = link
+            self.tell_roster(r.Opened(name))
+            self.hear(name, await link.ask("watch"))
+        except LinkError as error:
+            await link.close()
+            self.lost(name, str(error))
+
+    def lost(self, name: str, why: str) -> None:
+        self.links.pop(name, None)
+        self.tell_roster(r.Lost(name, why))
+
+    async def drop(self, name: str) -> None:
+        if link := self.links.pop(name, None):
+            await link.close()
+
+    async def ask(
+        self, name: str, what: What, within_s: float = ASK_S, customer: str = "",
+        book: BookState | None = None,
+    ) -> Answer:
+        if (link := self.links.get(name)) is None:
+            raise LinkError("not connected")
+        return await link.ask(what, within_s, customer, book)
+
+    def hear(self, name: str, answer: Answer) -> None:
+        if answer.state:
+            self.tell_roster(r.Heard(name, answer.state))
+
+    async def put(self, name: str) -> None:
+        """Tell a front door all orders in force; again once it has answered, where there are newer ones."""
+        if name in self.putting:
+            return
+        self.putting.add(name)
+        book = self.acceptor.book.state()
+        try:
+            answer = await self.ask(name, "put", book=BookState(book.revision, book.in_force))
+        except LinkError as error:
+            log.warning("a front door was not told", door=name, revision=book.revision, error=str(error))
+            return
+        finally:
+            self.putting.discard(name)
+        self.hear(name, answer)
+
+    async def ask_all(self, what: What, customer: str = "") -> tuple[dict[str, Answer], dict[str, str]]:
+        """The answers of all front doors, and why others gave none."""
+        names = [view.name for view in self.roster.views(self.now_ms()) if view.reach != "ended"]
+        asks = (self.ask(name, what, customer=customer) for name in names)
+        found = await asyncio.gather(*asks, return_exceptions=True)
+        answers, missing = {}, {}
+        for name, answer in zip(names, found, strict=True):
+            if isinstance(answer, Answer):
+                answers[name] = answer
+            elif isinstance(answer, LinkError):
+                missing[name] = str(answer)
+            else:
+                raise answer
+        return answers, missing
+
+    # --- the agreement ---
+
+    async def take(self, message: Message, by: str = "") -> list[Message]:
+        """A message of a tool; JournalError where its reply may not leave. Nothing is told before it is on
+        the disk, also where whoever asked has gone."""
+        return await asyncio.shield(asyncio.ensure_future(self.take_whole(message, by)))
+
+    async def take_whole(self, message: Message, by: str) -> list[Message]:
+        async with self.lock:
+            if self.journal_error:
+                raise JournalError(self.journal_error)
+            acceptor = self.acceptor
+            before = acceptor.state, acceptor.book.revision
+            replies = acceptor.handle(message)
+            if (acceptor.state, acceptor.book.revision) != before:
+                await self.save()
+                now, order = acceptor.state, acceptor.state.accepted
+                if order and now.accepted_at != before[0].accepted_at:
+                    log.info("order accepted", by=by, order=order.id, verb=order.verb.value,
+                             subject=order.subject, issuer=order.issuer, reason=order.reason,
+                             revision=now.revision)
+                self.entered(before[1])
+        return replies
+
+    async def save(self) -> None:
+        state = AgentState(self.name, self.acceptor.state, self.acceptor.book.state())
+        try:
+            await asyncio.get_running_loop().run_in_executor(None, self.journal.save, state)
+        except JournalError as error:
+            self.journal_error = str(error)
+            log.error("the journal is broken: nothing is promised any more", error=str(error))
+            raise
+
+    def entered(self, before: int) -> None:
+        """Orders that have come into the book."""
+        book = self.acceptor.book
+        if book.revision == before:
+            return
+        for decided in [each for each in book.recent.values() if each.revision > before]:
+            self.note_order(decided)
+        self.tell_roster(r.Wanted(book.revision, self.roster.ready))
+
+    def note_order(self, decided: Decided) -> None:
+        order = decided.order
+        log.info("order decided", order=order.id, verb=order.verb.value, subject=order.subject,
+                 issuer=order.issuer, reason=order.reason, revision=decided.revision, forced=order.forced)
+        text = f"{order.verb.value} {order.subject} by {order.issuer}: {order.reason}"
+        self.note("order", order.id, f"revision {decided.revision}: {text}")
+
+    # --- peers ---
+
+    async def sync_always(self) -> None:
+        """Learn what was decided while it was away; front doors hear of orders once a majority was heard, or
+        after a time alone."""
+        started_ms, peers, turn = self.now_ms(), [name for name in self.fleet if name != self.name], 0
+        while True:
+            if not self.roster.ready:
+                await asyncio.gather(*(self.sync(peer) for peer in peers if peer not in self.heard))
+                alone = self.now_ms() - started_ms >= self.start_alone_s * 1000
+                if self.synced or alone:
+                    self.become_ready(alone and not self.synced)
+            elif peers:
+                turn += 1
+                await self.sync(peers[turn % len(peers)])
+            pause = SYNC_S if self.roster.ready else FIRST_SYNC_S
+            await asyncio.sleep(pause * self.random.uniform(0.8, 1.2))
+
+    def become_ready(self, alone: bool) -> None:
+        self.alone = alone
+        if alone:
+            log.warning("no majority of agents was heard: front doors are told what is known here",
+                        heard=len(self.heard), fleet=len(self.fleet))
+        self.tell_roster(r.Wanted(self.acceptor.book.revision, True))
+        for name in list(self.links):
+            self.spawn(self.put(name))
+
+    async def sync(self, peer: str) -> None:
+        """Take over a peer's book that is past ours."""
+        try:
+            book = await self.fetch(peer, self.acceptor.book.revision)
+            if book is not None:
+                book.check()
+                async with self.lock:
+                    before = self.acceptor.book.revision
+                    if self.acceptor.book.adopt(book):
+                        await self.save()
+                        self.note("agent", self.name, f"learned revision {book.revision} from {peer}")
+                        self.entered(before)
+            self.heard.add(peer)
+        except (OSError, ValueError, JournalError) as error:
+            log.debug("a peer was not heard", peer=peer, error=str(error))
+
+    # --- what is told ---
+
+    def note(self, kind: str, subject: str, text: str) -> None:
+        self.roster.note(self.now_ms(), kind, subject, text)
+        self.tell_watchers()
+
+    def tell_watchers(self) -> None:
+        for event in self.events(self.told):
+            if event.kind == "door":
+                log.info("front door", door=event.subject, change=event.text)
+            for watcher in self.watchers:
+                watcher.tell(event)
+        self.told = self.roster.number
+
+    def events(self, after: int) -> list[Event]:
+        """The history past a number, as far as it is kept."""
+        if after >= self.roster.number:
+            return []
+        return [event for event in self.roster.history if event.number > after]
+
+    def status(self) -> Status:
+        acceptor = self.acceptor
+        return Status(self.name, self.fleet, acceptor.book.revision, self.synced, self.journal_error,
+                      acceptor.pending(), self.roster.views(self.now_ms()))
+
+    async def view(self) -> View:
+        answers, _ = await self.ask_all("members")
+        ready = ready_servers(answer.members or () for answer in answers.values())
+        return View(self.status(), self.acceptor.book.state(), ready)
+
+    async def members(self) -> Members:
+        answers, missing = await self.ask_all("members")
+        return Members(self.name, {name: answer.members or () for name, answer in answers.items()}, missing)
+
+    async def quota(self, customer: str) -> Quota:
+        answers, missing = await self.ask_all("quota", customer=customer)
+        return Quota(self.name, {name: answer.quota or () for name, answer in answers.items()}, missing)
+
+    def orders(self) -> Orders:
+        state = self.acceptor.book.state()
+        return Orders(self.name, state.revision, state.in_force, state.recent, self.acceptor.pending())
--- /dev/null
+++ b/molereach/fleet/agent/openapi.py
@@ -0,0 +1,88 @@
+"""The description of the API (OpenAPI 3.1.0), made of the types that the code reads and writes.
+
+`python -m molereach.fleet.agent.openapi` prints what `openapi.json` holds; a test holds it to the code.
+"""
+
+import json
+from typing import Any
+
+import msgspec
+
+from molereach import __version__
+from molereach.fleet import agreement, orders, view
+
+TEMPLATE = "#/components/schemas/{name}"
+MESSAGES = (agreement.Prepare, agreement.Promise, agreement.Accept, agreement.Accepted, agreement.Outbid,
+            agreement.Known, agreement.Behind)
+BODIES = (view.Status, view.View, view.Members, view.Orders, view.Quota, view.Event, view.Problem,
+          orders.BookState)
+PROBLEMS = {"400": "what came makes no sense", "401": "no token that is known", "403": "not with this role",
+            "503": "not now"}
+
+AFTER = {"name": "after", "in": "query", "required": False, "schema": {"type": "integer", "minimum": 0}}
+CUSTOMER = {"name": "customer", "in": "path", "required": True,
+            "schema": {"type": "string", "pattern": "^[0-9A-Fa-f]{16}$"}}
+
+
+def reference(kind: type) -> dict[str, str]:
+    return {"$ref": TEMPLATE.format(name=kind.__name__)}
+
+
+def reply(schema: dict[str, Any], media: str = "application/json") -> dict[str, Any]:
+    return {"description": "the answer", "content": {media: {"schema": schema}}}
+
+
+def call(summary: str, schema: dict[str, Any], *parameters: dict[str, Any], media: str = "application/json",
+         **more: Any) -> dict[str, Any]:  # noqa: ANN401
+    problems = {status: {"description": text,
+                         "content": {"application/json": {"schema": reference(view.Problem)}}}
+                for status, text in PROBLEMS.items()}
+    made: dict[str, Any] = {"summary": summary, "responses": {"200": reply(schema, media), **problems}}
+    return made | ({"parameters": list(parameters)} if parameters else {}) | more
+
+
+def paths() -> dict[str, Any]:
+    """Every route and what it answers."""
+    messages = {"oneOf": [reference(kind) for kind in MESSAGES]}
+    book = call("the book, where it is past a revision", reference(orders.BookState), AFTER)
+    book["responses"]["204"] = {"description": "it is not past it"}
+    take = call("a message of the agreement, and the replies to it", {"type": "array", "items": messages},
+                requestBody={"required": True, "content": {"application/json": {"schema": messages}}})
+    take["responses"]["413"] = {"description": "a body that is too large"}
+    events = {"type": "array", "items": reference(view.Event)}
+    return {
+        "/v1/status": {"get": call("the agent and its front doors", reference(view.Status))},
+        "/v1/view": {"get": call("all that a tool needs to give an order", reference(view.View))},
+        "/v1/members": {"get": call("servers as each front door sees them", reference(view.Members))},
+        "/v1/orders": {"get": call("orders in force, the latest, one under way", reference(view.Orders))},
+        "/v1/quota/{customer}": {"get": call("a customer's quota", reference(view.Quota), CUSTOMER)},
+        "/v1/book": {"get": book},
+        "/v1/events": {"get": call("the history past a number", events, AFTER)},
+        "/v1/watch": {"get": call("events as they happen, one JSON object a line", reference(view.Event),
+                                  media="application/x-ndjson")},
+        "/v1/agreement": {"post": take},
+        "/v1/openapi.json": {"get": call("this document", {"type": "object"})},
+    }
+
+
+def document() -> dict[str, Any]:
+    """The whole document."""
+    _, schemas = msgspec.json.schema_components((*BODIES, *MESSAGES), ref_template=TEMPLATE)
+    return {
+        "openapi": "3.1.0",
+        "info": {"title": "molereach agent", "version": __version__,
+                 "description": "State of an agent's front doors, and the agreement on orders. The same over "
+                                "HTTP/1.1 and HTTP/2."},
+        "security": [{"token": []}],
+        "paths": paths(),
+        "components": {"schemas": schemas,
+                       "securitySchemes": {"token": {"type": "http", "scheme": "bearer"}}},
+    }
+
+
+def text() -> str:
+    return json.dumps(document(), indent=1, sort_keys=True) + "\n"
+
+
+if __name__ == "__main__":
+    print(text(), end="")
--- a/molereach/fleet/campaign.py
+++ b/molereach/fleet/campaign.py
@@ -173,16 +173,20 @@
     stage: Stage = Stage.LOOKING
     report: Report | None = None
     begun_us: int = 0
+    now_us: int = 0
     until_us: int = 0  # of the stage
     look_us: int = 0  # when to look again
     retry_us: int = 0
     views: dict[str, View] = field(default_factory=dict)
+    viewed_us: dict[str, int] = field(default_factory=dict)  # what a view says has aged since
     silent: dict[str, str] = field(default_factory=dict)
     looking: set[str] = field(default_factory=set)
     book: Book = field(default_factory=Book)
     order: Order | None = None
     proposer: Proposer | None = None
     decided: Decided | None = None
+    lost: tuple[Verdict, str, Decided | None] | None = None  # how it ends once the winner is known
+    target: int = 0  # the revision that everybody is to know
 
     @property
     def majority(self) -> int:
@@ -190,12 +194,13 @@
 
     def begin(self, now_us: int) -> list[Action]:
         """Start; then hand in what comes, and a `Tick` every `STEP_US`, until there is a `report`."""
-        self.begun_us = now_us
+        self.begun_us = self.now_us = now_us
         self.until_us, self.look_us = now_us + self.times.agree_us, now_us + LOOK_US
         return [Step("looking"), *self.look_at(self.agents)]
 
     def handle(self, now_us: int, event: Event) -> list[Action]:
         """Take one event; what to do now, in order."""
+        self.now_us = now_us
         if self.stage is Stage.OVER or getattr(event, "agent", self.agents[0]) not in self.agents:
             return []
         match event:
@@ -230,7 +235,7 @@
             text = f"agent {agent} is '{view.status.agent}' of the fleet {named}: not the fleet of this file"
             return self.finish(Verdict.REFUSED, text)
         self.silent.pop(agent, None)
-        self.views[agent] = view
+        self.views[agent], self.viewed_us[agent] = view, now_us
         if self.stage is Stage.LOOKING:
             return self.on_views(now_us)
         return self.on_confirmation(agent, view) if self.stage is Stage.TELLING else []
@@ -255,7 +260,11 @@
         found = book.judge(order, wall_ms, ready, self.floor)
         if isinstance(found, Refusal):
             verdict = Verdict.CONFLICT if found.why is Why.CONFLICT or found.winner else Verdict.REFUSED
-            return self.finish(verdict, found.text, found.winner)
+            if self.proposer is None:
+                return self.finish(verdict, found.text, found.winner)
+            # Its own ballots may be all that anybody knows the winner by: it is told before the end.
+            self.lost = verdict, found.text, found.winner
+            return self.tell(now_us)
         if isinstance(found, Decided):
             if (found.order.verb, found.order.subject) != (order.verb, order.subject):
                 other = f"{found.order.verb.value} {found.order.subject}"
@@ -319,23 +328,32 @@
 
     def stand(self, now_us: int, decided: Decided) -> list[Action]:
         """It is decided; now everybody is to know, and to say that it is carried out."""
-        self.stage, self.decided = Stage.TELLING, decided
+        self.decided = decided
+        return [Step("confirming"), *self.tell(now_us, decided.revision)]
+
+    def tell(self, now_us: int, revision: int | None = None) -> list[Action]:
+        """Have everybody know the book up to a revision; all of it by default."""
+        self.stage, self.target = Stage.TELLING, revision or self.book.revision
         self.until_us, self.look_us = now_us + self.times.confirm_us, now_us
         self.views.clear()
-        return [Step("confirming"), *self.say([Known(base=self.book.state())]), *self.on_tick(now_us)]
+        return [*self.say([Known(base=self.book.state())]), *self.on_tick(now_us)]
 
     def on_confirmation(self, agent: str, view: View) -> list[Action]:
-        assert self.decided is not None
-        if view.book.revision < self.decided.revision:
+        if view.book.revision < self.target:
             return [Say(agent, Known(base=self.book.state()))]
-        if all(self.settled(agent) for agent in self.agents):
+        if self.lost and self.told() >= self.majority:
+            return self.finish(*self.lost)
+        if not self.lost and all(self.settled(agent) for agent in self.agents):
             return self.finish(*self.verdict())
         return []
 
+    def told(self) -> int:
+        """How many agents have said that they know the target."""
+        return sum(view.book.revision >= self.target for view in self.views.values())
+
     def settled(self, agent: str) -> bool:
         """Whether the agent and all its front doors have said that they have the order."""
-        assert self.decided is not None
-        view, revision = self.views.get(agent), self.decided.revision
+        view, revision = self.views.get(agent), self.target
         if view is None or view.book.revision < revision:
             return False
         seen = {door.name: door for door in view.status.doors}
@@ -345,6 +363,9 @@
     # --- time, and the end ---
 
     def on_tick(self, now_us: int) -> list[Action]:
+        if now_us >= self.until_us and self.lost:
+            verdict, text, winner = self.lost
+            return self.finish(verdict, f"{text}; {self.knowing()}", winner)
         if now_us >= self.until_us:
             return self.finish(*self.verdict())
         if self.stage is Stage.LOOKING:
@@ -357,6 +378,9 @@
         self.look_us = now_us + POLL_US
         return self.look_at(tuple(agent for agent in self.agents if not self.settled(agent)))
 
+    def knowing(self) -> str:
+        return f"only {self.told()} of {len(self.agents)} agents have said that they know it"
+
     def verdict(self) -> tuple[Verdict, str]:
         """What can be said when time is over, or everybody has confirmed."""
         if self.decided is None:
@@ -365,14 +389,12 @@
             if self.proposer and self.proposer.phase is Phase.ACCEPTING:
                 text += f"; {len(self.proposer.accepts)} said that they accepted it: it may yet come to stand"
             return Verdict.UNREACHABLE, text
-        told = sum(word.told for word in self.agent_words())
         what = f"{self.decided.order.verb.value} {self.decided.order.subject}"
         stands = f"{what} stands at revision {self.decided.revision}"
-        if told < self.majority:
-            knowing = f"only {told} of {len(self.agents)} agents have said that they know it"
-            return Verdict.UNREACHABLE, f"{stands}; {knowing}"
+        if self.told() < self.majority:
+            return Verdict.UNREACHABLE, f"{stands}; {self.knowing()}"
         missing = [word.door for word in self.door_words() if not word.carried_out and word.reach != "ended"]
-        if not missing and told == len(self.agents):
+        if not missing and self.told() == len(self.agents):
             return Verdict.DONE, stands
         away = [word.agent for word in self.agent_words() if not word.told]
         return Verdict.PARTLY, "; ".join([stands, *(f"front door {name} has not said that it has it"
@@ -407,4 +429,6 @@
     def door_word(self, agent: str, door: DoorView) -> DoorWord:
         done = bool(self.decided and door.state and door.revision >= self.decided.revision)
         revision = door.revision if door.state else None
-        return DoorWord(agent, door.name, done, door.reach, revision, door.heard_ago_ms, door.why)
+        since_ms = (self.now_us - self.viewed_us[agent]) // 1000
+        heard = None if door.heard_ago_ms is None else door.heard_ago_ms + since_ms
+        return DoorWord(agent, door.name, done, door.reach, revision, heard, door.why)
--- /dev/null
+++ b/molereach/fleet/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The tool that manages many front doors as one."""
--- a/molereach/fleet/control.py
+++ b/molereach/fleet/control.py
@@ -12,7 +12,6 @@
 import socket
 import stat
 import struct
-import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import cast
@@ -21,6 +20,7 @@
 from molereach.door.frontdoor import FrontDoor
 from molereach.fleet import wire
 from molereach.fleet.orders import Book, Overlay, Verb
+from molereach.fleet.wall import anchored
 
 log = logging.getLogger(__name__)
 
@@ -35,10 +35,6 @@
     """The socket cannot be had; the text is one plain line."""
 
 
-def unix_ms() -> int:
-    return time.time_ns() // 1_000_000
-
-
 def peer_user(connection: socket.socket) -> int:
     """Who opened a connection, by the kernel's word."""
     packed = connection.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, CREDENTIALS.size)
@@ -113,6 +109,7 @@
         self.server: asyncio.AbstractServer | None = None
         self.inode: tuple[int, int] | None = None
         self.started_us = now_us()
+        self.unix_ms = anchored()
         self.asks = self.refused = 0
         self.news_due = False
         self.lapse_timer: asyncio.TimerHandle | None = None
@@ -252,7 +249,7 @@
 
     def carry_out(self) -> None:
         """Bring the front door to what is wanted now."""
-        now_ms = unix_ms()
+        now_ms = self.unix_ms()
         if news := self.overlay.on_orders(self.book.wanted(Verb.DRAIN, now_ms)):
             self.door.hear(news, {})
         self.door.clients.hold(self.door.config.name in self.book.wanted(Verb.HOLD, now_ms))
@@ -263,8 +260,8 @@
     def lapse(self) -> None:
         """Look for orders whose time is over, and try again what could not be done."""
         before = len(self.book.in_force)
-        self.book.forget_lapsed(unix_ms())
-        held = self.door.config.name in self.book.wanted(Verb.HOLD, unix_ms())
+        self.book.forget_lapsed(self.unix_ms())
+        held = self.door.config.name in self.book.wanted(Verb.HOLD, self.unix_ms())
         if len(self.book.in_force) != before or held != self.door.clients.held:
             self.carry_out()
         self.lapse_timer = self.door.loop.call_later(LAPSE_S, self.lapse)
--- a/molereach/fleet/wire.py
+++ b/molereach/fleet/wire.py
@@ -21,12 +21,15 @@
     """What came is no frame, or no message, of this protocol."""
 
 
+What = Literal["state", "members", "orders", "counters", "quota", "put", "watch"]
+
+
 class Ask(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What an agent asks of a front door. `number` comes back with the answer."""
 
     version: int
     number: int
-    what: Literal["state", "members", "orders", "counters", "quota", "put", "watch"]
+    what: What
     customer: str = ""  # of `quota`: 16 hex digits
     book: BookState | None = None  # of `put`: all orders in force at its revision
 
--- a/rig/demo.py
+++ b/rig/demo.py
@@ -1,39 +1,31 @@
 """`molereach demo`: a day on loopback in one command, a live table, and the auditor's ledger."""
 
-import argparse
 import asyncio
 import contextlib
 import json
 import signal
 import sys
 from collections.abc import Sequence
+from pathlib import Path
 
+import click
 import uvloop
+from rich.console import Console
+from rich.live import Live
 
 from rig import scenario as sc
 from rig import scenario_files
-from rig.table import ledger_lines, live_lines
+from rig.fleet import FleetRig
+from rig.table import doors_table, ledger_lines, live_table
 from rig.world import Report, World
 
 DONE, BROKEN, BAD_INPUT, NO_VERDICT, INTERRUPTED = 0, 1, 2, 3, 130
-EPILOG = """\
-exit codes: 0 every request has one outcome and no rule is broken; 1 a rule is broken or the rig failed;
-2 bad input; 3 the rig was too late for a verdict on times; 130 interrupted"""
+EPILOG = """\b
+exit codes: 0 every request has one outcome and no rule is broken; 1 a rule is
+broken or the rig failed; 2 bad input; 3 the rig was too late for a verdict on
+times; 130 interrupted"""
 REFRESH_S = 0.5
-
-
-def parser() -> argparse.ArgumentParser:
-    top = argparse.ArgumentParser(
-        prog="molereach demo", epilog=EPILOG, formatter_class=argparse.RawDescriptionHelpFormatter,
-        description="Front doors, servers, discovery and clients on loopback, then an audit of the day.",
-    )
-    top.add_argument("--scenario", default="calm", metavar="NAME|FILE",
-                     help=f"a TOML file, or one of: {', '.join(scenario_files.shipped())} (default: calm)")
-    top.add_argument("--doors", type=int, metavar="N", help="front doors, instead of the scenario's number")
-    top.add_argument("--seconds", type=float, metavar="S", help="length of the load")
-    top.add_argument("--seed", type=int, default=1, metavar="N", help="of all that is drawn (default: 1)")
-    top.add_argument("--json", action="store_true", help="print one JSON object and nothing else")
-    return top
+WIDTH = 120  # where there is no terminal
 
 
 def exit_code(report: Report) -> int:
@@ -45,25 +37,32 @@
     return BROKEN
 
 
-async def show(world: World, ready: asyncio.Event) -> None:
+async def show(world: World, ready: asyncio.Event, console: Console) -> None:
     """Draw the table anew, in place, for as long as the day runs."""
     await ready.wait()
-    drawn = 0
-    while True:
-        lines = live_lines(world)
-        sys.stdout.write((f"\x1b[{drawn}A" if drawn else "") + "".join(f"\x1b[2K{line}\n" for line in lines))
-        sys.stdout.flush()
-        drawn = len(lines)
-        await asyncio.sleep(REFRESH_S)
+    with Live(live_table(world), console=console, auto_refresh=False) as live:
+        while True:
+            await asyncio.sleep(REFRESH_S)
+            live.update(live_table(world), refresh=True)
 
 
-async def day(scenario: sc.Scenario, seed: int, live: bool) -> Report | None:
-    """Play a scenario; None where a signal ended it."""
+async def day(
+    scenario: sc.Scenario, seed: int, console: Console | None, folder: Path | None
+) -> Report | None:
+    """Play a scenario, with agents in `folder` beside the front doors; None where a signal ended it."""
     world, ready, loop = World(scenario, seed), asyncio.Event(), asyncio.get_running_loop()
-    running = loop.create_task(world.run(ready.set))
+    fleet = FleetRig(folder, world.host, world.doors) if folder else None
+
+    async def whole() -> Report:
+        if fleet:
+            await fleet.start()
+            print(f"agents answer; export MOLEREACH_FLEET={fleet.file}", file=sys.stderr)
+        return await world.run(ready.set)
+
+    running = loop.create_task(whole())
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, running.cancel)
-    table = loop.create_task(show(world, ready)) if live else None
+    table = loop.create_task(show(world, ready, console)) if console else None
     try:
         return await running
     except asyncio.CancelledError:
@@ -73,26 +72,71 @@
             table.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await table
+        if fleet:
+            fleet.close()
 
 
-def main(arguments: Sequence[str]) -> int:
-    options = parser().parse_args(arguments)
-    try:
-        scenario = scenario_files.load(options.scenario, {"doors": options.doors, "seconds": options.seconds})
-    except scenario_files.ScenarioError as error:
-        print(f"molereach demo: {error}", file=sys.stderr)
-        return BAD_INPUT
-    live = sys.stdout.isatty() and not options.json
+def play(scenario: sc.Scenario, seed: int, as_json: bool, folder: Path | None) -> int:
+    """Play and print a day; the exit code."""
+    live = sys.stdout.isatty() and not as_json
+    console = Console(width=None if sys.stdout.isatty() else WIDTH)
     if live:
-        print(f"{scenario.name}: {scenario.title}; seed {options.seed}")
+        console.print(f"{scenario.name}: {scenario.title}; seed {seed}", highlight=False, markup=False)
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            report = runner.run(day(scenario, options.seed, live))
+            report = runner.run(day(scenario, seed, console if live else None, folder))
     except (RuntimeError, OSError, TimeoutError) as error:
         print(f"molereach demo: the rig failed: {error or type(error).__name__}", file=sys.stderr)
         return BROKEN
     if report is None:
         print("molereach demo: interrupted; all that it started has ended", file=sys.stderr)
         return INTERRUPTED
-    print(json.dumps(report.json()) if options.json else "\n".join(ledger_lines(report)))
+    if as_json:
+        print(json.dumps(report.json()))
+    else:
+        console.print(doors_table(report.doors, f"{report.scenario}, seed {report.seed}"))
+        print("\n".join(ledger_lines(report)))
     return exit_code(report)
+
+
+def folder_for_agents(folder: Path | None) -> Path | None:
+    """An empty folder that is there; a UsageError for one that is not empty."""
+    if folder is None:
+        return None
+    try:
+        folder.mkdir(mode=0o700, exist_ok=True)
+        if any(folder.iterdir()):
+            raise click.BadParameter(f"{folder}: is not empty", param_hint="--fleet")
+    except OSError as error:
+        raise click.BadParameter(f"{folder}: {error.strerror}", param_hint="--fleet") from error
+    return folder.absolute()
+
+
+@click.command("molereach demo", epilog=EPILOG)
+@click.option("--scenario", "name", default="calm", metavar="NAME|FILE", show_default=True,
+              help=f"A TOML file, or one of: {', '.join(scenario_files.shipped())}.")
+@click.option("--doors", type=int, metavar="N", help="Front doors, instead of the scenario's number.")
+@click.option("--seconds", type=float, metavar="S", help="Length of the load.")
+@click.option("--seed", type=int, default=1, metavar="N", show_default=True, help="Of all that is drawn.")
+@click.option("--fleet", "folder", type=click.Path(path_type=Path), metavar="FOLDER",
+              help="Run an agent beside each front door, with its files in this empty folder.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object and nothing else.")
+def demo(
+    name: str, doors: int | None, seconds: float | None, seed: int, folder: Path | None, as_json: bool
+) -> None:
+    """Front doors, servers, discovery and clients on loopback, then an audit of the day."""
+    try:
+        scenario = scenario_files.load(name, {"doors": doors, "seconds": seconds})
+    except scenario_files.ScenarioError as error:
+        print(f"molereach demo: {error}", file=sys.stderr)
+        raise SystemExit(BAD_INPUT) from error
+    raise SystemExit(play(scenario, seed, as_json, folder_for_agents(folder)))
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Carry out a command line; its exit code."""
+    try:
+        demo.main(list(arguments), prog_name="molereach demo")
+    except SystemExit as end:
+        return end.code if isinstance(end.code, int) else BROKEN
+    return DONE
--- a/rig/discovery.py
+++ b/rig/discovery.py
@@ -86,8 +86,8 @@
                 if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
                     return
                 http.start_next_cycle()
-        except (OSError, h11.ProtocolError):
-            return
+        except (OSError, h11.ProtocolError, asyncio.CancelledError):
+            return  # 3.11 prints a traceback for each connection whose task ends by a cancellation
         finally:
             self.writers.discard(writer)
             writer.close()
--- a/rig/table.py
+++ b/rig/table.py
@@ -1,32 +1,42 @@
-"""What the demo shows on a terminal: a line for each front door, and the ledger."""
+"""What the demo shows on a terminal: a table of the front doors, and the ledger in words."""
+
+from collections.abc import Iterable
+
+from rich.table import Table
 
 from rig.audit import Outcome
 from rig.clock import now_us
 from rig.world import DoorReport, Report, World
 
-HEAD = f"{'door':<6}{'state':<7}{'served':>8}{'refused':>8}{'failed':>8}{'lost':>6}{'open':>6}" \
-       f"{'p50 ms':>8}{'p99 ms':>8}{'cpu s':>7}{'MB':>7}{'starts':>8}"
+COLUMNS = ("door", "state", "served", "refused", "failed", "lost", "open", "p50 ms", "p99 ms", "cpu s", "MB",
+           "starts")
 MOST_FINDINGS = 20
 
 
-def door_line(door: DoorReport) -> str:
-    return (f"{door.name:<6}{door.state:<7}{door.served:>8}{door.refused:>8}{door.failed:>8}{door.lost:>6}"
-            f"{door.open:>6}{door.p50_ms:>8.1f}{door.p99_ms:>8.1f}{door.cpu_s:>7.2f}{door.memory_mb:>7.1f}"
-            f"{door.starts:>8}")
+def doors_table(doors: Iterable[DoorReport], title: str) -> Table:
+    """A line for each front door."""
+    table = Table(title=title, title_justify="left", box=None, pad_edge=False)
+    for number, column in enumerate(COLUMNS):
+        table.add_column(column, justify="left" if number < 2 else "right")
+    for door in doors:
+        counts = map(str, (door.served, door.refused, door.failed, door.lost, door.open))
+        table.add_row(door.name, door.state, *counts, f"{door.p50_ms:.1f}", f"{door.p99_ms:.1f}",
+                      f"{door.cpu_s:.2f}", f"{door.memory_mb:.1f}", str(door.starts))
+    return table
 
 
-def live_lines(world: World) -> list[str]:
+def live_table(world: World) -> Table:
+    """How the day stands now."""
     passed = max(0.0, (now_us() - world.start_us) / 1e6) if world.start_us else 0.0
-    head = f"{min(passed, world.scenario.seconds):5.1f} of {world.scenario.seconds:.1f} s"
-    return [head, HEAD, *(door_line(world.door_report(door)) for door in world.doors)]
+    title = f"{min(passed, world.scenario.seconds):.1f} of {world.scenario.seconds:.1f} s"
+    return doors_table(map(world.door_report, world.doors), title)
 
 
 def ledger_lines(report: Report) -> list[str]:
     """The ledger in words."""
     ledger = report.ledger
-    lines = [f"{report.scenario}, seed {report.seed}: {ledger.requests} requests",
-             HEAD, *(door_line(door) for door in report.doors)]
-    lines += [f"  {outcome.value.replace('_', ' '):<14}{ledger.counts[outcome]:>8}" for outcome in Outcome]
+    lines = [f"{report.scenario}, seed {report.seed}: {ledger.requests} requests"]
+    lines += [f"  {outcome.value.replace('_', ' ')}: {ledger.counts[outcome]}" for outcome in Outcome]
     lines += [f"  rig late by {ledger.late_us / 1000:.1f} ms at most"]
     if not ledger.times_judged:
         lines += [f"the rig was late by {ledger.late_us / 1000:.0f} ms: no verdict on times"]
--- a/tests/fleet/test_control.py
+++ b/tests/fleet/test_control.py
@@ -185,12 +185,12 @@
 
     async def job() -> None:
         async with controlled(tmp_path / "s", Backend()) as (door, address, agent, made):
-            lapses = control.unix_ms() + 200
+            lapses = made.unix_ms() + 200
             await agent.ask("put", book=book(order(1, "hold", "n0", lapses_ms=lapses)))
             assert door.clients.held
             while door.clients.held:
                 await asyncio.sleep(0.01)
-            assert control.unix_ms() >= lapses and not made.book.in_force
+            assert made.unix_ms() >= lapses and not made.book.in_force
             assert await (await Client.open(address)).ask(query("a1")) == b"ok"
 
     run_job(job())
