--- a/molereach/fleet/agent/agent.py
+++ b/molereach/fleet/agent/agent.py
@@ -144,11 +144,16 @@
         try:
             await link.open(self.folder / f"{name}{SUFFIX}")
             self.links[name] = link
-            self.tell_roster(r.Opened(name))
-            self.hear(name, await link.ask("watch"))
         except LinkError as error:
             await link.close()
             self.lost(name, str(error))
+            return
+        self.tell_roster(r.Opened(name))
+        try:
+            self.hear(name, await link.ask("watch"))
+        except LinkError:  # it may be stopped: the connection stays, and its state is asked for again
+            if name in self.links:
+                self.tell_roster(r.Quiet(name))
 
     def lost(self, name: str, why: str) -> None:
         self.links.pop(name, None)
--- a/molereach/fleet/agent/api.py
+++ b/molereach/fleet/agent/api.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -12,6 +13,7 @@
 import msgspec
 import structlog
 from starlette.applications import Starlette
+from starlette.middleware import Middleware
 from starlette.requests import ClientDisconnect, Request
 from starlette.responses import Response, StreamingResponse
 from starlette.routing import Route
@@ -24,6 +26,7 @@
 from molereach.fleet.view import Event, Problem
 
 MOST_BODY_BYTES = 1 << 20  # a whole book with room
+DROP_S = 1.0  # for the rest of a body that nobody wants
 MOST_AT_ONCE = 64  # calls under way, watchers apart
 CUSTOMER_DIGITS = 16
 JSON, LINES = "application/json", "application/x-ndjson"
@@ -105,7 +108,7 @@
             Route("/v1/watch", self.guarded(read, self.watch)),
             Route("/v1/agreement", self.guarded(operate, self.agreement), methods=["POST"]),
             Route("/v1/openapi.json", self.guarded(read, self.openapi)),
-        ])
+        ], middleware=[Middleware(ReadFirst)])
 
     def guarded(
         self, role: Role, call: Callable[[Request, str], Awaitable[Response]]
@@ -233,3 +236,37 @@
 
 def line(event: Event) -> bytes:
     return _encode(event) + b"\n"
+
+
+class ReadFirst:
+    """Middleware: what a client still sends is read and dropped before it is answered, within bounds.
+
+    The HTTP server (hypercorn 0.18.0) forgets a stream of HTTP/2 as soon as it is answered, and a DATA frame
+    of it that comes then ends the connection, other streams included. Beyond the bound that is deserved.
+    """
+
+    def __init__(self, app: Any) -> None:  # noqa: ANN401
+        self.app = app
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:  # noqa: ANN401
+        if scope["type"] != "http" or scope["method"] in ("GET", "HEAD"):  # a stream hears of its own end
+            await self.app(scope, receive, send)
+            return
+        over, dropped = False, 0
+
+        async def hear() -> Any:  # noqa: ANN401
+            nonlocal over
+            message = await receive()
+            over = over or message["type"] != "http.request" or not message.get("more_body", False)
+            return message
+
+        async def tell(message: Any) -> None:  # noqa: ANN401
+            nonlocal dropped
+            if message["type"] == "http.response.start":
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(DROP_S):
+                        while not over and dropped <= MOST_BODY_BYTES:
+                            dropped += len((await hear()).get("body", b""))
+            await send(message)
+
+        await self.app(scope, hear, tell)
--- a/molereach/fleet/agent/run.py
+++ b/molereach/fleet/agent/run.py
@@ -77,11 +77,18 @@
     return config
 
 
+def connection_failed(loop: asyncio.AbstractEventLoop, context: dict[str, object]) -> None:
+    """A fault within the HTTP server costs its connection; it is one line of the log."""
+    structlog.get_logger().error("a connection failed", what=str(context.get("message")),
+                                 error=repr(context.get("exception")))
+
+
 async def run_agent(file: Path, own: AgentFile, fleet_path: Path, fleet: FleetFile, tokens: Tokens) -> None:
     """Serve until SIGTERM or SIGINT."""
     stopped, loop = asyncio.Event(), asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
+    loop.set_exception_handler(connection_failed)
     headers = {"authorization": f"Bearer {settings.load_token(beside(fleet_path, fleet.token))}"}
     verify = settings.client_tls(fleet_path, fleet)
     journal = Journal(beside(file, own.journal), own.name)
--- a/molereach/fleet/roster.py
+++ b/molereach/fleet/roster.py
@@ -15,6 +15,7 @@
 MOST_EVENTS = 512  # of the history
 QUIET_MS = 1000  # without a word, though it was asked
 FORGET_MS = 600_000  # after it has ended
+SILENT = "it takes what is sent and says nothing"
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +48,13 @@
     why: str
 
 
+@dataclass(frozen=True, slots=True)
+class Quiet:
+    """A connection stands, and what was asked on it is not answered."""
+
+    door: str
+
+
 @dataclass(frozen=True, slots=True)
 class Wanted:
     """The book is at a revision; `ready` once this agent may speak for the fleet."""
@@ -82,7 +90,7 @@
 
 
 Action = Connect | Put | Drop
-RosterEvent = Sockets | Opened | Heard | Lost | Wanted | Look
+RosterEvent = Sockets | Opened | Heard | Lost | Quiet | Wanted | Look
 
 
 @dataclass(slots=True)
@@ -132,6 +140,9 @@
                 record.connecting = False
                 self.change(now_ms, event.door, record, "gone", event.why)
                 return []
+            case Quiet():
+                self.change(now_ms, event.door, record, "silent", SILENT)
+                return []
 
     def lacks(self, record: Record) -> bool:
         """Whether a front door that answers is to be told of orders."""
@@ -170,7 +181,7 @@
     def on_look(self, now_ms: int) -> None:
         for name, record in self.doors.items():
             if record.reach == "up" and record.heard_ms is not None and now_ms - record.heard_ms >= QUIET_MS:
-                self.change(now_ms, name, record, "silent", "it takes what is sent and says nothing")
+                self.change(now_ms, name, record, "silent", SILENT)
 
     def change(self, now_ms: int, name: str, record: Record, reach: Reach, why: str) -> None:
         if record.reach != reach:
