Reads by HTTP/1.1, one pool an agent; a front door of the rig closes its memory once

The rig closed a descriptor twice when a world was closed twice: with two worlds in one process it closed the other one's. Agents of the rig end without holding up its loop.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -51,7 +51,8 @@
         async with places:
             trial = await kill_at(STEPS[number % len(STEPS)], seed + number)
             done.append(trial)
-            outcome = "in order" if trial.ok else f"NOT in order: {trial.wrong}"
+            late = "" if trial.world.ledger.times_judged else "; the rig was late"
+            outcome = "in order" if trial.ok else f"NOT in order: {trial.wrong}{late}"
             say(f"killed at '{trial.step}': {trial.report.verdict.value}, {outcome}")
 
     await asyncio.gather(*(one(number) for number in range(count)))
@@ -129,7 +130,7 @@
 async def fresh_status(file: Path) -> float:
     """Seconds for the state of all agents with connections that are made for it, as the command's are."""
     begun = time.monotonic()
-    async with Fleet(file, load(file, FleetFile)) as fleet:
+    async with Fleet(file, load(file, FleetFile), http1=True) as fleet:
         failed = await timed_status(fleet) == float("inf")
     return float("inf") if failed else time.monotonic() - begun
 
--- a/molereach/fleet/cli/client.py
+++ b/molereach/fleet/cli/client.py
@@ -43,12 +43,16 @@
     """All agents that a fleet's file names."""
 
     def __init__(self, file: Path, settings: FleetFile, http1: bool = False) -> None:
-        """SettingsError where the token or a certificate cannot be had."""
+        """SettingsError where the token or a certificate cannot be had.
+
+        `http1` for a single call of each agent: a connection of HTTP/2 costs twice as much to set up, and has
+        nothing to share.
+        """
         self.settings = settings
         self.urls = {agent.name: agent.url.rstrip("/") for agent in settings.agents}
         headers = {"authorization": f"Bearer {load_token(beside(file, settings.token))}"}
-        tls = client_tls(file, settings)
         encrypted = any(url.startswith("https") for url in self.urls.values())
+        tls = client_tls(file, settings) if encrypted else False
         # Without TLS there is nothing to negotiate by: HTTP/2 with prior knowledge (RFC 9113, section 3.3). A
         # client for each agent: one pool for all looks at each of its connections for each call.
         self.clients = {name: httpx.AsyncClient(
--- a/molereach/fleet/cli/commands.py
+++ b/molereach/fleet/cli/commands.py
@@ -12,6 +12,7 @@
 
 import click
 import msgspec
+import uvloop
 
 from molereach.fleet import campaign as c
 from molereach.fleet.cli.client import CallError, Fleet, Giver, RefusedCallError, now_us
@@ -48,15 +49,16 @@
     return file, load(file, FleetFile)
 
 
-def run(file: Path | None, job: Callable[[Fleet], Awaitable[int]]) -> None:
+def run(file: Path | None, job: Callable[[Fleet], Awaitable[int]], many_calls: bool = False) -> None:
     """Carry out a command on a fleet and end with its exit code."""
 
     async def all_of_it(path: Path, settings: FleetFile) -> int:
-        async with Fleet(path, settings) as made:
+        async with Fleet(path, settings, http1=not many_calls) as made:
             return await job(made)
 
     try:
-        code = asyncio.run(all_of_it(*opened(file)))
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            code = runner.run(all_of_it(*opened(file)))
     except (SettingsError, OrderError) as error:
         click.echo(f"molereach fleet: {error}", err=True)
         code = BAD_INPUT
@@ -261,7 +263,7 @@
             pass
         return (UNREACHABLE if len(failed) == len(made.urls) else PARTLY) if failed else DONE
 
-    run(file, job)
+    run(file, job, many_calls=True)
 
 
 # --- giving orders ---
@@ -347,7 +349,7 @@
                 show_in_flight(out, subject, in_flight, wait_s or 0.0)
         return code
 
-    run(file, job)
+    run(file, job, many_calls=True)
 
 
 def show_in_flight(out: Printer, server: str, seen: InFlight, waited_s: float) -> None:
--- a/rig/doors.py
+++ b/rig/doors.py
@@ -201,8 +201,10 @@
     def close(self) -> None:
         self.destroy()
         self.holder.close()
-        with contextlib.suppress(OSError):
-            os.close(self.memory)
+        # Once only: by now the number may be of somebody else's file.
+        memory, self.memory = self.memory, -1
+        if memory >= 0:
+            os.close(memory)
 
     # --- what it takes ---
 
--- a/rig/fleet.py
+++ b/rig/fleet.py
@@ -129,8 +129,20 @@
         """All agents answer when it returns."""
         for agent in self.agents:
             agent.start()
+            await asyncio.sleep(PING_S)  # a start takes a while of the loop: not all in one turn
         await asyncio.gather(*(agent.ready(self.token) for agent in self.agents))
 
+    async def finish(self) -> None:
+        """End all agents in order, without holding up whatever else runs on the loop."""
+        for agent in self.agents:
+            agent.signal(signal.SIGCONT)
+            agent.signal(signal.SIGTERM)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(END_S):
+                while any(agent.process and agent.process.poll() is None for agent in self.agents):
+                    await asyncio.sleep(PING_S)
+
     def close(self) -> None:
+        """End what is still there; nothing stays behind."""
         for agent in self.agents:
             agent.close()
--- a/rig/orders.py
+++ b/rig/orders.py
@@ -88,6 +88,7 @@
                 again = await give(fleet, draft("o1"))
                 waited = await wait_for_end(fleet, SERVER, 3.0, lambda text: None)
             found = Trial(step, seed, report, await day)
+            await rig.finish()
         finally:
             world.close()
             rig.close()
