--- a/molereach/fleet/roster.py
+++ b/molereach/fleet/roster.py
@@ -138,7 +138,8 @@
                 return self.on_heard(now_ms, event.door, record, event.state)
             case Lost():
                 record.connecting = False
-                self.change(now_ms, event.door, record, "gone", event.why)
+                if record.reach != "gone":  # the first reason says most
+                    self.change(now_ms, event.door, record, "gone", event.why)
                 return []
             case Quiet():
                 self.change(now_ms, event.door, record, "silent", SILENT)
--- a/tests/fleet/test_roster.py
+++ b/tests/fleet/test_roster.py
@@ -3,6 +3,7 @@
 import pytest
 
 from molereach.fleet import roster as module
+from molereach.fleet import wall
 from molereach.fleet.roster import (
     Connect,
     Drop,
@@ -81,6 +82,18 @@
     assert made.views(2)[0].reach == "gone" and "n7" in made.views(2)[0].why and not made.views(2)[0].state
 
 
+def test_orders_lapse_by_a_clock_that_does_not_step(monkeypatch: pytest.MonkeyPatch) -> None:
+    clock = {"wall": 1_700_000_000_000, "monotonic": 5_000}
+    monkeypatch.setattr(wall.time, "time_ns", lambda: clock["wall"] * 1_000_000)
+    monkeypatch.setattr(wall.time, "monotonic_ns", lambda: clock["monotonic"] * 1_000_000)
+    now_ms = wall.anchored()
+    assert now_ms() == 1_700_000_000_000
+    for step_ms in (3_600_000, -7_200_000):  # the machine's clock is set, on and back
+        clock["wall"] += step_ms
+        clock["monotonic"] += 250
+    assert now_ms() == 1_700_000_000_500
+
+
 def test_what_is_kept_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     made = Roster("a0")
     made.handle(0, Sockets(frozenset(f"n{number}" for number in range(1000))))
