--- a/tests/fleet/test_agent.py
+++ b/tests/fleet/test_agent.py
@@ -219,7 +219,7 @@
         async with front_door(Backend()) as (door, _), serving(agent):
             control = Control(door, tmp_path / "sockets" / "n9.sock")  # its name is n0
             await control.start()
-            await asyncio.start_unix_server(say_nothing, str(tmp_path / "sockets" / "n1.sock"))
+            stopped = await asyncio.start_unix_server(say_nothing, str(tmp_path / "sockets" / "n1.sock"))
 
             def reach() -> dict[str, str]:
                 return {one.name: one.why for one in agent.status().doors}
@@ -231,6 +231,7 @@
             await agent.take(Known((Decided(1, ORDER),)))
             assert control.book.revision in (0, 1)  # it may have been told before it was known
             control.close()
+            stopped.close()  # held until here: one that nobody holds is closed by a collection
             for writer in writers:
                 writer.close()
 
