--- a/tests/fleet/test_agent.py
+++ b/tests/fleet/test_agent.py
@@ -301,6 +301,21 @@
     run(job())
 
 
+def test_call_refused_before_its_body_came_does_not_end_the_connection(tmp_path: Path) -> None:
+    async def job() -> None:
+        agent = made(tmp_path)
+        async with (serving(agent) as url, client(url, READ) as session,
+                    session.stream("GET", "/v1/watch") as stream):
+            lines = stream.aiter_lines()
+            assert await anext(lines) == ""
+            refused = await session.post("/v1/agreement", content=b"x" * 300_000)
+            assert refused.status_code == 403
+            await agent.take(Known((Decided(1, ORDER),)))
+            assert msgspec.json.decode(await anext(lines), type=Event).subject == "o1"
+
+    run(job())
+
+
 def test_calls_under_way_are_bounded(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(api, "MOST_AT_ONCE", 0)
 
--- a/tests/fleet/test_campaign.py
+++ b/tests/fleet/test_campaign.py
@@ -115,6 +115,22 @@
     assert reported(fleet, drain("o3", "s2" if one.campaign.decided else "s1", forced=True)) is Verdict.DONE
 
 
+def test_loser_that_finished_the_winner_tells_it_before_it_ends() -> None:
+    """Its own ballots may be all that anybody knows the winner by."""
+    for seed in range(20):
+        fleet = Fleet(seed, 0.1)
+        fleet.run(lambda: fleet.now_us > 300 * MS)  # noqa: B023
+        first = fleet.give(drain("o1"), kill_at="accepted")
+        fleet.run(lambda: first.dead)  # noqa: B023
+        tool = fleet.give(undrain("o2", based_on=0))
+        fleet.run(lambda: tool.campaign.report is not None)  # noqa: B023
+        report = tool.campaign.report
+        assert report
+        if report.verdict is Verdict.CONFLICT:
+            knowing = sum(agent.book.revision >= 1 for agent in fleet.agents.values())
+            assert knowing >= 3 or "have said that they know" in report.text
+
+
 def test_minority_says_unreachable_and_what_it_knows() -> None:
     fleet = Fleet(2)
     fleet.away |= {"a0", "a1", "a2"}
--- a/tests/fleet/test_orders.py
+++ b/tests/fleet/test_orders.py
@@ -118,7 +118,8 @@
     for revision in range(1, 3000):
         long.learn(Decided(revision, order(f"o{revision}", subject=f"s{revision}")))
     assert len(long.recent) == orders.MOST_RECENT and long.find("o2999") and not long.find("o2000")
-    assert isinstance(long.judge(order("late"), 0, READY, 0), Refusal)  # nobody knows what it did not see
+    late = long.judge(order("late", Verb.UNDRAIN), 0, READY, 0)  # nobody knows what it did not see
+    assert isinstance(late, Refusal) and late.why is Why.CONFLICT
     long.state().check()
 
 
