The tool imports nothing of the agent's server

It took a bound on bodies from the agent's API module, and with it starlette and the agent; the bound stands with the bodies now (view.py). Eight tests of both sides pass.

--- a/molereach/fleet/agent/api.py
+++ b/molereach/fleet/agent/api.py
@@ -23,9 +23,8 @@
 from molereach.fleet.agreement import Accept, Accepted, Behind, Known, Message, Outbid, Prepare, Promise
 from molereach.fleet.journal import JournalError
 from molereach.fleet.orders import OrderError
-from molereach.fleet.view import Event, Problem
+from molereach.fleet.view import MOST_BODY_BYTES, Event, Problem
 
-MOST_BODY_BYTES = 1 << 20  # a whole book with room
 DROP_S = 1.0  # for the rest of a body that nobody wants
 MOST_AT_ONCE = 64  # calls under way, watchers apart
 CUSTOMER_DIGITS = 16
--- a/molereach/fleet/cli/client.py
+++ b/molereach/fleet/cli/client.py
@@ -12,10 +12,9 @@
 import msgspec
 
 from molereach.fleet import campaign as c
-from molereach.fleet.agent.api import MOST_BODY_BYTES
 from molereach.fleet.agreement import Accept, Accepted, Behind, Known, Message, Outbid, Prepare, Promise
 from molereach.fleet.settings import FleetFile, beside, client_tls, load_token
-from molereach.fleet.view import Event, Problem, View
+from molereach.fleet.view import MOST_BODY_BYTES, Event, Problem, View
 
 T = TypeVar("T")
 LAST_WORDS_S = 0.3  # for what is still on its way when the report is there
--- a/molereach/fleet/view.py
+++ b/molereach/fleet/view.py
@@ -8,6 +8,7 @@
 from molereach.fleet.orders import BookState, Decided, Order
 from molereach.fleet.wire import Member, Standing, State
 
+MOST_BODY_BYTES = 1 << 20  # a whole book with room
 Reach = Literal["new", "up", "silent", "gone", "ended"]
 
 
