--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -10,7 +10,7 @@
 
 from benchmarks.result import Result
 
-SUBJECTS = ("door", "fleet", "scenarios", "simulation")
+SUBJECTS = ("door", "fleet", "limits", "scenarios", "simulation")
 
 
 def first_line(name: str) -> str:
--- /dev/null
+++ b/benchmarks/limits.py
@@ -0,0 +1,318 @@
+"""Limits over front doors that lose words: bounds in random histories, a moved building, words and CPU.
+
+Figures named `before_` are of the same seed without limits, as the front door was.
+"""
+
+import multiprocessing
+import statistics
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import replace
+from random import Random
+from typing import TypeVar
+
+import msgspec
+
+from benchmarks.result import Result
+from fennelwinch import interface as i
+from fennelwinch.rules import DEMAND_US, Gateway
+from molereach.limits.core import Limits
+from molereach.limits.settings import LimitSettings
+from rig import scenario_files
+from sim.histories import PLAN, READS, BrokenError, QuotaHistory, ShareHistory, Store
+from sim.run import JOBS_CONTEXT
+from sim.world import play
+
+S = 1_000_000
+HISTORIES, QUICK_HISTORIES = 10_000, 240
+QUOTAS, QUICK_QUOTAS = 1_000, 40
+SEEDS, QUICK_SEEDS = range(1, 11), range(1, 4)
+DAYS, QUICK_DAYS = range(1, 11), range(1, 2)
+SPLIT_S, QUICK_SPLIT_S = 60.0, 15.0
+MEASURED_S = 5.0
+TIERS = (3, 10, 50)
+CUSTOMERS, QUICK_CUSTOMERS = 100_000, 5_000
+TIER_RATE, TIER_SECONDS = 2000, 4  # tries a second over a tier
+COST_ROUNDS, QUICK_COST_ROUNDS, COST_TRIES = 9, 3, 3000
+# A plan without a quota, so that the ceiling alone binds.
+CEILING = replace(PLAN, rate=0.0, burst=0.0)
+
+
+class Share(msgspec.Struct, frozen=True):
+    """What one random history of shares came to."""
+
+    broken: str
+    most_share: float
+    lowest: float  # of the judge's store, as a part of the burst
+    granted: int
+
+
+class Over(msgspec.Struct, frozen=True):
+    """What one random history of a quota came to: units beyond it, of the bound stated ahead."""
+
+    units: float
+    part: float
+    ceiling: float  # units beyond the ceiling
+
+
+def share_history(seed: int) -> Share:
+    history = ShareHistory(seed)
+    try:
+        history.play()
+    except BrokenError as error:
+        return Share(str(error), history.most_share, history.store.lowest / history.plan.ceiling_burst,
+                     history.granted)
+    return Share("", history.most_share, history.store.lowest / history.plan.ceiling_burst, history.granted)
+
+
+def bound(history: QuotaHistory, events: int) -> float:
+    """docs/design/limits.md: the most that may go beyond a quota, for so many splits, stops and restarts."""
+    plan, others = history.plan, len(history.nodes) - 1
+    silence_s = 4 * history.figures.beat_us / S
+    return max(1, events) * others * (plan.burst + plan.rate * (silence_s + DEMAND_US / S))
+
+
+def quota_history(seed: int) -> Over:
+    """Traffic that moves among front doors that lose words, are split and killed."""
+    draw = Random(f"{seed}:quota")
+    history = QuotaHistory(seed, draw.randint(2, 5))
+    history.mail.loss, history.mail.double = draw.choice((0.0, 0.1, 0.3, 0.5)), draw.choice((0.0, 0.2))
+    at, end = 3.0, 23.0
+    while at < end:
+        weights = [draw.choice((0.0, 0.2, 1.0)) for _ in history.nodes]
+        weights[draw.randrange(len(weights))] = 2.0
+        until = min(end, at + draw.uniform(1.0, 6.0))
+        history.load(round(at * S), round(until * S), draw.uniform(5, 60), weights)
+        at = until
+    events = draw.randint(0, 4)
+    for _ in range(events):
+        fault(history, draw, round(draw.uniform(2.0, 20.0) * S))
+    history.run(round(end * S) + S)
+    # Loss alone may look like a split now and then: each such moment counts as one.
+    losses = 1 + (history.mail.loss >= 0.3) * 2 + (history.mail.loss >= 0.5) * 5
+    over = max(0.0, -history.quota.lowest)
+    return Over(over, over / bound(history, events + losses), max(0.0, -history.ceiling.lowest))
+
+
+def fault(history: QuotaHistory, draw: Random, at: int) -> None:
+    node, lasts = draw.choice(history.nodes), round(draw.uniform(0.3, 8.0) * S)
+    if draw.random() < 0.4:
+        history.at(at, lambda: history.kill(node, lasts) if node.up else None)
+        return
+    cut = draw.randint(1, len(history.nodes) - 1)
+    names = draw.sample(range(len(history.nodes)), len(history.nodes))
+
+    def split() -> None:
+        history.mail.groups = frozenset(names[:cut]), frozenset(names[cut:])
+
+    def heal() -> None:
+        history.mail.groups = ()
+
+    history.at(at, split)
+    history.at(at + lasts, heal)
+
+
+T = TypeVar("T")
+
+
+def over_cores(work: Callable[[int], T], seeds: range, say: Callable[[str], None]) -> Iterator[T]:
+    context = multiprocessing.get_context(JOBS_CONTEXT)
+    with ProcessPoolExecutor(mp_context=context) as pool:
+        for number, found in enumerate(pool.map(work, seeds, chunksize=8), 1):
+            if number % 500 == 0:
+                say(f"{number} of {len(seeds)} histories")
+            yield found
+
+
+def histories(quick: bool, say: Callable[[str], None]) -> tuple[dict[str, float], dict[str, object]]:
+    count, quotas = (QUICK_HISTORIES, QUICK_QUOTAS) if quick else (HISTORIES, QUOTAS)
+    shares = list(over_cores(share_history, range(count), say))
+    overs = list(over_cores(quota_history, range(quotas), say))
+    broken = [found.broken for found in shares if found.broken]
+    return {
+        "share_histories": len(shares), "share_histories_broken": len(broken),
+        "shares_at_most": max(found.most_share for found in shares),
+        "ceiling_left_at_least": round(min(found.lowest for found in shares), 6),
+        "granted_in_histories": sum(found.granted for found in shares),
+        "quota_histories": len(overs), "quota_over_units": round(max(found.units for found in overs), 2),
+        "quota_over_of_bound": round(max(found.part for found in overs), 4),
+        "quota_ceiling_over_units": round(max(found.ceiling for found in overs), 3),
+    }, {"broken": broken[:3]}
+
+
+# --- a building that stands at one front door, or moves at once ---
+
+
+def entitled(plan: i.Plan, history: QuotaHistory, since: int, until: int, asked: int) -> float:
+    """What one front door that sees all tries would have sent on between two times."""
+    rate, burst = (plan.rate, plan.burst) if plan.rate else (plan.ceiling_rate, plan.ceiling_burst)
+    store = Store(rate, burst, burst, 0)
+    for at, _ in history.sent:
+        if at < since:
+            store.take(at, 1.0)
+    store.take(since, 0.0)
+    return min(asked, max(0.0, store.level) + rate * (until - since) / S)
+
+
+def granted(
+    seed: int, plan: i.Plan, moves: bool, loss: float, with_limits: bool, split_s: float = 0.0
+) -> tuple[float, float]:
+    """The share granted of what the plan entitles to over the next 5 s, and units beyond the plan's store."""
+    history = QuotaHistory(seed, 3, with_limits, plan)
+    history.mail.loss = loss
+    start = 5 * S
+    if moves:
+        history.load(start, start + 5 * S, 60.0, [1.0, 0.0, 0.0])
+        start += 5 * S
+    if split_s:
+        history.at(start, lambda: setattr(history.mail, "groups", tuple(frozenset([n]) for n in range(3))))
+    end = start + round((split_s or MEASURED_S) * S)
+    history.load(start, end, 60.0, [0.0, 1.0, 0.0] if moves else [1.0, 0.0, 0.0])
+    history.run(start)
+    before = history.asked
+    history.run(end + S)
+    store = history.quota if plan.rate else history.ceiling
+    share = history.sent_between(start, end) / entitled(plan, history, start, end, history.asked - before)
+    return min(1.0, share), max(0.0, -store.lowest)
+
+
+def moved(quick: bool) -> tuple[dict[str, float], list[dict[str, object]]]:
+    figures: dict[str, float] = {}
+    table: list[dict[str, object]] = []
+    seeds = QUICK_SEEDS if quick else SEEDS
+    split_s = QUICK_SPLIT_S if quick else SPLIT_S
+    for what, plan in (("quota", PLAN), ("ceiling", CEILING)):
+        for name, moves, loss, lasts in (
+            ("one_door", False, 0.0, 0.0), ("moves", True, 0.0, 0.0), ("one_door_loss", False, 0.3, 0.0),
+            ("moves_loss", True, 0.3, 0.0), ("moves_split", True, 0.3, split_s),
+        ):
+            row: dict[str, object] = {"limit": what, "case": name}
+            for side, with_limits in (("before_", False), ("", True)):
+                found = [granted(seed, plan, moves, loss, with_limits, lasts) for seed in seeds]
+                figures[f"{side}{what}_{name}"] = round(statistics.mean(share for share, _ in found), 4)
+                figures[f"{side}{what}_{name}_over"] = round(max(over for _, over in found), 2)
+                row[side or "limits"] = [round(share, 3) for share, _ in found]
+            table.append(row)
+    return figures, table
+
+
+def rig_days(quick: bool) -> dict[str, float]:
+    """The whole program in virtual time, judged by servers' and clients' journals, on both sides."""
+    figures: dict[str, float] = {}
+    for side, limits in (("before_", False), ("", True)):
+        over, ceiling, share, fine = [], [], [], 0
+        for seed in QUICK_DAYS if quick else DAYS:
+            ledger = (played := play(scenario_files.load("move-in-split"), seed, limits=limits)).report.ledger
+            over.append(ledger.quota_over)
+            ceiling.append(ledger.units_over)
+            share.append(ledger.quota_granted)
+            fine += played.ok
+        figures[f"{side}days_in_order"] = fine / len(over)
+        figures[f"{side}days_quota_over"] = round(max(over), 2)
+        figures[f"{side}days_ceiling_over"] = round(max(ceiling), 2)
+        figures[f"{side}days_quota_granted"] = round(statistics.mean(share), 4)
+    return figures
+
+
+# --- what it costs ---
+
+
+def tier(doors: int, customers: int, with_limits: bool) -> tuple[float, float]:
+    """Messages and bytes a second that one front door of a tier sends, with so many customers' traffic."""
+    history = QuotaHistory(1, doors, with_limits)
+    draw = history.random
+    for number in range(TIER_RATE * TIER_SECONDS):
+        node = draw.choice(history.nodes)
+        size = min(3, doors)
+        first = (node.number - draw.randrange(size)) % doors
+        customer = f"{draw.randrange(customers):016x}"
+        request = i.Request(f"t{number}", 0, 0, customer, 1_900_000, 1.0, size, first)
+        history.at(2 * S + number * S // TIER_RATE,
+                   lambda node=node, request=request: history.tell(node, request))  # type: ignore[misc]
+    history.run(2 * S)
+    before = history.messages, history.bytes
+    history.run((2 + TIER_SECONDS) * S)
+    span = doors * TIER_SECONDS
+    return (history.messages - before[0]) / span, (history.bytes - before[1]) / span
+
+
+def try_us(with_limits: bool, seed: int) -> float:
+    """CPU microseconds in the module for a try, of one customer in ten with a ceiling, all served."""
+    settings = i.Settings(seed=seed, me=0, gateways=3, classes=(READS,), may_tell=True,
+                          plans=(replace(PLAN, rate=1e6, burst=1e6, ceiling_rate=1e6, ceiling_burst=1e6),),
+                          peer_messages_per_s=60.0)
+    gateway = Gateway(settings, Limits(settings, LimitSettings()) if with_limits else None)
+    servers = tuple(i.Server(f"s{n}", n % 3, 0, 0, i.ServerState.UP) for n in range(9))
+    gateway.handle(0, i.ServerList(i.ListKind.FULL, 1, servers))
+    now = 20 * S
+    begun = time.process_time()
+    for number in range(COST_TRIES):
+        now += 2000
+        name = f"r{number}"
+        actions = gateway.handle(now, i.Request(name, 0, 0, f"{number % 50:016x}", 1_900_000, 1.0, 3, 0))
+        for action in actions:
+            if isinstance(action, i.Send):
+                gateway.handle(now, i.Outcome(name, True, 0, action.server, i.Result.OK, 30_000))
+    return (time.process_time() - begun) * 1e6 / COST_TRIES
+
+
+def memory(count: int) -> float:
+    """Bytes that limits hold for each customer with a ceiling, a quota spent here and its home elsewhere."""
+    settings = i.Settings(seed=1, me=0, gateways=3, classes=(READS,), plans=(PLAN,), may_tell=True,
+                          peer_messages_per_s=60.0)
+    limits = Limits(settings, LimitSettings())
+    limits.start(0)
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    for number in range(count):
+        key = (number, 0, 0, 3)
+        limits.want(10 * S, key, 1.0)
+        limits.reach(10 * S, key)
+        limits.spend(10 * S, key, 1.0, 1.0)
+    taken = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    return taken / count
+
+
+def costs(quick: bool) -> dict[str, float]:
+    figures: dict[str, float] = {}
+    customers = QUICK_CUSTOMERS if quick else CUSTOMERS
+    for doors in TIERS:
+        for side, with_limits in (("before_", False), ("", True)):
+            messages, size = tier(doors, customers, with_limits)
+            figures[f"{side}messages_per_s_{doors}"] = round(messages, 1)
+            figures[f"{side}bytes_per_s_{doors}"] = round(size)
+    ratios = []
+    for number in range(QUICK_COST_ROUNDS if quick else COST_ROUNDS):
+        without = try_us(False, number)
+        ratios.append(try_us(True, number) / without)
+    figures["module_cpu_ratio"] = round(statistics.median(ratios), 3)
+    figures["module_us"] = round(without, 1)
+    figures["bytes_per_customer"] = round(memory(customers))
+    return figures
+
+
+def measure(quick: bool, seed: int, progress: bool) -> Result:
+    """Aims: the issue's, and the bounds of docs/design/limits.md."""
+    def say(text: str) -> None:
+        if progress:
+            print(text, file=sys.stderr)
+
+    figures, more = histories(quick, say)
+    found, table = moved(quick)
+    figures |= found
+    more["table"] = table
+    say("a building that moves: done")
+    figures |= rig_days(quick)
+    say("days of the whole program: done")
+    figures |= costs(quick)
+    aims = {
+        "most_share_histories_broken": 0.0, "most_shares_at_most": 1.0, "ceiling_left_at_least": -1e-6,
+        "most_quota_over_of_bound": 1.0, "quota_one_door": 0.95, "quota_moves": 0.95, "ceiling_one_door": 0.9,
+        "ceiling_moves": 0.9, "quota_one_door_loss": 0.85, "quota_moves_loss": 0.85, "days_in_order": 1.0,
+        "most_messages_per_s_50": 60.0,
+    }
+    return Result("limits", seed, aims, figures, more)
--- a/fennelwinch/adapter.py
+++ b/fennelwinch/adapter.py
@@ -9,7 +9,7 @@
 from typing import TextIO
 
 from fennelwinch import interface as i
-from fennelwinch.codec import Pairs, pack_words, read_report, read_settings, unpack_words
+from fennelwinch.codec import Form, Pairs, PlainForm, read_report, read_settings
 from fennelwinch.rules import Gateway
 
 RESULTS = {
@@ -29,6 +29,9 @@
     "diff": i.ListKind.CHANGES,
     "error": i.ListKind.FAILED,
 }
+PLAIN = PlainForm()
+
+
 class WireError(Exception):
     """The input is not what the wire's page describes."""
 
@@ -154,15 +157,15 @@
     if name == "CHECK_RESULT":
         server, result = fields.text(), RESULTS[fields.text()]
         return i.ProbeResult(server, result, fields.whole(0), read_load(fields, names))
-    if name == "FROM_PEER":
-        return i.PeerMessage(fields.whole(), unpack_words(read_bytes(fields)))
     if name == "TOTAL":
         return i.Counted(fields.whole(), RESULTS[fields.text()], fields.number(0.0), fields.whole(0))
     raise WireError(f"unknown message '{name}'")
 
 
-def write_action(action: i.Action) -> str:
+def write_action(action: i.Action, form: Form = PLAIN) -> str:
     match action:
+        case i.Tell(peer, words):
+            return "\n".join(f"TELL {peer} {data.hex()}" for data in form.pack(peer, words))
         case i.Send(request_id, server, timeout_us):
             return f"TRY {request_id} {server} {timeout_us}"
         case i.Cancel(request_id, attempt):
@@ -177,8 +180,6 @@
             return f"CHECK {server}"
         case i.CloseIdle(server):
             return f"HANG_UP {server}"
-        case i.Tell(peer, words):
-            return "\n".join(f"TELL {peer} {data.hex()}" for data in pack_words(words))
         case i.Count(name, amount, lifetime_us):
             return f"ADD_TO {name} {amount:g} {lifetime_us}"
         case i.Subscribe(on):
@@ -201,7 +202,9 @@
 class Host:
     """The instances of this process and the numbered server lists they refer to."""
 
-    def __init__(self) -> None:
+    def __init__(self, with_limits: bool = False) -> None:
+        self.with_limits = with_limits
+        self.forms: dict[int, Form] = {}
         self.gateways: dict[int, Gateway] = {}
         self.report_names: dict[int, list[str]] = {}
         self.sheets: dict[int, tuple[i.Server, ...]] = {}
@@ -228,7 +231,7 @@
             pairs = read_pairs(part for part in parts[1:] if part)
             how = pairs.text("stats.names")
             self.report_names[self.target] = how.split(",") if how else []
-            self.gateways[self.target] = Gateway(read_settings(fields.whole(), pairs))
+            self.gateways[self.target] = self.gateway(self.target, read_settings(fields.whole(), pairs))
             return []
         if self.target not in self.gateways:
             raise WireError(f"there is no instance {self.target}")
@@ -237,10 +240,27 @@
             return []
         if name == "UPDATE":
             event: i.Event = self.read_list(fields)
+        elif name == "FROM_PEER":
+            sender, data = fields.whole(), read_bytes(fields)
+            heard = self.forms[self.target].unpack(sender, data)
+            event = heard or i.PeerMessage(sender, ())
         else:
             event = read_event(name, fields, self.report_names[self.target])
         return self.decide(event)
 
+    def gateway(self, instance: int, settings: i.Settings) -> Gateway:
+        """A gateway, and how its words stand in messages; with limits only where they are asked for."""
+        if not self.with_limits:
+            self.forms[instance] = PLAIN
+            return Gateway(settings)
+        from molereach.limits.core import Limits
+        from molereach.limits.settings import LimitSettings
+        from molereach.limits.words import Codec
+
+        limits = Limits(settings, LimitSettings())
+        self.forms[instance] = Codec(limits.me, limits.generation, limits.counts)
+        return Gateway(settings, limits)
+
     def read_list(self, fields: Fields) -> i.ServerList:
         kind, version, sheet = LISTS[fields.text()], fields.whole(0), fields.whole(0)
         if kind is i.ListKind.FAILED:
@@ -255,7 +275,8 @@
             actions = self.gateways[self.target].handle(self.now_us, event)
         except Exception as error:
             raise ModuleError(f"{type(error).__name__}: {error}") from error
-        lines = [write_action(action) for action in actions]
+        form = self.forms[self.target]
+        lines = [write_action(action, form) for action in actions]
         if lines and self.context != self.target:
             self.context = self.target
             lines.insert(0, f"CONTEXT {self.target}")
@@ -283,7 +304,7 @@
     raise WireError("the input ends within a batch")
 
 
-def serve(source: TextIO, sink: TextIO) -> int:
+def serve(source: TextIO, sink: TextIO, with_limits: bool = False) -> int:
     """Answer batches until the input ends; the exit code."""
     count = 0
 
@@ -293,7 +314,7 @@
             count += 1
             yield line.rstrip("\n")
 
-    host, lines = Host(), numbered()
+    host, lines = Host(with_limits), numbered()
     try:
         while (reply := run_batch(host, lines)) is not None:
             sink.write("\n".join(reply) + "\n")
@@ -308,7 +329,7 @@
 def main() -> int:
     sys.stdin.reconfigure(encoding="utf-8", newline="\n")  # type: ignore[union-attr]
     sys.stdout.reconfigure(encoding="utf-8", newline="\n")  # type: ignore[union-attr]
-    return serve(sys.stdin, sys.stdout)
+    return serve(sys.stdin, sys.stdout, with_limits=sys.argv[1:] == ["--limits"])
 
 
 if __name__ == "__main__":
--- a/fennelwinch/codec.py
+++ b/fennelwinch/codec.py
@@ -3,6 +3,7 @@
 import re
 import struct
 from collections.abc import Iterable, Mapping
+from typing import Protocol
 
 from fennelwinch import interface as i
 
@@ -163,3 +164,24 @@
         )
         for customer, plan, first, size, answer, demand, spent, asked, level in WORD.iter_unpack(data)
     )
+
+
+class Form(Protocol):
+    """How words stand in datagrams."""
+
+    def pack(self, peer: int, words: tuple[i.Word | i.LimitWord, ...]) -> list[bytes]:
+        """The datagrams to a peer."""
+
+    def unpack(self, sender: int, data: bytes) -> i.PeerMessage | None:
+        """What one from a peer says; None for one that is malformed."""
+
+
+class PlainForm:
+    """Words on quotas alone."""
+
+    def pack(self, peer: int, words: tuple[i.Word | i.LimitWord, ...]) -> list[bytes]:
+        return pack_words(word for word in words if isinstance(word, i.Word))
+
+    def unpack(self, sender: int, data: bytes) -> i.PeerMessage | None:
+        words = unpack_words(data)
+        return i.PeerMessage(sender, words) if words else None
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -37,6 +37,7 @@
 REPORT_FRESH_US = 1.5 * S  # a load report older than this says nothing
 NEEDED_NEW, NEEDED_HELD = 0.5, 2.0  # mean latencies left: else all that is held would leave just too late
 RETRY_SHARE, RETRY_STORE = 0.1, 8.0  # further attempts earned by a first one, and kept at most
+ENDS = ("quota", "ceiling", "cap", "server", "word", "late", "attempts")  # why a request was given up on
 
 
 class _Server:
@@ -54,7 +55,7 @@
     """A customer's part of quota and ceiling here, and what is known of its whole set: all, at its home."""
 
     __slots__ = ("at", "ceiling", "heard_us", "home", "key", "level", "others", "out", "own", "part", "plan",
-                 "size", "spent", "untold")
+                 "reach", "size", "spent", "untold")
 
     def __init__(
         self, plan: i.Plan, key: tuple[int, int, int, int], set_: i.Settings, now: int, since: int
@@ -67,6 +68,7 @@
         self.ceiling = min(plan.ceiling_burst, plan.ceiling_rate * (now - since) / S) / self.size
         self.heard_us, self.out = -NEVER, 0
         self.untold = self.spent = 0.0  # demand and spending that the home has not been told of
+        self.reach = 1.0  # the part of the quota that may be spent on this side of a split
 
     def refill(self, now: int) -> "_Customer":
         """Refill the parts. Others' demand and the level stay as told while that is fresh, as others go on
@@ -76,7 +78,7 @@
         aged = math.exp(-took * S / DEMAND_US)
         self.own *= aged
         if now - self.heard_us > WORD_FRESH_US:
-            self.level = min(plan.burst, self.level + plan.rate * took)
+            self.level = min(plan.burst * self.reach, self.level + plan.rate * self.reach * took)
             self.others *= aged
         self.part = min(plan.burst * part, self.part + plan.rate * took * part, max(0.0, self.level))
         return self
@@ -90,11 +92,12 @@
         """Quota over summed demand; the quota is the rate while demand ages, and what the set has or owes."""
         if self.plan.max_out and self.out >= max(1, self.plan.max_out // self.size):
             return 0.0
-        quota = self.level + self.plan.rate * DEMAND_US / S
+        quota = self.level + self.plan.rate * self.reach * DEMAND_US / S
         return max(0.0, min(1.0, quota / max(units, self.demand))) if self.plan.rate else 1.0
 
     def spend(self, units: float) -> None:
-        self.level = max(self.level - units, -self.plan.rate * DEMAND_US / S)  # it owes nothing for long
+        least = -self.plan.rate * self.reach * DEMAND_US / S  # it owes nothing for long
+        self.level = max(self.level - units, least)
 
 
 class _Job:
@@ -120,8 +123,8 @@
 
 
 class Gateway:
-    def __init__(self, settings: i.Settings) -> None:
-        self.set = settings
+    def __init__(self, settings: i.Settings, limits: i.Limits | None = None) -> None:
+        self.set, self.limits = settings, limits
         self.random = random.Random(settings.seed)
         self.servers: dict[str, _Server] = {}
         self.up: list[_Server] = []  # those that may be sent new work
@@ -134,8 +137,8 @@
         self.unanswered: dict[int, int] = {}  # by peer: the first ask without a word since
         self.asked_us: dict[int, int] = {}  # by peer: the last ask
         self.waits: list[_Job] = []  # those that wait for word
-        self.words: dict[int, list[i.Word]] = {}  # for each peer, and when words last left for it
-        self.told_us: dict[int, int] = {}
+        self.words: dict[int, list[i.Word | i.LimitWord]] = {}  # for each peer
+        self.told_us: dict[int, int] = {}  # when words last left for it
         self.mean_us = [rule.aim_us / 4 for rule in settings.classes]
         aims = [rule.aim_us for rule in settings.classes]
         self.second = round(S * min(1.0, sum(aims) / max(1, len(aims)) / USUAL_AIM_US))  # of this deployment
@@ -146,6 +149,7 @@
         self.signals: dict[str, list[float]] = {"util": [], "latency": []}
         self.rate, self.mean_load = 0.0, 0.0  # first attempts a second; load of the servers, as they say
         self.wanted = 0  # requests let through by their quotas in this period
+        self.ended = dict.fromkeys(ENDS, 0)  # requests given up on, by why
         self.actions: list[i.Action] = []
         self.on: dict[type, Callable[..., object]] = {
             i.Request: self.on_request, i.Outcome: self.on_outcome, i.Timer: self.on_tick,
@@ -157,11 +161,15 @@
         self.now, self.actions = now_us, []
         if self.period_us < 0:
             self.period_us = self.since_us = now_us
+            if self.limits:
+                self.limits.start(now_us)
         if act := self.on.get(type(event)):
             act(event)
         self.send_words()
         busy = self.held or self.words or self.jobs  # an idle gateway wakes up only to end its periods
         due = max(now_us + TICK_US, 0 if busy else self.period_us + self.cc_us)
+        if self.limits:
+            due = min(due, max(now_us + TICK_US, self.limits.wake_us))
         if due < self.alarm_us:
             self.alarm_us = due
             self.actions.append(i.SetTimer(due - now_us, 0))
@@ -276,14 +284,19 @@
         self.held = []
         for entry in held:
             job = entry[2]
-            waits = job.over or (not job.servers and (blocked or (
-                job.customer.plan.ceiling_rate and job.customer.refill(self.now).ceiling < job.req.units)))
+            waits = job.over or (not job.servers and (blocked or not self.below_ceiling(job)))
             if server := None if waits else self.choose(job):
                 self.send(job, server)
             elif not job.over:
                 self.held.append(entry)  # where no server takes anything there is no need to look on
             blocked = blocked or not self.allowance() or not (waits or server)
 
+    def below_ceiling(self, job: _Job) -> bool:
+        customer, units = job.customer, job.req.units
+        if self.limits and customer.plan.ceiling_rate:
+            return self.limits.room(self.now, customer.key, units)
+        return not customer.plan.ceiling_rate or customer.refill(self.now).ceiling >= units
+
     def expire(self, job: _Job, means: float) -> bool:
         """A held request is ended in time: refused when its aim is out of reach, where that is allowed, and
         before half of its time is over while nothing of it has been sent."""
@@ -291,9 +304,17 @@
         late = job.may_refuse() and self.now + needed >= job.aim_us
         late = late or (job.unsent == len(job.servers) and self.now + TICK_US >= job.half_us)
         if not job.over and (late or self.now + 2 * TICK_US >= job.end_us):
-            self.end(job)
+            self.end(job, self.why_held(job))
         return job.over
 
+    def why_held(self, job: _Job) -> str:
+        """What a request that is given up on waited for."""
+        if job.decide_us < NEVER and not job.in_quota:
+            return "word"
+        if job.servers or job not in (entry[2] for entry in self.held):
+            return "late"
+        return "ceiling" if not self.below_ceiling(job) else "server" if self.allowance() else "cap"
+
     def customer(self, key: tuple[int, int, int, int]) -> _Customer:
         known = self.customers.pop(key, None)
         if known is None:
@@ -301,6 +322,9 @@
             if self.sets.setdefault(key[:2], key) != key:  # a name of another set must not open a fresh burst
                 known.part = known.level = known.ceiling = 0.0
         self.customers[key] = known
+        if self.limits:
+            known.home, known.reach, joined = self.limits.reach(self.now, key)
+            known.level += joined
         return known.refill(self.now)
 
     def standing(
@@ -316,6 +340,10 @@
                 found.append((plan, known.level, known.part, known.ceiling, known.demand, heard))
         return found
 
+    def shares_held(self, customer: str, now_us: int) -> list[i.Held]:
+        """Shares of the customer's ceilings here, where shares move."""
+        return self.limits.held(zlib.crc32(customer.encode()), now_us) if self.limits else []
+
     def admit(self, job: _Job) -> None:
         """The part while it lasts; else the chance rule, with word from the home where that is elsewhere."""
         customer, units, home = job.customer, job.req.units, job.customer.home
@@ -350,9 +378,11 @@
         if job.in_quota:
             self.spend(job.customer, job.req.units)
         elif plan.over_worth <= plan.over_cost or self.n_past is not None:
-            self.end(job)
+            self.end(job, "quota")
             return
         self.wanted += 1
+        if self.limits and plan.ceiling_rate:
+            self.limits.want(self.now, job.customer.key, job.req.units)
         insort(self.held, (-job.worth, next(self.serial), job))
         self.release()
 
@@ -367,13 +397,15 @@
                 self.ask(job)  # words may be lost
                 continue
             chance = job.customer.chance(job.req.units)
-            # As much the home has counted already, each time that it was asked.
-            job.customer.spent -= job.req.units * chance * job.asks
+            # As much the home has counted already, each time that it was asked; not where it has totals.
+            job.customer.spent -= 0 if self.limits else job.req.units * chance * job.asks
             self.decide(job, chance)
 
     def spend(self, customer: _Customer, units: float) -> None:
         customer.spend(units)
         customer.part, customer.spent = max(0.0, customer.part - units), customer.spent + units
+        if self.limits:
+            self.limits.spend(self.now, customer.key, units, customer.part)
 
     def tell(self, peer: int, customer: _Customer, asked: float) -> None:
         """A word to the home of what was asked and spent, or the home's answer with what it knows."""
@@ -386,19 +418,27 @@
 
     def send_words(self) -> None:
         """Words leave at once, but in a small set spaced so that all peers together take half an intake."""
+        for peer, word in self.limits.due(self.now) if self.limits else ():
+            self.words.setdefault(peer, []).extend([word] if word else [])
         space = min(SPACE_US, 2 * S * (self.set.gateways - 1) / max(1, self.set.peer_messages_per_s))
         for peer in [peer for peer in self.words if self.now - self.told_us.get(peer, -S) >= space]:
             self.told_us[peer] = self.now
             self.actions.append(i.Tell(peer, tuple(self.words.pop(peer))))
+            if self.limits:
+                self.limits.told(self.now, peer)
 
     def on_peer(self, message: i.PeerMessage) -> None:
         """The home adds up what its set asks and spends, or takes over at its start, and answers."""
         self.unanswered.pop(message.sender, None)
+        if self.limits:
+            self.limits.hear(self.now, message)
         for word in message.words:
+            if not isinstance(word, i.Word):
+                if self.limits and isinstance(word, i.Total) and self.in_my_set(word.key):
+                    self.take_total(message.sender, word)
+                continue
             key = (word.customer, word.plan_index, word.set_first, word.set_size)
-            in_set = (self.set.me - word.set_first) % self.set.gateways < word.set_size
-            known = word.plan_index < len(self.set.plans) and word.set_first < self.set.gateways
-            if not known or not 0 < word.set_size <= self.set.gateways or not in_set:
+            if not self.in_my_set(key):
                 continue
             new, customer = key not in self.customers, self.customer(key)
             if word.is_answer:
@@ -409,10 +449,26 @@
             elif customer.home == self.set.me:
                 customer.level = min(customer.level, word.level) if new else customer.level
                 customer.others += word.demand
-                customer.spend(word.spent)
+                counted = self.limits is not None and self.limits.counts(message.sender)
+                customer.spend(0.0 if counted else word.spent)
                 if word.asked or customer.level < customer.plan.burst / 2:
                     self.tell(message.sender, customer, word.asked)
-                customer.spend(word.asked * customer.chance(word.asked))
+                customer.spend(0.0 if counted else word.asked * customer.chance(word.asked))
+
+    def in_my_set(self, key: i.Key) -> bool:
+        _, plan, first, size = key
+        known = plan < len(self.set.plans) and first < self.set.gateways and 0 < size <= self.set.gateways
+        return known and (self.set.me - first) % self.set.gateways < size
+
+    def take_total(self, sender: int, total: i.Total) -> None:
+        """What a peer spent since its last word; what joins of a part that was apart lifts the store."""
+        assert self.limits
+        customer, units = self.customer(total.key), self.limits.spent(self.now, sender, total)
+        if units >= 0:
+            customer.spend(units)
+        else:
+            customer.reach = self.limits.reach(self.now, total.key)[1]
+            customer.level = min(customer.plan.burst * customer.reach, customer.level - units)
 
     def choose(self, job: _Job) -> _Server | None:
         """The least expected wait among a few of those that the rules and their health allow."""
@@ -512,7 +568,7 @@
         if event.over or job.over:
             self.drop(job)
         elif not job.out and not self.again(job, event.result):
-            self.end(job)
+            self.end(job, "attempts")
 
     def learn(self, job: _Job, server: _Server, event: i.Outcome) -> None:
         index, result, took = job.req.class_index, event.result, event.latency_us
@@ -539,7 +595,8 @@
         elif not long and result not in (i.Result.CANCELLED, i.Result.MOOT):
             self.note_result(server, result is i.Result.OK)
 
-    def end(self, job: _Job) -> None:
+    def end(self, job: _Job, why: str) -> None:
+        self.ended[why] += 1
         wait = self.set.max_retry_after_us
         self.actions.append(i.Refuse(job.req.id, wait) if job.may_refuse() else i.Fail(job.req.id))
         self.drop(job)
--- a/molereach/command.py
+++ b/molereach/command.py
@@ -7,7 +7,7 @@
 import json
 import os
 import sys
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -16,6 +16,8 @@
 if TYPE_CHECKING:
     import click
 
+    from molereach.door.frontdoor import FrontDoor
+
 BAD_INPUT = 2
 DEFAULT_LEVEL = "INFO"
 OPERATOR_OPTION = "--operator"
@@ -27,6 +29,7 @@
 file. exit codes: 0 done, 1 failed in service, 2 bad input or usage"""
 
 Serve = Callable[..., int]
+Attach = Callable[["FrontDoor"], Awaitable[Callable[[], None]]]
 
 
 def complain(text: str) -> int:
@@ -70,12 +73,31 @@
     except operator.OperatorError as error:
         return complain(str(error))
     level = (settings.log or operator.LogSection()).level.name
-    if settings.control is None:
-        return serve(level)
-    from molereach.fleet import control  # off means not imported
+    # Off means not imported.
+    attach: list[Attach] = []
+    if settings.limits:
+        from molereach.limits import service
+
+        try:
+            attach.append(service.attacher(settings.limits))
+        except service.KeyFileError as error:
+            return complain(f"{path}: {error}")
+    if section := settings.control:
+        from molereach.fleet import control
+
+        attach.append(lambda door: control.attach(door, Path(section.socket), section.wait_for_orders_s))
+    return serve(level, lambda door: attach_all(door, attach)) if attach else serve(level)
+
+
+async def attach_all(door: "FrontDoor", attach: Sequence[Attach]) -> Callable[[], None]:
+    """Switch on one after the other; what is returned switches them off, the last one first."""
+    ends = [await each(door) for each in attach]
+
+    def detach() -> None:
+        for end in reversed(ends):
+            end()
 
-    section = settings.control
-    return serve(level, lambda door: control.attach(door, Path(section.socket), section.wait_for_orders_s))
+    return detach
 
 
 def fleet_commands(top: "click.Group") -> None:
--- a/molereach/door/frontdoor.py
+++ b/molereach/door/frontdoor.py
@@ -12,6 +12,7 @@
 from dataclasses import fields, replace
 
 from fennelwinch import interface as i
+from fennelwinch.codec import Form
 from fennelwinch.rules import Gateway
 from molereach.backends.pools import Attempt, Backends
 from molereach.clients.intake import Intake
@@ -31,6 +32,7 @@
 RING_AGAIN_US = 20_000  # how soon a timer comes again on which the module failed
 SETTLE_S = 0.6  # after SIGTERM new connections go on coming for up to 0.4 s
 LAST_WRITES_S = 1.0  # how long clients may take to read their last answers, or to ask at last
+BYES = 2  # last words to each peer, as they may be lost
 SPARE_SOCKETS = 32  # for listening, discovery, peers, the loop and log
 CLIENT_SHARE = 0.8  # of the other sockets
 HELD_SHARE = 1 / 8  # of the memory: for commands that are not answered yet
@@ -99,6 +101,10 @@
         self.list_heard(news)
         return news
 
+    def use_limits(self, limits: i.Limits, form: Form) -> None:
+        """Have limits consulted, and their words told; before the first event."""
+        self.gateway.limits, self.peers.form = limits, form
+
     async def start(self) -> None:
         """Serve; returns once clients are answered. An address that cannot be had is an OSError."""
         self.backends.sweep()
@@ -130,6 +136,8 @@
             if not self.open:  # a request may still come on a connection that has had none
                 log.warning("%d clients stay without a request", len(self.clients.connections))
                 break
+        for peer, word in self.gateway.limits.bye() * BYES if self.gateway.limits else ():
+            self.peers.tell(i.Tell(peer, (word,)))
         self.close()
 
     def close(self) -> None:
--- a/molereach/door/peers.py
+++ b/molereach/door/peers.py
@@ -5,7 +5,7 @@
 from typing import cast
 
 from fennelwinch import interface as i
-from fennelwinch.codec import MESSAGE_BYTES, pack_words, unpack_words
+from fennelwinch.codec import MESSAGE_BYTES, Form, PlainForm
 from molereach.door.config import Address
 
 
@@ -18,6 +18,7 @@
         self.addresses, self.me, self.heard = addresses, me, heard
         self.senders = {address: number for number, address in enumerate(addresses) if number != me}
         self.transport: asyncio.DatagramTransport | None = None
+        self.form: Form = PlainForm()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.DatagramTransport, transport)
@@ -26,15 +27,15 @@
         sender = self.senders.get(address)
         if sender is None or len(data) > MESSAGE_BYTES:
             return
-        if words := unpack_words(data):
-            self.heard(i.PeerMessage(sender, words))
+        if message := self.form.unpack(sender, data):
+            self.heard(message)
 
     def error_received(self, error: Exception) -> None:
         """A peer that is down may show as an error here; words may be lost in any case."""
 
     def tell(self, action: i.Tell) -> None:
         if self.transport and action.peer != self.me and action.peer < len(self.addresses):
-            for data in pack_words(action.words):
+            for data in self.form.pack(action.peer, action.words):
                 self.transport.sendto(data, self.addresses[action.peer])
 
     def close(self) -> None:
--- a/molereach/fleet/cli/commands.py
+++ b/molereach/fleet/cli/commands.py
@@ -156,6 +156,11 @@
     run(file, job)
 
 
+def parts(shares: dict[str, float]) -> str:
+    """Shares by front door's number."""
+    return ", ".join(f"{door}: {share:.3f}" for door, share in shares.items())
+
+
 @fleet.command()
 @click.argument("customer")
 @as_json
@@ -176,6 +181,16 @@
                  f"{one.demand:.1f}",
                  age(None if one.heard_s_ago is None else round(one.heard_s_ago * 1000)))
                 for each in heard.values() for door, seen in each.doors.items() for one in seen))
+            held = [(door, one.plan, one.shares) for each in heard.values()
+                    for door, seen in each.doors.items() for one in seen if one.shares]
+            if held:
+                names = ("front door", "plan", "share", "units", "lent to", "borrowed of", "oldest loan",
+                         "sent on", "quota spent", "apart")
+                out.table("shares of ceilings", names, (
+                    (door, plan, f"{shares.share:.3f}", f"{shares.store:.1f}", parts(shares.lent),
+                     parts(shares.borrowed), f"{shares.oldest_s:.1f} s", f"{shares.taken:.0f}",
+                     f"{shares.spent:.0f}", ", ".join(map(str, shares.apart)))
+                    for door, plan, shares in held))
             complain(out, errors(found))
         return reading_exit(found, any(each.missing for each in heard.values()))
 
--- /dev/null
+++ b/molereach/limits/words.py
@@ -0,0 +1,166 @@
+"""Limits' words on the wire: datagrams of at most 256 bytes, beside those of the last version.
+
+Layout, in network byte order: magic (1 byte), version (1), the sender's generation (2), records, and
+where a key is set a tag of 8 bytes (BLAKE2b, RFC 7693, keyed; over the sender's number and all that
+stands before it). A record is its kind (1 byte) and its fields. The length is never a multiple of that of
+a word of the last version, so a front door of that version drops it, and what is a multiple is one of its
+own. A core.
+"""
+
+import hashlib
+import hmac
+import struct
+from collections.abc import Callable, Sequence
+
+from fennelwinch import interface as i
+from fennelwinch.codec import MESSAGE_BYTES, UNIT, WORD, pack_words, unpack_words
+
+MAGIC, VERSION = 0xB7, 1
+HEADER = struct.Struct("!BBH")
+TAG_BYTES = 8
+PAD = 0
+MOST_UNITS, MOST_SHARE = 0x7FFFFFFF / UNIT, 10_000
+
+_KEY = "IBHH"  # as in a word
+ASK = struct.Struct(f"!B{_KEY}IIHHI")
+GRANT = struct.Struct(f"!B{_KEY}IHI")
+HELLO = struct.Struct("!B")
+CLEAR = struct.Struct("!BH")
+TOTAL = struct.Struct(f"!B{_KEY}II")
+PLAIN = struct.Struct("!B" + WORD.format.lstrip("!"))
+
+Words = Sequence[i.Word | i.LimitWord]
+
+
+def units(amount: float) -> int:
+    """Units in steps; never more than there are, but for what binary fractions make of a step."""
+    return int(round(max(0.0, min(MOST_UNITS, amount)) * UNIT, 6))
+
+
+def steps(amount: float) -> int:
+    return max(-32768, min(32767, round(amount * UNIT)))
+
+
+def pack_record(word: i.Word | i.LimitWord) -> bytes:
+    match word:
+        case i.Word():
+            key = word.customer, word.plan_index, word.set_first, word.set_size
+            return PLAIN.pack(1, *key, word.is_answer,
+                              *map(steps, (word.demand, word.spent, word.asked, word.level)))
+        case i.LoanAsk(key, number, accepted, held, wanted, returned):
+            return ASK.pack(2, *key, number, accepted, held, wanted, units(returned))
+        case i.LoanGrant(key, number, share, amount):
+            return GRANT.pack(3, *key, number, share, units(amount))
+        case i.Hello():
+            return HELLO.pack(4)
+        case i.Clear(generation):
+            return CLEAR.pack(5, generation)
+        case i.Total(key, spent, left):
+            return TOTAL.pack(6, *key, units(spent), units(left))
+        case i.Bye():
+            return HELLO.pack(7)
+
+
+def plain(values: tuple[int, ...]) -> i.Word:
+    customer, plan, first, size, answer, demand, spent, asked, level = values
+    return i.Word(customer, plan, first, size, bool(answer),
+                  demand / UNIT, spent / UNIT, asked / UNIT, level / UNIT)
+
+
+def ask(values: tuple[int, ...]) -> i.LoanAsk:
+    *key, number, accepted, held, wanted, returned = values
+    if max(held, wanted) > MOST_SHARE:
+        raise ValueError("a share above the whole")
+    return i.LoanAsk((key[0], key[1], key[2], key[3]), number, accepted, held, wanted, returned / UNIT)
+
+
+def grant(values: tuple[int, ...]) -> i.LoanGrant:
+    *key, number, share, amount = values
+    if share > MOST_SHARE:
+        raise ValueError("a share above the whole")
+    return i.LoanGrant((key[0], key[1], key[2], key[3]), number, share, amount / UNIT)
+
+
+def total(values: tuple[int, ...]) -> i.Total:
+    *key, spent, left = values
+    return i.Total((key[0], key[1], key[2], key[3]), spent / UNIT, left / UNIT)
+
+
+Read = Callable[[tuple[int, ...]], "i.Word | i.LimitWord"]
+READ: dict[int, tuple[struct.Struct, Read]] = {
+    1: (PLAIN, plain), 2: (ASK, ask), 3: (GRANT, grant), 4: (HELLO, lambda values: i.Hello()),
+    5: (CLEAR, lambda values: i.Clear(values[0])), 6: (TOTAL, total),
+    7: (HELLO, lambda values: i.Bye()),
+}
+
+
+class Codec:
+    """Datagrams of one front door: its number, generation and, where the network is not trusted, a key.
+
+    `speaks` tells whether a peer is known to read this form; until then it is told as by the last version.
+    """
+
+    def __init__(
+        self, me: int, generation: int, speaks: Callable[[int], bool] = lambda peer: True, key: bytes = b""
+    ) -> None:
+        self.me, self.key, self.speaks = me, key, speaks
+        self.header = HEADER.pack(MAGIC, VERSION, generation)
+        self.room = MESSAGE_BYTES - len(self.header) - (TAG_BYTES if key else 0) - 1  # the last: for a pad
+
+    def tag(self, sender: int, data: bytes) -> bytes:
+        return hashlib.blake2b(sender.to_bytes(2, "big") + data, digest_size=TAG_BYTES, key=self.key).digest()
+
+    def pack(self, peer: int, words: Words) -> list[bytes]:
+        """Datagrams with the words, and one in any case."""
+        plain_form = not self.key and not self.speaks(peer)
+        packed = pack_words(word for word in words if plain_form and isinstance(word, i.Word))
+        body = b""
+        for word in words:
+            if plain_form and isinstance(word, i.Word):
+                continue
+            record = pack_record(word)
+            if len(body) + len(record) > self.room:
+                packed.append(self.close(body))
+                body = b""
+            body += record
+        if body or not packed:
+            packed.append(self.close(body))
+        return packed
+
+    def close(self, body: bytes) -> bytes:
+        data = self.header + body
+        if (len(data) + (TAG_BYTES if self.key else 0)) % WORD.size == 0:
+            data += bytes([PAD])
+        return data + self.tag(self.me, data) if self.key else data
+
+    def unpack(self, sender: int, data: bytes) -> i.PeerMessage | None:
+        """What a datagram says; None for one that is malformed, of another version or without the key."""
+        if len(data) % WORD.size == 0:
+            words = () if self.key else unpack_words(data)
+            return i.PeerMessage(sender, words) if words else None
+        if self.key:
+            data, tag = data[:-TAG_BYTES], data[-TAG_BYTES:]
+            if not hmac.compare_digest(tag, self.tag(sender, data)):
+                return None
+        if len(data) < HEADER.size:
+            return None
+        magic, version, generation = HEADER.unpack_from(data)
+        if (magic, version) != (MAGIC, VERSION):
+            return None
+        try:
+            return i.PeerMessage(sender, tuple(records(data)), generation)
+        except (KeyError, ValueError, struct.error):
+            return None
+
+
+def records(data: bytes) -> list[i.Word | i.LimitWord]:
+    """The records of a datagram; KeyError, ValueError or struct.error where it is malformed."""
+    found: list[i.Word | i.LimitWord] = []
+    at = HEADER.size
+    while at < len(data) and data[at] != PAD:
+        form, read = READ[data[at]]
+        found.append(read(form.unpack_from(data, at)[1:]))
+        at += form.size
+    if any(data[at:]) or len(data) - at > 1:
+        raise ValueError("bytes after the pad")
+    return found
--- a/molereach/operator.py
+++ b/molereach/operator.py
@@ -51,11 +51,22 @@
             raise ValueError(f"socket: not an absolute path of at most {MOST_SOCKET_PATH_BYTES} bytes")
 
 
+class LimitsSection(Section, frozen=True):
+    """`[limits]`: shares of ceilings that move between front doors, and quotas that survive a split."""
+
+    lease_ms: Annotated[int, msgspec.Meta(ge=200, le=30_000)] = 2000  # how long a loan of a share lasts
+    drift: Annotated[float, msgspec.Meta(ge=0.0, le=0.05)] = 0.001  # of a clock's rate, either way
+    beat_ms: Annotated[int, msgspec.Meta(ge=50, le=5000)] = 250  # a word to every peer at least so often
+    floor: Annotated[float, msgspec.Meta(ge=0.0, le=0.9)] = 0.05  # of its share that a front door never lends
+    key_file: str | None = None  # a secret of the whole tier, where the network is not trusted
+
+
 class OperatorFile(Section, frozen=True):
     """The whole file; a section that is None is off."""
 
     log: LogSection | None = None
     control: ControlSection | None = None
+    limits: LimitsSection | None = None
 
     def sections_on(self) -> list[str]:
         """The names of the sections that the file switches on, in the order of their definition."""
--- a/rig/audit.py
+++ b/rig/audit.py
@@ -79,6 +79,25 @@
     slack: float  # units that it may go below nothing
 
 
+@dataclass(frozen=True, slots=True)
+class Quota:
+    """A plan's quota for one customer, over all front doors together; what goes beyond it is told."""
+
+    rate: float
+    burst: float
+
+
+@dataclass(slots=True)
+class QuotaUse:
+    """One customer's use against its quota, in units."""
+
+    customer: str
+    asked: float = 0.0
+    granted: float = 0.0  # sent on to servers
+    entitled: float = 0.0  # what one front door that sees all tries would have sent on
+    over: float = 0.0  # the most that it was beyond its quota
+
+
 @dataclass(frozen=True, slots=True)
 class Figures:
     """The figures of the rules."""
@@ -87,6 +106,7 @@
     fall_multiple: float = 2.5
     fall_us: int = 1 * S
     ceilings: dict[str, Ceiling] = field(default_factory=dict)  # by plan
+    quotas: dict[str, Quota] = field(default_factory=dict)  # by plan; what they say is told, not judged
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +134,18 @@
     late_us: int = 0  # how late the rig was at most
     units_over: float = 0.0  # the most that any customer was above its ceiling, in units
     repeats_dropped: int = 0
+    quotas: list[QuotaUse] = field(default_factory=list)
+
+    @property
+    def quota_over(self) -> float:
+        """The most that any customer was beyond its quota, in units."""
+        return max((use.over for use in self.quotas), default=0.0)
+
+    @property
+    def quota_granted(self) -> float:
+        """Units sent on for each that quotas entitled to, over all customers; beyond quotas not counted."""
+        entitled = sum(use.entitled for use in self.quotas)
+        return sum(min(use.granted, use.entitled) for use in self.quotas) / entitled if entitled else 1.0
 
     @property
     def times_judged(self) -> bool:
@@ -230,6 +262,7 @@
             self.judge_drains()
         self.judge_cold()
         self.judge_ceilings()
+        self.count_quotas()
         return self.ledger
 
     def note(self, rule: Rule, about: str, text: str, first: Fact, second: Fact) -> None:
@@ -407,6 +440,34 @@
             previous = arrival
 
 
+    # --- quotas: counted, not judged ---
+
+    def count_quotas(self) -> None:
+        tries: dict[tuple[str, str], list[tuple[Asked, int | None]]] = defaultdict(list)
+        for request in self.requests.values():
+            if request.asks and request.asks[0].plan in self.figures.quotas:
+                ask = request.asks[0]
+                sent = min((arrival.at_us for arrival in request.arrivals), default=None)
+                tries[ask.plan, ask.customer].append((ask, sent))
+        for (plan, customer), each in tries.items():
+            self.ledger.quotas.append(quota_use(self.figures.quotas[plan], customer, each))
+
+
+def quota_use(quota: Quota, customer: str, tries: list[tuple[Asked, int | None]]) -> QuotaUse:
+    """One customer's tries, with when each was sent on, against a store that is full at the first of them."""
+    use = QuotaUse(customer, asked=sum(ask.units for ask, _ in tries))
+    level, at_us = quota.burst, 0
+    for ask in sorted((ask for ask, _ in tries), key=lambda ask: ask.at_us):
+        level, at_us = min(quota.burst, level + quota.rate * (ask.at_us - at_us) / S), ask.at_us
+        if level >= ask.units:
+            level, use.entitled = level - ask.units, use.entitled + ask.units
+    level, at_us = quota.burst, 0
+    for sent_us, units in sorted((sent, ask.units) for ask, sent in tries if sent is not None):
+        level = min(quota.burst, level + quota.rate * (sent_us - at_us) / S) - units
+        at_us, use.granted, use.over = sent_us, use.granted + units, max(use.over, -level)
+    return use
+
+
 def first_of_last_run(tellings: list[Told]) -> Told | None:
     """The first word of the drain that is still on; None where the last word is that it serves."""
     first: Told | None = None
--- a/rig/world.py
+++ b/rig/world.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from rig import scenario as sc
-from rig.audit import Auditor, Ceiling, Figures, Ledger, Outcome
+from rig.audit import Auditor, Ceiling, Figures, Ledger, Outcome, Quota
 from rig.clients import HOSTILE, Clients, DoorPool, greet_and_stay, hostile
 from rig.clock import Heartbeat, now_us
 from rig.discovery import Agent
@@ -73,7 +73,8 @@
 def figures(spec: MemberSpec) -> Figures:
     ceilings = {plan.name: Ceiling(plan.ceiling_rate, plan.ceiling_burst, plan.ceiling_slack)
                 for plan in PLANS if plan.ceiling_rate}
-    return Figures(DRAIN_US, spec.fall_multiple, spec.fall_us, ceilings)
+    quotas = {plan.name: Quota(plan.rate, plan.burst) for plan in PLANS}
+    return Figures(DRAIN_US, spec.fall_multiple, spec.fall_us, ceilings, quotas)
 
 
 @dataclass(slots=True)
@@ -126,6 +127,8 @@
             "times_judged": self.ledger.times_judged, "rig_trouble": self.trouble,
             "repeats_dropped": self.ledger.repeats_dropped,
             "most_over_ceiling_units": round(self.ledger.units_over, 2),
+            "most_over_quota_units": round(self.ledger.quota_over, 2),
+            "quota_granted": round(self.ledger.quota_granted, 4),
             "datagrams_lost": self.mail_lost, "datagrams_delivered": self.mail_delivered,
             "doors": [{name: getattr(door, name) for name in DoorReport.__dataclass_fields__}
                       for door in self.doors],
--- a/sim/__main__.py
+++ b/sim/__main__.py
@@ -108,6 +108,7 @@
               help="Front doors' clocks are apart by so much at most, either way.")
 @click.option("--drift", type=click.FloatRange(0.0, 0.1), default=0.0, metavar="SHARE",
               help="And go faster or slower by so much at most.")
+@click.option("--limits", is_flag=True, help="Front doors with [limits] in their operator file.")
 @click.option("--broken", default="", hidden=True)
 @click.option("--go-on", is_flag=True, help="Play all days, also after one that is not in order.")
 @click.option("--trace", type=click.Path(path_type=Path), metavar="FILE",
@@ -115,13 +116,14 @@
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON object and nothing else.")
 def simulate(
     name: str, seeds: range, seconds: float | None, hours: float, jobs: int, cost_us: int, skew_ms: int,
-    drift: float, broken: str, go_on: bool, trace: Path | None, as_json: bool,
+    drift: float, limits: bool, broken: str, go_on: bool, trace: Path | None, as_json: bool,
 ) -> None:
     """Days of the whole program in virtual time, judged by the auditor.
 
     The first that is not in order is made small, and printed as one line that plays it again.
     """
-    options = Options(scenario_text(name, seconds), seconds or 60.0, cost_us, skew_ms, drift, broken)
+    options = Options(scenario_text(name, seconds), seconds or 60.0, cost_us, skew_ms, drift, broken,
+                      limits=limits)
     if trace:
         write_trace(options, seeds[0], trace)
     begun = time.perf_counter()
--- a/sim/run.py
+++ b/sim/run.py
@@ -16,6 +16,7 @@
 
 DAYS_A_PROCESS = 40  # then a new one: what a world leaves behind goes with it
 MOST_LINES = 3
+JOBS_CONTEXT = "forkserver"  # workers start clean, whatever the parent has open
 
 
 class Verdict(msgspec.Struct, frozen=True):
@@ -43,6 +44,7 @@
     drift: float = 0.0
     broken: str = ""  # one of `rig.broken`'s ways
     shuffle: bool = True
+    limits: bool = False  # front doors with `[limits]`
 
 
 def day_of(options: Options, seed: int) -> sc.Scenario:
@@ -56,7 +58,7 @@
     names = tuple(type(fault).__name__.lower() for fault in day.fault)
     try:
         played = play(day, seed, shuffle=options.shuffle, cost_us=options.cost_us,
-                      clocks=Clocks(options.skew_ms * 1000, options.drift))
+                      clocks=Clocks(options.skew_ms * 1000, options.drift), limits=options.limits)
     except SimulationError as error:
         return Verdict(seed, False, ("the simulation",), (str(error),), 0, 0, day.seconds, 0, "", names)
     ledger = played.report.ledger
@@ -93,7 +95,7 @@
 def play_many(options: Options, seeds: range, jobs: int, hours: float = 0.0) -> Iterator[Verdict]:
     """Days as they end, in any order; with `hours`, seeds are taken until so much virtual time was played."""
     text = msgspec.json.encode(options).decode()
-    context = multiprocessing.get_context("forkserver")
+    context = multiprocessing.get_context(JOBS_CONTEXT)
     left, virtual_s = iter(seeds), 0.0
     with ProcessPoolExecutor(jobs, context, max_tasks_per_child=DAYS_A_PROCESS) as pool:
         running: set[Future[bytes]] = set()
--- a/sim/world.py
+++ b/sim/world.py
@@ -16,6 +16,8 @@
 
 from molereach.__main__ import serve
 from molereach.door.config import Config, parse
+from molereach.limits.service import attacher
+from molereach.operator import LimitsSection
 from rig import scenario as sc
 from rig.clock import now_us
 from rig.doors import FRONT_DOOR, LOG_LINES, Door
@@ -181,6 +183,11 @@
     return DOORS[node].read_config()
 
 
+def serve_with_limits(config: Config) -> Any:  # noqa: ANN401
+    """A front door with `[limits]` in its operator file, and nothing else."""
+    return serve(config, attacher(LimitsSection()))
+
+
 def end_process(code: int) -> None:
     """`os._exit` of a front door: nothing is finished."""
     node = NODE.get()
@@ -225,7 +232,8 @@
 def play_day(
     scenario: sc.Scenario, seed: int, *, shuffle: bool = True, trace: bool = False, cost_us: int = 0,
     clocks: Clocks = Clocks(), network: Spec | None = None, spec: MemberSpec | None = None,
-    serve_with: Callable[[Config], Any] | None = None, kill_at: dict[str, int] | None = None,
+    serve_with: Callable[[Config], Any] | None = None, limits: bool = False,
+    kill_at: dict[str, int] | None = None,
 ) -> Played:
     """One day, and what it leaves behind."""
     loop = SimLoop(seed, shuffle, trace)  # type: ignore[abstract]
@@ -254,9 +262,9 @@
     async def day() -> Report:
         nonlocal world
         world = World(scenario, seed, spec=spec, door_type=ThisDoor)
-        if serve_with:
+        if with_it := serve_with or (serve_with_limits if limits else None):
             for door in world.doors:
-                door.serve = serve_with  # type: ignore[attr-defined]
+                door.serve = with_it  # type: ignore[attr-defined]
         return await world.run()
 
     try:
--- /dev/null
+++ b/tests/limits/test_service.py
@@ -0,0 +1,94 @@
+"""Limits in the running program: the operator file, the key, days of the rig in virtual time."""
+
+import asyncio
+import json
+from pathlib import Path
+
+import pytest
+from msgspec.structs import replace
+
+from fennelwinch import interface as i
+from fennelwinch.adapter import Host, run_batch
+from molereach import operator
+from molereach.door.config import parse
+from molereach.door.frontdoor import FrontDoor
+from molereach.limits.core import Limits
+from molereach.limits.service import KeyFileError, attacher, read_key
+from molereach.limits.words import Codec
+from rig import scenario_files
+from rig.audit import Quota, quota_use
+from rig.facts import Asked, Effect
+from sim import swarm
+from sim.run import Options, judge
+from sim.world import play
+from tests.test_program import config
+
+S = 1_000_000
+
+
+def test_key_file_is_private_and_of_a_fair_length(tmp_path: Path) -> None:
+    file = tmp_path / "key"
+    for data, mode, reason in ((b"k" * 32 + b"\n", 0o640, "others may read it"),
+                               (b"k" * 15, 0o600, "16 to 64"), (b"k" * 65, 0o600, "16 to 64")):
+        file.write_bytes(data)
+        file.chmod(mode)
+        with pytest.raises(KeyFileError, match=reason):
+            read_key(file)
+    file.write_bytes(b"k" * 32 + b"\n")
+    assert read_key(file) == b"k" * 32
+
+
+def test_section_switches_limits_on_before_the_first_event(tmp_path: Path) -> None:
+    section = operator.decode("[limits]\nlease_ms = 500\n").limits
+    assert section
+    attach = attacher(section)
+
+    async def started() -> FrontDoor:
+        door = FrontDoor(parse(json.loads(json.dumps(config())), {}))
+        (await attach(door))()
+        return door
+
+    door = asyncio.run(started())
+    assert isinstance(door.gateway.limits, Limits) and isinstance(door.peers.form, Codec)
+    assert door.gateway.limits.settings.lease_us == 500_000
+    assert door.gateway.limits.generation == int("8c1f30d27a5be964", 16) % (1 << 16)
+
+
+def test_a_split_day_of_the_whole_program_is_in_order_with_limits() -> None:
+    day = replace(scenario_files.load("move-in-split"), seconds=10.0)
+    with_limits, before = (play(day, 2, limits=limits).report.ledger for limits in (True, False))
+    assert with_limits.ok and before.ok
+    assert with_limits.units_over <= 4.0 + 24 * 0.15  # the ceiling's slack, on sockets
+    assert with_limits.quota_over <= 2 * (24 + 12 * 1.5)  # of the largest plan
+    assert with_limits.quota_granted > 0.8
+
+
+@pytest.mark.parametrize("seed", [3, 8])
+def test_random_days_with_limits_are_in_order(seed: int) -> None:
+    options = Options(seconds=15.0, limits=True, skew_ms=500, drift=0.0005)
+    verdict = judge(options, swarm.draw(seed, 15.0), seed)
+    assert verdict.ok, verdict
+
+
+def test_quota_use_is_counted_against_one_store() -> None:
+    asks = [Asked(at * S, f"r{at}", "n0", "c", Effect.SAFE, "all", 0, "p", 2.0, 0) for at in range(4)]
+    use = quota_use(Quota(1.0, 4.0), "c", [(ask, ask.at_us) for ask in asks])
+    assert (use.asked, use.granted, use.entitled, use.over) == (8.0, 8.0, 6.0, 1.0)
+    use = quota_use(Quota(1.0, 4.0), "c", [(ask, None) for ask in asks])
+    assert (use.granted, use.over) == (0.0, 0.0)
+
+
+def test_simulators_host_has_limits_only_when_told() -> None:
+    start = ("NEW_INSTANCE 5 me=0 balancers=3 categories.count=0 plans.count=1 plans.0.units-per-s=3 "
+             "plans.0.burst=6 plans.0.never-over-rate=9 plans.0.hard-burst=18 extra.mail-per-s=60 "
+             "ceilings.peers=true")
+    batch = ["MARK 1000", "TARGET_INSTANCE 0", start, "BELL 0", "EOF_BATCH"]
+    for told in (False, True):
+        host = Host(told)
+        reply = run_batch(host, iter(batch))
+        assert reply and any(line.startswith("TELL 1 b7") for line in reply) == told
+        assert isinstance(host.gateways[0].limits, Limits) == told
+        clear = Codec(1, 9).pack(0, [i.Clear(5)])[0].hex()
+        assert run_batch(host, iter(["MARK 2000", "TARGET_INSTANCE 0", f"FROM_PEER 1 {clear}", "EOF_BATCH"]))
+        limits = host.gateways[0].limits
+        assert not told or (isinstance(limits, Limits) and limits.escrow.cleared == {1: 2000})
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -26,6 +26,8 @@
     ("[unheard_of]\n", "unknown field `unheard_of`"),
     ("[log\n", "line 1"),
     ("log = 1\n", "$.log"),
+    ("[limits]\nlease_ms = 100\n", "$.limits.lease_ms"),
+    ("[limits]\nkey_file = 'none/such'\n", "limits.key_file: none/such: No such file"),
 ])
 def test_what_is_wrong_is_one_line_with_file_key_and_reason(
     tmp_path: Path, capsys: pytest.CaptureFixture[str], text: str, reason: str
@@ -88,5 +90,6 @@
                           text=True, timeout=60)
     loaded = set(done.stdout.split())
     assert "molereach.door.frontdoor" in loaded
-    off = ("msgspec", "argparse", "tomllib", "molereach.operator", "molereach.command", "rig", "hiredis")
+    off = ("msgspec", "argparse", "tomllib", "molereach.operator", "molereach.command", "rig", "hiredis",
+           "molereach.limits")
     assert not loaded.intersection(off)
