--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -278,9 +278,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Clear:
-    """The answer: nothing of the shares of the gateway with that generation's hello is held here."""
+    """The answer: nothing of the shares of the gateway with that generation's hello is held here, and totals
+    are told of so many customers whose home it is."""
 
     generation: int
+    totals: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/molereach/door/frontdoor.py
+++ b/molereach/door/frontdoor.py
@@ -21,6 +21,7 @@
 from molereach.clock import now_us
 from molereach.door.config import Address, Config
 from molereach.door.discovery import Catalog, Discovery, News
+from molereach.door.ending import Ending
 from molereach.door.peers import Peers
 
 log = logging.getLogger(__name__)
@@ -30,7 +31,7 @@
 BACKSTOP_US = 15_000  # how much later than the module a request is ended here, should it not do so
 FIRST_LIST_S = 0.3  # how long the start waits for a list that is newer than the known one
 RING_AGAIN_US = 20_000  # how soon a timer comes again on which the module failed
-SETTLE_S = 0.6  # after SIGTERM new connections go on coming for up to 0.4 s
+ENDING_LOOK_S = 0.05  # between two looks at whether it is time to let clients go
 LAST_WRITES_S = 1.0  # how long clients may take to read their last answers, or to ask at last
 BYES = 2  # last words to each peer, as they may be lost
 SPARE_SOCKETS = 32  # for listening, discovery, peers, the loop and log
@@ -62,6 +63,7 @@
         self.open: dict[str, Exchange] = {}  # requests that are owed an answer
         self.ended: dict[str, Exchange] = {}  # those answered with attempts still out
         self.held_bytes = 0
+        self.ending: Ending | None = None  # from when it was told to end
         self.address = config.listen
         memory = config.memory_mb << 20
         self.most_held = round(memory * HELD_SHARE)
@@ -129,8 +131,10 @@
         self.discovery.move(config.discovery)
 
     async def drain(self) -> None:
-        """Take and answer what still comes, then close what is idle, and answer all that is held."""
-        await asyncio.sleep(SETTLE_S)
+        """Take and answer what comes while there is time for it, then close what is idle, and answer all."""
+        self.ending = Ending(now_us(), (rule.deadline_us for rule in self.settings.classes))
+        while not self.ending.over(now_us()):
+            await asyncio.sleep(ENDING_LOOK_S)
         self.clients.drain()
         while not await self.clients.left(LAST_WRITES_S):
             if not self.open:  # a request may still come on a connection that has had none
@@ -198,6 +202,8 @@
             raise CommandError("this id is in use")
         if len(self.open) >= self.config.max_open or self.held_bytes > self.most_held:
             raise CommandError("too many requests are open")
+        if self.ending:
+            request = replace(request, left_us=self.ending.take(now_us(), request.left_us))
         exchange = Exchange(command, reply, now_us() + request.left_us)
         delay = (request.left_us + BACKSTOP_US) / 1e6
         exchange.timer = self.loop.call_later(delay, self.overdue, request.id)
--- a/molereach/limits/core.py
+++ b/molereach/limits/core.py
@@ -75,12 +75,13 @@
                     self.escrow.granted(now_us, sender, word)
                 case i.Hello():
                     self.escrow.drop(now_us, sender)
-                    self.reach_of.tell_all(sender)
-                    self.answers.append((sender, i.Clear(generation)))
+                    self.answers.append((sender, i.Clear(generation, self.reach_of.tell_all(sender))))
                 case i.Bye():
                     self.reach_of.left(now_us, sender, generation)
-                case i.Clear(wanted) if wanted == self.generation:
+                case i.Clear(wanted, totals) if wanted == self.generation:
                     self.escrow.clear(now_us, sender)
+                    if not totals:
+                        self.reach_of.nothing_to_tell(sender)
 
     def bye(self) -> list[tuple[int, i.LimitWord]]:
         """Nothing is spent here from now on: the last words, to all peers."""
--- a/molereach/limits/reach.py
+++ b/molereach/limits/reach.py
@@ -84,11 +84,17 @@
         self.gone[peer] = generation
         self.heard_us[peer] = LONG_AGO
 
-    def tell_all(self, peer: int) -> None:
-        for key, mine in self.mine.items():
-            if self.home(key) == peer:
-                mine.told = 0
-                self.fresh[key] = None
+    def tell_all(self, peer: int) -> int:
+        """Tell a peer, from now on, all that its customers spent here; of how many."""
+        theirs = [key for key in self.mine if self.home(key) == peer]
+        for key in theirs:
+            self.mine[key].told = 0
+            self.fresh[key] = None
+        return len(theirs)
+
+    def nothing_to_tell(self, peer: int) -> None:
+        """It has spent nothing of any customer here: its parts join at once."""
+        self.back_us[peer] = LONG_AGO
 
     def beats(self, now: int) -> list[int]:
         """Peers that have heard nothing from here for a beat."""
--- a/molereach/limits/words.py
+++ b/molereach/limits/words.py
@@ -25,7 +25,7 @@
 ASK = struct.Struct(f"!B{_KEY}IIHHI")
 GRANT = struct.Struct(f"!B{_KEY}IHI")
 HELLO = struct.Struct("!B")
-CLEAR = struct.Struct("!BH")
+CLEAR = struct.Struct("!BHH")
 TOTAL = struct.Struct(f"!B{_KEY}II")
 PLAIN = struct.Struct("!B" + WORD.format.lstrip("!"))
 
@@ -53,8 +53,8 @@
             return GRANT.pack(3, *key, number, share, units(amount))
         case i.Hello():
             return HELLO.pack(4)
-        case i.Clear(generation):
-            return CLEAR.pack(5, generation)
+        case i.Clear(generation, totals):
+            return CLEAR.pack(5, generation, min(totals, 0xFFFF))
         case i.Total(key, spent, left):
             return TOTAL.pack(6, *key, units(spent), units(left))
         case i.Bye():
@@ -89,7 +89,7 @@
 Read = Callable[[tuple[int, ...]], "i.Word | i.LimitWord"]
 READ: dict[int, tuple[struct.Struct, Read]] = {
     1: (PLAIN, plain), 2: (ASK, ask), 3: (GRANT, grant), 4: (HELLO, lambda values: i.Hello()),
-    5: (CLEAR, lambda values: i.Clear(values[0])), 6: (TOTAL, total),
+    5: (CLEAR, lambda values: i.Clear(values[0], values[1])), 6: (TOTAL, total),
     7: (HELLO, lambda values: i.Bye()),
 }
 
