--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -104,12 +104,17 @@
         return
     cut = draw.randint(1, len(history.nodes) - 1)
     names = draw.sample(range(len(history.nodes)), len(history.nodes))
+    links = frozenset((one, other) for one in names for other in names if draw.random() < 0.3)
+    whole = draw.random() < 0.6  # else some links fail, each way by itself
 
     def split() -> None:
-        history.mail.groups = frozenset(names[:cut]), frozenset(names[cut:])
+        if whole:
+            history.mail.groups = frozenset(names[:cut]), frozenset(names[cut:])
+        else:
+            history.mail.cut = links
 
     def heal() -> None:
-        history.mail.groups = ()
+        history.mail.groups, history.mail.cut = (), frozenset()
 
     history.at(at, split)
     history.at(at + lasts, heal)
--- a/fennelwinch/adapter.py
+++ b/fennelwinch/adapter.py
@@ -258,7 +258,7 @@
         from molereach.limits.words import Codec
 
         limits = Limits(settings, LimitSettings())
-        self.forms[instance] = Codec(limits.me, limits.generation, limits.counts)
+        self.forms[instance] = Codec(limits.me, limits.generation, limits.counts, hears=limits.hears)
         return Gateway(settings, limits)
 
     def read_list(self, fields: Fields) -> i.ServerList:
--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -304,11 +304,13 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerMessage:
-    """A message from another gateway. `generation` is new with each start of a sender that tells totals."""
+    """A message from another gateway. `generation` is new with each start of a sender that tells totals;
+    `hears` says whether it has heard this gateway of late."""
 
     sender: int
     words: tuple[Word | LimitWord, ...]
     generation: int | None = None
+    hears: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -54,8 +54,8 @@
 class _Customer:
     """A customer's part of quota and ceiling here, and what is known of its whole set: all, at its home."""
 
-    __slots__ = ("at", "ceiling", "heard_us", "home", "key", "level", "others", "out", "own", "part", "plan",
-                 "reach", "size", "spent", "untold")
+    __slots__ = ("asked_us", "at", "ceiling", "heard_us", "home", "key", "level", "others", "out", "own",
+                 "part", "plan", "reach", "size", "spent", "untold")
 
     def __init__(
         self, plan: i.Plan, key: tuple[int, int, int, int], set_: i.Settings, now: int, since: int
@@ -69,6 +69,7 @@
         self.heard_us, self.out = -NEVER, 0
         self.untold = self.spent = 0.0  # demand and spending that the home has not been told of
         self.reach = 1.0  # the part of the quota that may be spent on this side of a split
+        self.asked_us = NEVER  # the first ask that its home has not answered
 
     def refill(self, now: int) -> "_Customer":
         """Refill the parts. Others' demand and the level stay as told while that is fresh, as others go on
@@ -323,8 +324,12 @@
                 known.part = known.level = known.ceiling = 0.0
         self.customers[key] = known
         if self.limits:
-            known.home, known.reach, joined = self.limits.reach(self.now, key)
+            home, known.reach, joined = self.limits.reach(self.now, key)
             known.level += joined
+            if home != known.home:
+                known.home, known.asked_us = home, NEVER
+            if self.now - known.asked_us > SILENT_US:  # nobody says what the others spend: its part is all
+                known.reach = 1 / known.size
         return known.refill(self.now)
 
     def standing(
@@ -368,6 +373,7 @@
     def ask(self, job: _Job) -> None:
         self.unanswered.setdefault(job.customer.home, self.now)
         self.asked_us[job.customer.home] = self.now
+        job.customer.asked_us = min(job.customer.asked_us, self.now)
         wait, job.asks = min(ASK_US, job.rule.aim_us // ASK_PART), job.asks + 1
         job.decide_us = min(self.now + wait, job.end_us - 4 * TICK_US, job.half_us - 2 * TICK_US)
         self.waits.append(job)
@@ -442,7 +448,7 @@
                 continue
             new, customer = key not in self.customers, self.customer(key)
             if word.is_answer:
-                customer.heard_us, customer.level = self.now, word.level
+                customer.heard_us, customer.level, customer.asked_us = self.now, word.level, NEVER
                 customer.others = max(0.0, word.demand - customer.own)
                 customer.part = min(customer.part, max(0.0, word.level / customer.size))
                 self.end_waits(customer if word.asked else None)
--- a/molereach/command.py
+++ b/molereach/command.py
@@ -40,7 +40,9 @@
 def check_config(path: Path, as_json: bool) -> int:
     """Say whether an operator file can be used; starts nothing."""
     try:
-        sections = operator.load(path).sections_on()
+        settings = operator.load(path)
+        limits_of(path, settings)
+        sections = settings.sections_on()
     except operator.OperatorError as error:
         if as_json:
             print(json.dumps({"file": str(path), "ok": False, "error": str(error)}))
@@ -66,22 +68,28 @@
     os.execv(sys.executable, [sys.executable, "-m", package, *arguments])
 
 
+def limits_of(path: Path, settings: operator.OperatorFile) -> Attach | None:
+    """What switches `[limits]` on; OperatorError where its key cannot be used."""
+    if settings.limits is None:
+        return None
+    from molereach.limits import service
+
+    try:
+        return service.attacher(settings.limits)
+    except service.KeyFileError as error:
+        raise operator.OperatorError(f"{path}: {error}") from error
+
+
 def start(path: Path, serve: Serve) -> int:
     """Start the front door with an operator file; one that cannot be used starts nothing."""
     try:
         settings = operator.load(path)
+        limits = limits_of(path, settings)
     except operator.OperatorError as error:
         return complain(str(error))
     level = (settings.log or operator.LogSection()).level.name
     # Off means not imported.
-    attach: list[Attach] = []
-    if settings.limits:
-        from molereach.limits import service
-
-        try:
-            attach.append(service.attacher(settings.limits))
-        except service.KeyFileError as error:
-            return complain(f"{path}: {error}")
+    attach = [limits] if limits else []
     if section := settings.control:
         from molereach.fleet import control
 
--- a/molereach/limits/core.py
+++ b/molereach/limits/core.py
@@ -26,7 +26,7 @@
         self.reach_of = Reach(
             settings.me, settings.gateways, settings.plans, figures, settings.peer_messages_per_s
         )
-        self.start_us = self.hello_us = self.look_us = self.forget_us = -1
+        self.start_us = self.hello_us = self.look_us = self.forget_us = self.now_us = -1
         self.budget: dict[int, tuple[float, int]] = {}  # by peer: words that may go, and at what time
         self.answers: list[tuple[int, i.LimitWord]] = []
 
@@ -64,7 +64,8 @@
 
     def hear(self, now_us: int, message: i.PeerMessage) -> None:
         sender, generation = message.sender, message.generation
-        self.reach_of.heard(now_us, sender, generation)
+        self.now_us = now_us
+        self.reach_of.heard(now_us, sender, generation, message.hears)
         if generation is None:
             return
         for word in message.words:
@@ -87,7 +88,12 @@
         """Nothing is spent here from now on: the last words, to all peers."""
         return [(peer, i.Bye()) for peer in range(self.doors) if peer != self.me]
 
+    def hears(self, peer: int) -> bool:
+        """Whether the peer has been heard of late, as of the last event."""
+        return self.reach_of.hears(self.now_us, peer)
+
     def told(self, now_us: int, peer: int) -> None:
+        self.now_us = now_us
         self.reach_of.told_us[peer] = now_us
 
     def due(self, now_us: int) -> list[tuple[int, i.LimitWord | None]]:
--- a/molereach/limits/reach.py
+++ b/molereach/limits/reach.py
@@ -51,7 +51,8 @@
         self.beat_us = max(settings.beat_us, round(crowd))
         self.silence_us = BEATS * self.beat_us
         self.start_us = 0
-        self.heard_us: dict[int, int] = {}
+        self.heard_us: dict[int, int] = {}  # words of one that hears this front door as well
+        self.came_us: dict[int, int] = {}  # any word: a link may work one way
         self.back_us: dict[int, int] = {}  # since when a peer has been heard again
         self.lives: dict[int, int] = {}  # generations of those that tell totals
         self.gone: dict[int, int] = {}  # generations of those that ended in order: they spend nothing
@@ -68,8 +69,16 @@
     def silent(self, now: int, peer: int) -> bool:
         return now - self.heard_us.get(peer, LONG_AGO) > self.silence_us
 
-    def heard(self, now: int, peer: int, generation: int | None) -> None:
-        """Something came from a peer; who was silent is told all that its customers spent here."""
+    def hears(self, now: int, peer: int) -> bool:
+        """Whether the peer is to be told that its words come here."""
+        return now - self.came_us.get(peer, LONG_AGO) <= self.silence_us
+
+    def heard(self, now: int, peer: int, generation: int | None, mutual: bool = True) -> None:
+        """Something came from a peer; who was silent is told all that its customers spent here. One that does
+        not hear this front door cannot tell it what it spends by its word: it counts as silent."""
+        self.came_us[peer] = now
+        if not mutual:
+            return
         if self.silent(now, peer):
             self.back_us[peer] = now
             self.tell_all(peer)
--- a/molereach/limits/service.py
+++ b/molereach/limits/service.py
@@ -38,7 +38,7 @@
 
     async def attach(door: FrontDoor) -> Callable[[], None]:
         limits = Limits(door.settings, figures)
-        door.use_limits(limits, Codec(limits.me, limits.generation, limits.counts, key))
+        door.use_limits(limits, Codec(limits.me, limits.generation, limits.counts, key, limits.hears))
         return lambda: None
 
     return attach
--- a/molereach/limits/words.py
+++ b/molereach/limits/words.py
@@ -1,10 +1,10 @@
 """Limits' words on the wire: datagrams of at most 256 bytes, beside those of the last version.
 
-Layout, in network byte order: magic (1 byte), version (1), the sender's generation (2), records, and
-where a key is set a tag of 8 bytes (BLAKE2b, RFC 7693, keyed; over the sender's number and all that
-stands before it). A record is its kind (1 byte) and its fields. The length is never a multiple of that of
-a word of the last version, so a front door of that version drops it, and what is a multiple is one of its
-own. A core.
+Layout, in network byte order: magic (1 byte), version (1), the sender's generation (2), whether it has
+heard the receiver of late (1), records, and where a key is set a tag of 8 bytes (BLAKE2b, RFC 7693,
+keyed; over the sender's number and all that stands before it). A record is its kind (1 byte) and its
+fields. The length is never a multiple of that of a word of the last version, so a front door of that
+version drops it, and what is a multiple is one of its own. A core.
 """
 
 import hashlib
@@ -16,7 +16,7 @@
 from fennelwinch.codec import MESSAGE_BYTES, UNIT, WORD, pack_words, unpack_words
 
 MAGIC, VERSION = 0xB7, 1
-HEADER = struct.Struct("!BBH")
+HEADER = struct.Struct("!BBHB")
 TAG_BYTES = 8
 PAD = 0
 MOST_UNITS, MOST_SHARE = 0x7FFFFFFF / UNIT, 10_000
@@ -98,14 +98,15 @@
     """Datagrams of one front door: its number, generation and, where the network is not trusted, a key.
 
     `speaks` tells whether a peer is known to read this form; until then it is told as by the last version.
+    `hears` tells whether a peer has been heard of late, which it is told: some links work one way.
     """
 
     def __init__(
-        self, me: int, generation: int, speaks: Callable[[int], bool] = lambda peer: True, key: bytes = b""
+        self, me: int, generation: int, speaks: Callable[[int], bool] = lambda peer: True, key: bytes = b"",
+        hears: Callable[[int], bool] = lambda peer: True,
     ) -> None:
-        self.me, self.key, self.speaks = me, key, speaks
-        self.header = HEADER.pack(MAGIC, VERSION, generation)
-        self.room = MESSAGE_BYTES - len(self.header) - (TAG_BYTES if key else 0) - 1  # the last: for a pad
+        self.me, self.generation, self.key, self.speaks, self.hears = me, generation, key, speaks, hears
+        self.room = MESSAGE_BYTES - HEADER.size - (TAG_BYTES if key else 0) - 1  # the last: for a pad
 
     def tag(self, sender: int, data: bytes) -> bytes:
         return hashlib.blake2b(sender.to_bytes(2, "big") + data, digest_size=TAG_BYTES, key=self.key).digest()
@@ -120,15 +121,15 @@
                 continue
             record = pack_record(word)
             if len(body) + len(record) > self.room:
-                packed.append(self.close(body))
+                packed.append(self.close(peer, body))
                 body = b""
             body += record
         if body or not packed:
-            packed.append(self.close(body))
+            packed.append(self.close(peer, body))
         return packed
 
-    def close(self, body: bytes) -> bytes:
-        data = self.header + body
+    def close(self, peer: int, body: bytes) -> bytes:
+        data = HEADER.pack(MAGIC, VERSION, self.generation, self.hears(peer)) + body
         if (len(data) + (TAG_BYTES if self.key else 0)) % WORD.size == 0:
             data += bytes([PAD])
         return data + self.tag(self.me, data) if self.key else data
@@ -144,11 +145,11 @@
                 return None
         if len(data) < HEADER.size:
             return None
-        magic, version, generation = HEADER.unpack_from(data)
-        if (magic, version) != (MAGIC, VERSION):
+        magic, version, generation, hears = HEADER.unpack_from(data)
+        if (magic, version) != (MAGIC, VERSION) or hears > 1:
             return None
         try:
-            return i.PeerMessage(sender, tuple(records(data)), generation)
+            return i.PeerMessage(sender, tuple(records(data)), generation, bool(hears))
         except (KeyError, ValueError, struct.error):
             return None
 
--- a/rig/fleet.py
+++ b/rig/fleet.py
@@ -95,8 +95,11 @@
 class FleetRig:
     """The agents of some front doors."""
 
-    def __init__(self, folder: Path, host: str, doors: list[Door], floor: int = 1) -> None:
-        """`folder` is there and empty; the front doors have not started yet."""
+    def __init__(
+        self, folder: Path, host: str, doors: list[Door], floor: int = 1, operator_text: str = ""
+    ) -> None:
+        """`folder` is there and empty; the front doors have not started yet. What their operator files hold
+        besides `[control]` is `operator_text`."""
         folder.chmod(HELD_OPEN)
         self.folder, self.doors = folder, doors
         self.token = os.urandom(TOKEN_BYTES).hex()
@@ -110,7 +113,8 @@
         for agent, door in zip(self.agents, doors, strict=True):
             operator = folder / f"{door.name}.operator.toml"
             socket = agent.sockets / f"{door.name}.sock"
-            operator.write_text(f'[control]\nsocket = "{socket}"\nwait_for_orders_s = {WAIT_FOR_ORDERS_S}\n')
+            control = f'[control]\nsocket = "{socket}"\nwait_for_orders_s = {WAIT_FOR_ORDERS_S}\n'
+            operator.write_text(control + operator_text)
             door.command = (*FRONT_DOOR, "--operator", str(operator))
 
     def write(self, floor: int) -> None:
--- a/tests/limits/test_reach.py
+++ b/tests/limits/test_reach.py
@@ -37,6 +37,22 @@
     assert other.reach(late + JOIN_US + 1, KEY) == (1, pytest.approx(2 / 3), 8.0)  # there was nothing to tell
 
 
+def test_a_link_that_works_one_way_is_a_split() -> None:
+    home, late = settled(0), settled(0).silence_us + 1
+    home.heard(late, 1, 7)
+    home.heard(late, 2, 7, mutual=False)
+    assert home.reach(late, KEY)[1] == pytest.approx(2 / 3) and home.hears(late, 2)
+    over = []
+    for link in ((0, 1), (1, 0), (0, 2)):
+        history = QuotaHistory(1, 3, True)
+        history.load(3 * S, 24 * S, 90.0, [1.0, 1.0, 1.0])
+        history.run(4 * S)
+        history.mail.cut = frozenset([link])
+        history.run(24 * S)
+        over.append(-history.quota.lowest)
+    assert max(over) <= 2 * (24 + 12 * 1.5)
+
+
 def test_who_ends_in_order_leaves_its_part_to_the_others() -> None:
     home = settled(0)
     home.left(0, 1, 7)
