With limits on, what is sent on is taken from the moving share of the ceiling

A test of whole gateways with a ceiling alone was missing; it is there now, with a third of all words lost and with a split.

--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -533,6 +533,8 @@
         if not (number := len(job.servers)):
             self.accepted, self.retries = self.accepted + 1, min(RETRY_STORE, self.retries + RETRY_SHARE)
             job.customer.ceiling -= job.req.units
+            if self.limits and job.customer.plan.ceiling_rate:
+                self.limits.take(self.now, job.customer.key, job.req.units)
         job.servers.append(server)
         job.out[number] = server.out[(job.req.id, number)] = self.now
         job.customer.out, self.out = job.customer.out + 1, self.out + 1
--- a/tests/limits/test_reach.py
+++ b/tests/limits/test_reach.py
@@ -1,6 +1,7 @@
 """Quotas while front doors are cut off: who is heard, totals, parts that come together; whole gateways."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 import pytest
 
@@ -157,6 +158,22 @@
     assert max(over[True]) <= 2 * (24 + 12 * 1.5) < min(over[False])
 
 
+@pytest.mark.parametrize("split", [False, True])
+def test_a_ceiling_holds_for_whole_gateways_and_is_granted(split: bool) -> None:
+    """Traffic that stands at one front door and then at another, with a third of all words lost."""
+    plan = replace(PLAN, rate=0.0, burst=0.0)
+    for seed in range(2):
+        history = QuotaHistory(seed, 3, True, plan)
+        history.mail.loss = 0.3
+        history.load(3 * S, 6 * S, 80.0, [1.0, 0.0, 0.0])
+        history.load(6 * S, 12 * S, 80.0, [0.1, 1.0, 0.1])
+        history.run(6 * S)
+        history.mail.groups = tuple(frozenset([number]) for number in range(3)) if split else ()
+        history.run(12 * S)
+        assert history.ceiling.lowest >= 0.0
+        assert len(history.first) >= (36 + 24 * 9) * (0.5 if split else 0.8)
+
+
 @pytest.mark.parametrize("fault", [
     lambda history: history.kill(history.nodes[0], S), lambda history: history.stop(history.nodes[1]),
 ])
