A loan that is much too small is asked for again at once; fewer beats and totals in large tiers

A first ask came when demand had hardly begun, and the next only after half a lease: a second at a third more than the own share. Sent by a front door of 50 with limits: 64 messages a second before, over the intake of 60.

--- a/molereach/limits/core.py
+++ b/molereach/limits/core.py
@@ -9,9 +9,9 @@
 from molereach.limits.settings import LimitSettings, S
 
 GENERATIONS = 1 << 16
-TOTALS_AT_ONCE = 8
+TOTALS_AT_ONCE = 2  # at each look: 100 a second, to all homes together
 LOOK_US = 20_000  # between two looks at what is to be told
-MOST_PER_S, MOST_AT_ONCE = 120.0, 24.0  # words to one peer; about ten go into a datagram
+MOST_PER_S, MOST_AT_ONCE = 100.0, 24.0  # words to one peer; about ten go into a datagram
 FORGET_US = S
 
 
--- a/molereach/limits/escrow.py
+++ b/molereach/limits/escrow.py
@@ -57,13 +57,14 @@
     """What is borrowed from one lender, and the ask that is out."""
 
     __slots__ = ("accepted", "ask", "asked_us", "hurry", "kept_us", "next_us", "number", "repeats", "sent_us",
-                 "share", "until")
+                 "share", "short", "until")
 
     def __init__(self) -> None:
         self.number, self.accepted = 0, 0
         self.ask: LoanAsk | None = None  # without its grant yet
         self.asked_us = self.sent_us = self.next_us = 0  # the third: when it may ask anew
         self.repeats = self.share = self.until = 0
+        self.short = False  # the last grant was of less than was wanted
         self.hurry = False  # the lender is to hear at once how things are
         self.kept_us = 0  # until when its lender may go by what was accepted
 
@@ -229,7 +230,7 @@
                 debt = account.debts[lender] = _Debt()
             if debt.ask is not None:
                 self.repeat(now, debt, lender)
-            elif now >= debt.next_us or (missing < -SURPLUS and now - debt.asked_us >= AGAIN_US):
+            elif now >= debt.next_us or self.too_far(now, debt, missing):
                 missing += self.turn(now, key, account, debt, lender, missing)
         account.debts = {lender: debt for lender, debt in account.debts.items()
                          if debt.ask or debt.held(now) or now < max(debt.next_us, debt.kept_us)}
@@ -239,6 +240,14 @@
             heapq.heappush(self.late, (planned, key))
         account.planned_us = planned
 
+    @staticmethod
+    def too_far(now: int, debt: _Debt, missing: int) -> bool:
+        """Whether a loan is so much too small or too large that it is not left until its next turn."""
+        since = now - debt.asked_us
+        if missing >= LEAST_STEP:
+            return not debt.short and since >= REPEAT_US
+        return missing < -SURPLUS and since >= AGAIN_US
+
     def look_again(self, now: int, debt: _Debt) -> int:
         if debt.ask:
             return debt.sent_us + REPEAT_US
@@ -300,8 +309,8 @@
         debt.kept_us = debt.asked_us + 3 * self.settings.lease_us
         account.store += max(0.0, min(grant.units, account.burst * debt.share / WHOLE))
         account.cap(now)
-        short = debt.share < wanted
-        debt.next_us = now + AGAIN_US if short or not debt.share else until - self.settings.lease_us // 2
+        debt.short = debt.share < wanted
+        debt.next_us = now + AGAIN_US if debt.short or not debt.share else until - self.settings.lease_us // 2
         if debt.hurry:  # less than was held: the lender has it back once it hears so
             debt.next_us = now
         self.plan(now, grant.key, account)
--- a/molereach/limits/reach.py
+++ b/molereach/limits/reach.py
@@ -13,7 +13,7 @@
 from molereach.limits.settings import LimitSettings, S
 
 BEATS = 4  # that are missed before a front door counts as cut off
-HALF_INTAKE = 0.5  # of the messages that a front door takes in may be beats
+BEATS_PART = 0.3  # of the messages that a front door takes in may be beats
 TELL_AGAIN_US, TELLINGS = 200_000, 3  # a total is told so often, as words may be lost
 JOIN_US = TELLINGS * TELL_AGAIN_US  # who is back and has said nothing of a customer by then spent nothing
 LEAST_KEPT_US = 10 * S
@@ -47,7 +47,7 @@
         self, me: int, doors: int, plans: Sequence[Plan], settings: LimitSettings, intake_per_s: float
     ) -> None:
         self.me, self.doors, self.plans = me, doors, plans
-        crowd = S * (doors - 1) / (HALF_INTAKE * intake_per_s) if intake_per_s else 0.0
+        crowd = S * (doors - 1) / (BEATS_PART * intake_per_s) if intake_per_s else 0.0
         self.beat_us = max(settings.beat_us, round(crowd))
         self.silence_us = BEATS * self.beat_us
         self.start_us = 0
