--- a/tests/limits/test_shares.py
+++ b/tests/limits/test_shares.py
@@ -199,8 +199,10 @@
     late.doors[0].room(late.now, KEY, 1e6)
     (lender, ask), *_ = late.doors[0].due(late.now)
     late.pass_by(FIGURES.borrowed_us, carry=False)
-    late.hear(lender, 0, i.LoanGrant(KEY, ask.number, 3000, 0.0))
-    assert late.share(0) < 0.34
+    late.doors[0].take(late.now, KEY, 15.0)
+    store = late.doors[0].room(late.now, KEY)
+    late.hear(lender, 0, i.LoanGrant(KEY, ask.number, 3000, 10.0))
+    assert late.share(0) < 0.34 and late.doors[0].room(late.now, KEY) == store
 
 
 def test_a_lost_grant_is_asked_for_again_and_its_units_come_back() -> None:
@@ -259,6 +261,8 @@
     door.asked(60 * S, 1, 1, ask)
     account = door.accounts[KEY]
     assert account.store <= 20.0 and account.loans[1].lent(60 * S) <= WHOLE // 3  # not what it says it holds
+    door.asked(60 * S, 1, 1, replace(ask, number=2))  # it has held nothing yet, whatever it claims
+    assert account.loans[1].lent(60 * S) <= WHOLE // 3
     for name in range(100, 200):
         door.asked(60 * S, 1, 1, replace(ask, key=(name, 0, 0, 3)))
     assert len(door.accounts) == 3
--- a/tests/limits/test_words.py
+++ b/tests/limits/test_words.py
@@ -62,7 +62,7 @@
 
 
 @pytest.mark.parametrize("body", [
-    b"\x09", b"\x06\x00", b"\x05\x00\x01\x00\x01\x00\x07", b"\x03" + b"\xff" * 19,
+    b"\x09", b"\x06\x00", b"\x05\x00\x01\x00\x01\x00\x07", b"\x03" + b"\xff" * 19, b"\x02" + b"\xff" * 25,
 ])
 def test_malformed_records_are_dropped_whole(body: bytes) -> None:
     codec = Codec(1, 5)
