Units that come back after their share has come back by time are dropped

Of the first 1,000 random histories two broke the sum of stores: a lender that was stopped for longer than a loan heard afterwards of units that were given back with it, while the share had come back by time and filled up since. Units now come back within the share that is freed with them, or not at all.

--- a/molereach/limits/escrow.py
+++ b/molereach/limits/escrow.py
@@ -341,15 +341,19 @@
     def lend(self, now: int, account: _Account, loan: _Loan, generation: int, ask: LoanAsk) -> None:
         before = account.share(now)
         # What the borrower holds until it hears otherwise; a claim of more than was lent is not believed.
-        held = max(0, min(ask.held, loan.lent(now)))
+        lent = loan.lent(now)
+        held = max(0, min(ask.held, lent))
         if generation != loan.generation:  # words of two lives may overtake: either may be the last
-            loan.other, loan.other_until = loan.lent(now), loan.end_us()
+            loan.other, loan.other_until = lent, loan.end_us()
             loan.generation, held = generation, 0
-        elif ask.accepted != loan.number:
-            account.store += loan.units  # they went with a grant that is void now
+        else:
+            # Units come back with the share that they went with, or not at all: one that came back by time has
+            # filled up since.
+            void = ask.accepted != loan.number and now < loan.until
+            back = ask.returned + (loan.units if void else 0.0)
+            account.store += max(0.0, min(back, account.burst * (lent - held) / WHOLE))
         loan.before, loan.before_until = held, max(loan.until, loan.before_until)
         loan.share = 0
-        account.store += max(0.0, min(ask.returned, account.burst * account.base / WHOLE))
         account.cap(now)
         free = account.share(now) - sum(debt.held(now) for debt in account.debts.values())
         own = max(min(account.need(now), account.base), round(self.settings.floor * account.base))
