--- a/molereach/limits/escrow.py
+++ b/molereach/limits/escrow.py
@@ -347,7 +347,7 @@
             loan.other, loan.other_until = lent, loan.end_us()
             loan.generation, held = generation, 0
         else:
-            # Units come back with the share that they went with, or not at all: one that came back by time has
+            # Units come back with the share that they went with or not at all: one that came back by time has
             # filled up since.
             void = ask.accepted != loan.number and now < loan.until
             back = ask.returned + (loan.units if void else 0.0)
