--- a/molereach/limits/reach.py
+++ b/molereach/limits/reach.py
@@ -14,7 +14,7 @@
 
 BEATS = 4  # that are missed before a front door counts as cut off
 BEATS_PART = 0.3  # of the messages that a front door takes in may be beats
-TELL_AGAIN_US, TELLINGS = 200_000, 3  # a total is told so often, as words may be lost
+TELL_AGAIN_US, TELLINGS = 300_000, 2  # a total is told so often, as words may be lost
 JOIN_US = TELLINGS * TELL_AGAIN_US  # who is back and has said nothing of a customer by then spent nothing
 LEAST_KEPT_US = 10 * S
 MOST_HOMES = 200_000  # customers that others' words may open here
