Shares on the control socket are the interface's own type; a home that ended is not gone by

A late datagram of a front door that had said its last word made others go by it as their home for up to a second: it is passed over now, with a test that fails without it. wire.Shares wrote interface.Held again and is gone. Why a request was given up on was looked up in all that is held, for each one; it is told by the caller, and a reason that never came is gone.

--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -37,7 +37,7 @@
 REPORT_FRESH_US = 1.5 * S  # a load report older than this says nothing
 NEEDED_NEW, NEEDED_HELD = 0.5, 2.0  # mean latencies left: else all that is held would leave just too late
 RETRY_SHARE, RETRY_STORE = 0.1, 8.0  # further attempts earned by a first one, and kept at most
-ENDS = ("quota", "ceiling", "cap", "server", "word", "late", "attempts")  # why a request was given up on
+ENDS = ("quota", "ceiling", "cap", "server", "late", "attempts")  # why a request was given up on
 
 
 class _Server:
@@ -305,15 +305,11 @@
         late = job.may_refuse() and self.now + needed >= job.aim_us
         late = late or (job.unsent == len(job.servers) and self.now + TICK_US >= job.half_us)
         if not job.over and (late or self.now + 2 * TICK_US >= job.end_us):
-            self.end(job, self.why_held(job))
+            self.end(job, self.why_held(job) if means == NEEDED_HELD and not job.servers else "late")
         return job.over
 
     def why_held(self, job: _Job) -> str:
-        """What a request that is given up on waited for."""
-        if job.decide_us < NEVER and not job.in_quota:
-            return "word"
-        if job.servers or job not in (entry[2] for entry in self.held):
-            return "late"
+        """What a request that was held until it was given up on waited for."""
         return "ceiling" if not self.below_ceiling(job) else "server" if self.allowance() else "cap"
 
     def customer(self, key: tuple[int, int, int, int]) -> _Customer:
--- a/molereach/fleet/cli/commands.py
+++ b/molereach/fleet/cli/commands.py
@@ -156,7 +156,7 @@
     run(file, job)
 
 
-def parts(shares: dict[str, float]) -> str:
+def parts(shares: dict[int, float]) -> str:
     """Shares by front door's number."""
     return ", ".join(f"{door}: {share:.3f}" for door, share in shares.items())
 
--- a/molereach/fleet/control.py
+++ b/molereach/fleet/control.py
@@ -222,11 +222,7 @@
 
     def on_quota(self, ask: wire.Ask, _: ControlConnection) -> wire.Answer:
         now, customer = now_us(), ask.customer.lower()
-        shares = {held.plan: wire.Shares(
-            held.share, held.store, {str(peer): part for peer, part in held.lent.items()},
-            {str(peer): part for peer, part in held.borrowed.items()}, held.oldest_s, held.taken, held.spent,
-            tuple(held.apart),
-        ) for held in self.door.gateway.shares_held(customer, now)}
+        shares = {held.plan: held for held in self.door.gateway.shares_held(customer, now)}
         return wire.Answer(wire.VERSION, ask.number, quota=tuple(
             wire.Standing(plan, level, part, ceiling, demand, heard, shares.get(plan))
             for plan, level, part, ceiling, demand, heard in self.door.gateway.standing(customer, now)
--- a/molereach/fleet/wire.py
+++ b/molereach/fleet/wire.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from fennelwinch.interface import Held
 from molereach.fleet.orders import BookState, Decided, OrderError
 
 VERSION = 2
@@ -57,20 +58,6 @@
     open_requests: int
 
 
-class Shares(msgspec.Struct, frozen=True):
-    """What a front door holds of a customer's ceiling, where shares move: parts from 0 to 1, by front door's
-    number; units; seconds."""
-
-    share: float
-    store: float  # units that may be sent on now
-    lent: dict[str, float]
-    borrowed: dict[str, float]
-    oldest_s: float  # since the oldest loan was asked for; 0 for none
-    taken: float  # units sent on under the ceiling
-    spent: float  # units of the quota spent here
-    apart: tuple[int, ...]  # at the home: whose parts of the quota are not in its level
-
-
 class Standing(msgspec.Struct, frozen=True):
     """What a front door knows of a customer's quota, for each of its sets; units and seconds."""
 
@@ -80,7 +67,7 @@
     ceiling_part: float
     demand: float
     heard_s_ago: float | None  # since its home's word came; None for never
-    shares: Shares | None = None  # None where shares do not move
+    shares: Held | None = None  # None where shares do not move
 
 
 class Answer(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/molereach/limits/reach.py
+++ b/molereach/limits/reach.py
@@ -121,7 +121,7 @@
         name, _, first, size = key
         for number in range(name % size, name % size + size):
             member = (first + number % size) % self.doors
-            if member == self.me or not self.silent(now, member):
+            if member == self.me or (member not in self.gone and not self.silent(now, member)):
                 return member
         return self.me
 
--- a/tests/limits/test_reach.py
+++ b/tests/limits/test_reach.py
@@ -62,6 +62,10 @@
     assert home.reach(late, KEY) == (0, 1.0, 0.0)
     home.heard(late, 1, 7)  # a word of that life, overtaken by its last one
     assert home.reach(late, KEY)[1] == 1.0
+    other = settled(1)
+    other.left(0, 0, 7)
+    other.heard(MS, 0, 7)  # the same of a home: it is not gone by again
+    assert other.reach(MS, KEY)[0] == 1
     home.heard(late, 1, 8)
     later = late + home.silence_us + 1
     assert home.reach(later, KEY)[1] == pytest.approx(1 / 3)  # the next life is silent
