--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -20,7 +20,7 @@
 # For each ready server, by all gateways: attempts a second when the cap engages, and out at once ever.
 START_PER_SERVER, LEAST_OUT = 8, 2  # the second: for one gateway in any case
 USUAL_AIM_US = 1.5 * S  # what the figures for a second are meant for: where aims are shorter, all goes faster
-DEMAND_US = 0.5 * S  # ageing of demand: short, as the level of the store carries the longer memory
+DEMAND_US = 0.1 * S  # ageing of demand: short, as the level of the store carries the longer memory
 # The wait for word from home, its part of the aim, and how often it is asked; how long a word holds.
 ASK_US, ASK_PART, ASKS, WORD_FRESH_US = 160_000, 3, 2, S
 SILENT_US, ASK_AGAIN_US = 500_000, 300_000  # a peer is silent that answers no ask for so long; asked again
@@ -90,10 +90,11 @@
         return self.own + self.others
 
     def chance(self, units: float) -> float:
-        """Quota over summed demand; the quota is the rate while demand ages, and what the set has or owes."""
+        """Quota over summed demand: of what the set has left, as the home counts it, and of late asked."""
         if self.plan.max_out and self.out >= max(1, self.plan.max_out // self.size):
             return 0.0
-        quota = self.level + self.plan.rate * self.reach * DEMAND_US / S
+        # A store that does not hold the whole of a request serves none of it: what is sent on then is beyond.
+        quota = self.level if self.level >= units else 0.0
         return max(0.0, min(1.0, quota / max(units, self.demand))) if self.plan.rate else 1.0
 
     def spend(self, units: float) -> None:
