--- a/fennelwinch/codec.py
+++ b/fennelwinch/codec.py
@@ -35,6 +35,7 @@
 
 # A word between gateways; amounts in steps of 1 / UNIT.
 WORD = struct.Struct("!IBHHBhhhh")
+ANSWER, GRANTED = 1, 2  # flags of a word
 UNIT = 50
 MESSAGE_BYTES = 256
 
@@ -143,7 +144,8 @@
     """Messages between gateways, each as long as the wire allows."""
     packed = [
         WORD.pack(
-            word.customer, word.plan_index, word.set_first, word.set_size, word.is_answer,
+            word.customer, word.plan_index, word.set_first, word.set_size,
+            word.is_answer * ANSWER | word.granted * GRANTED,
             *(max(-32768, min(32767, round(amount * UNIT)))
               for amount in (word.demand, word.spent, word.asked, word.level)),
         )
@@ -159,10 +161,10 @@
         return ()
     return tuple(
         i.Word(
-            customer, plan, first, size, bool(answer),
-            demand / UNIT, spent / UNIT, asked / UNIT, level / UNIT,
+            customer, plan, first, size, bool(flags & ANSWER),
+            demand / UNIT, spent / UNIT, asked / UNIT, level / UNIT, bool(flags & GRANTED),
         )
-        for customer, plan, first, size, answer, demand, spent, asked, level in WORD.iter_unpack(data)
+        for customer, plan, first, size, flags, demand, spent, asked, level in WORD.iter_unpack(data)
     )
 
 
--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -229,6 +229,7 @@
 
     A customer goes by a checksum of its name. `demand` and `spent` are new to the home; in an answer,
     `demand` is that of the whole set. `asked` waits for an answer; `level` is what the set has left or owes.
+    `granted`: units as asked come with the answer from the home's share of the ceiling.
     """
 
     customer: int
@@ -240,8 +241,10 @@
     spent: float = 0.0
     asked: float = 0.0
     level: float = 0.0
+    granted: bool = False
 
 
+SPLIT_MARK = 255  # in place of a plan: the sender keeps no more of any ceiling than its split share
 Key = tuple[int, int, int, int]  # of a customer: the checksum of its name, plan, first of its set, size of it
 
 
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -24,6 +24,10 @@
 # The wait for word from home, its part of the aim, and how often it is asked; how long a word holds.
 ASK_US, ASK_PART, ASKS, WORD_FRESH_US = 160_000, 3, 2, S
 SILENT_US, ASK_AGAIN_US = 500_000, 300_000  # a peer is silent that answers no ask for so long; asked again
+# Of a ceiling whose parts would hold fewer units than the first: the share that is split over the set. The
+# rest is its home's, which gives it out with its words; for how long after the ask such units may be used.
+SMALL_PART, SPLIT_SHARE, GRANT_US = 4, 0.5, 300_000
+MARK_US, MARKED_US = 3 * S, 10 * S  # how often a peer is told that this is kept to; how long that counts
 LEAST_KEPT_US = 10 * S  # for which a customer is remembered in any case
 SPACE_US = 80_000  # between words to one peer, at most
 ASK_SHARE = 0.25  # part of a gateway's intake that the asks for one customer may take
@@ -54,18 +58,22 @@
 class _Customer:
     """A customer's part of quota and ceiling here, and what is known of its whole set: all, at its home."""
 
-    __slots__ = ("asked_us", "at", "ceiling", "heard_us", "home", "key", "level", "others", "out", "own",
-                 "part", "plan", "reach", "size", "spent", "untold")
+    __slots__ = ("asked_us", "at", "ceiling", "given", "heard_us", "home", "key", "level", "others", "out",
+                 "own", "part", "plan", "pool", "pooled", "reach", "size", "spent", "split", "untold")
 
     def __init__(
-        self, plan: i.Plan, key: tuple[int, int, int, int], set_: i.Settings, now: int, since: int
+        self, plan: i.Plan, key: tuple[int, int, int, int], set_: i.Settings, now: int, since: int,
+        split: bool = False,
     ) -> None:
         self.plan, self.key, self.size, self.at = plan, key, key[3], now
         self.home = (key[2] + key[0] % self.size) % set_.gateways if set_.may_tell else set_.me
         self.part, self.level = plan.burst / self.size, plan.burst
         self.own, self.others = 0.0, 0.0  # aged demand, here and at the others of the set
         # Empty at the gateway's start, as a restart looks like a first one; it fills from then on.
-        self.ceiling = min(plan.ceiling_burst, plan.ceiling_rate * (now - since) / S) / self.size
+        self.split = SPLIT_SHARE if split else 1.0
+        self.ceiling = min(plan.ceiling_burst, plan.ceiling_rate * (now - since) / S) * self.split / self.size
+        self.given: list[tuple[int, float]] = []  # units of its home's that came here: until when, how many
+        self.pool = self.pooled = 0.0  # at the home: a store for the whole set, and its share of the ceiling
         self.heard_us, self.out = -NEVER, 0
         self.untold = self.spent = 0.0  # demand and spending that the home has not been told of
         self.reach = 1.0  # the part of the quota that may be spent on this side of a split
@@ -75,7 +83,10 @@
         """Refill the parts. Others' demand and the level stay as told while that is fresh, as others go on
         asking; after that, as when the home has gone, they are what may be by now."""
         took, plan, part, self.at = (now - self.at) / S, self.plan, 1 / self.size, now
-        self.ceiling = min(plan.ceiling_burst * part, self.ceiling + plan.ceiling_rate * took * part)
+        share = part * self.split
+        self.ceiling = min(plan.ceiling_burst * share, self.ceiling + plan.ceiling_rate * took * share)
+        most = max(0.0, plan.ceiling_burst - plan.ceiling_rate * GRANT_US / S) * self.pooled
+        self.pool = min(most, self.pool + plan.ceiling_rate * took * self.pooled)
         aged = math.exp(-took * S / DEMAND_US)
         self.own *= aged
         if now - self.heard_us > WORD_FRESH_US:
@@ -97,6 +108,17 @@
         quota = self.level if self.level >= units else 0.0
         return max(0.0, min(1.0, quota / max(units, self.demand))) if self.plan.rate else 1.0
 
+    def has_given(self, now: int, units: float) -> bool:
+        self.given = [(until, left) for until, left in self.given if now <= until]
+        return any(left >= units for _, left in self.given)
+
+    def pass_ceiling(self, now: int, units: float) -> None:
+        """Units are sent on: the home's first, as they do not keep."""
+        if self.has_given(now, units):
+            self.given.remove(next(entry for entry in self.given if entry[1] >= units))
+        else:
+            self.ceiling -= units
+
     def spend(self, units: float) -> None:
         least = -self.plan.rate * self.reach * DEMAND_US / S  # it owes nothing for long
         self.level = max(self.level - units, least)
@@ -118,6 +140,7 @@
         self.over, self.in_quota, self.ran_us, self.unrun = False, False, 0, 0  # unrun: proven so
         self.unsent = 0  # attempts that never came whole to a server
         self.decide_us, self.asks = NEVER, 0  # until when it waits for word of its quota
+        self.asked_us = 0  # its last ask
 
     def may_refuse(self) -> bool:
         keyed_ok = self.rule.effect is i.Effect.KEYED and self.rule.group is i.Group.ALL
@@ -138,6 +161,9 @@
         self.since_us, self.forget_us = 0, max(LEAST_KEPT_US, *map(full_again_us, settings.plans))
         self.unanswered: dict[int, int] = {}  # by peer: the first ask without a word since
         self.asked_us: dict[int, int] = {}  # by peer: the last ask
+        self.ceilings = any(plan.ceiling_rate for plan in settings.plans)
+        self.marked_us: dict[int, int] = {}  # when each peer was told that ceilings are split here,
+        self.marks_us: dict[int, int] = {}  # and when it last said so
         self.waits: list[_Job] = []  # those that wait for word
         self.words: dict[int, list[i.Word | i.LimitWord]] = {}  # for each peer
         self.told_us: dict[int, int] = {}  # when words last left for it
@@ -297,7 +323,9 @@
         customer, units = job.customer, job.req.units
         if self.limits and customer.plan.ceiling_rate:
             return self.limits.room(self.now, customer.key, units)
-        return not customer.plan.ceiling_rate or customer.refill(self.now).ceiling >= units
+        if not customer.plan.ceiling_rate or customer.has_given(self.now, units):
+            return True
+        return customer.refill(self.now).ceiling >= units
 
     def expire(self, job: _Job, means: float) -> bool:
         """A held request is ended in time: refused when its aim is out of reach, where that is allowed, and
@@ -316,7 +344,8 @@
     def customer(self, key: tuple[int, int, int, int]) -> _Customer:
         known = self.customers.pop(key, None)
         if known is None:
-            known = _Customer(self.set.plans[key[1]], key, self.set, self.now, self.since_us)
+            split = self.splits() and self.set.plans[key[1]].ceiling_burst < SMALL_PART * key[3]
+            known = _Customer(self.set.plans[key[1]], key, self.set, self.now, self.since_us, split)
             if self.sets.setdefault(key[:2], key) != key:  # a name of another set must not open a fresh burst
                 known.part = known.level = known.ceiling = 0.0
         self.customers[key] = known
@@ -352,14 +381,39 @@
         customer.own, customer.untold = customer.own + units, customer.untold + units
         most = ASK_SHARE * self.set.peer_messages_per_s * DEMAND_US / S  # past this the last word must do
         heard = self.now - customer.heard_us < WORD_FRESH_US and self.random.random() * customer.demand > most
-        if not customer.plan.max_out and customer.part >= units:
+        if not customer.plan.max_out and customer.part >= units and not self.is_short(customer, units):
             self.decide(job, 1.0)
             self.tell(home, customer, 0.0)
         elif home == self.set.me or heard or self.is_silent(home) or not customer.plan.rate:
+            if home == self.set.me and self.is_short(customer, units) and self.give(customer, units):
+                customer.given.append((self.now + GRANT_US, units))
             self.decide(job, customer.chance(units))
         else:
             self.ask(job)
 
+    def splits(self) -> bool:
+        """Whether a part of each ceiling is left to the customer's home; not where limits move the shares."""
+        return self.ceilings and self.set.may_tell and not self.limits
+
+    def is_short(self, customer: _Customer, units: float) -> bool:
+        """The share of the ceiling here does not hold so much: some of the home's is wanted."""
+        return customer.split < 1 and customer.plan.ceiling_rate > 0 and customer.ceiling < units
+
+    def give(self, customer: _Customer, units: float) -> bool:
+        """At the home: give out units of the ceiling that are its own. Those that are not used are lost.
+
+        Its share is what the gateways of the set leave that say they keep to theirs.
+        """
+        _, _, first, size = customer.key
+        members = ((first + n) % self.set.gateways for n in range(size))
+        leave = sum(member == self.set.me or self.now - self.marks_us.get(member, -MARKED_US) < MARKED_US
+                    for member in members)
+        customer.pooled = (1 - customer.split) * leave / size
+        if customer.pool < units or customer.level < units:  # what the quota refuses would be lost
+            return False
+        customer.pool -= units
+        return True
+
     def is_silent(self, peer: int) -> bool:
         """It has answered no ask for long, as one that restarts: waiting for it would cost the aim. Now and
         then it is asked all the same."""
@@ -368,6 +422,7 @@
         return self.now - self.asked_us.get(peer, 0) < ASK_AGAIN_US
 
     def ask(self, job: _Job) -> None:
+        job.asked_us = self.now
         self.unanswered.setdefault(job.customer.home, self.now)
         self.asked_us[job.customer.home] = self.now
         job.customer.asked_us = min(job.customer.asked_us, self.now)
@@ -389,7 +444,7 @@
         insort(self.held, (-job.worth, next(self.serial), job))
         self.release()
 
-    def end_waits(self, told: _Customer | None = None) -> None:
+    def end_waits(self, told: _Customer | None = None, granted: bool = False) -> None:
         """Decide on those that wait for word: theirs has come, or what is known here must do."""
         ready = [job for job in self.waits if job.customer is told][:1]
         ready += [job for job in self.waits if job.decide_us <= self.now and job not in ready]
@@ -399,6 +454,8 @@
             if told is None and job.asks < ASKS and self.now + ASK_US < last:
                 self.ask(job)  # words may be lost
                 continue
+            if granted and job.customer is told:
+                job.customer.given.append((job.asked_us + GRANT_US, job.req.units))
             chance = job.customer.chance(job.req.units)
             # As much the home has counted already, each time that it was asked; not where it has totals.
             job.customer.spent -= 0 if self.limits else job.req.units * chance * job.asks
@@ -414,7 +471,8 @@
         """A word to the home of what was asked and spent, or the home's answer with what it knows."""
         answer = customer.home == self.set.me
         demand = customer.demand if answer else customer.untold
-        word = i.Word(*customer.key, answer, demand, customer.spent, asked, customer.level)
+        granted = answer and asked > 0 and customer.plan.ceiling_rate > 0 and self.give(customer, asked)
+        word = i.Word(*customer.key, answer, demand, customer.spent, asked, customer.level, granted)
         if peer != self.set.me:
             self.words.setdefault(peer, []).append(word)
         customer.untold = customer.spent = 0.0
@@ -426,6 +484,9 @@
         space = min(SPACE_US, 2 * S * (self.set.gateways - 1) / max(1, self.set.peer_messages_per_s))
         for peer in [peer for peer in self.words if self.now - self.told_us.get(peer, -S) >= space]:
             self.told_us[peer] = self.now
+            if self.splits() and self.now - self.marked_us.get(peer, -MARK_US) >= MARK_US:
+                self.marked_us[peer] = self.now
+                self.words[peer].append(i.Word(0, i.SPLIT_MARK, 0, 0))
             self.actions.append(i.Tell(peer, tuple(self.words.pop(peer))))
             if self.limits:
                 self.limits.told(self.now, peer)
@@ -440,6 +501,8 @@
                 if self.limits and isinstance(word, i.Total) and self.in_my_set(word.key):
                     self.take_total(message.sender, word)
                 continue
+            if word.plan_index == i.SPLIT_MARK:
+                self.marks_us[message.sender] = self.now
             key = (word.customer, word.plan_index, word.set_first, word.set_size)
             if not self.in_my_set(key):
                 continue
@@ -448,7 +511,7 @@
                 customer.heard_us, customer.level, customer.asked_us = self.now, word.level, NEVER
                 customer.others = max(0.0, word.demand - customer.own)
                 customer.part = min(customer.part, max(0.0, word.level / customer.size))
-                self.end_waits(customer if word.asked else None)
+                self.end_waits(customer if word.asked else None, word.granted)
             elif customer.home == self.set.me:
                 customer.level = min(customer.level, word.level) if new else customer.level
                 customer.others += word.demand
@@ -529,7 +592,7 @@
     def send(self, job: _Job, server: _Server) -> None:
         if not (number := len(job.servers)):
             self.accepted, self.retries = self.accepted + 1, min(RETRY_STORE, self.retries + RETRY_SHARE)
-            job.customer.ceiling -= job.req.units
+            job.customer.pass_ceiling(self.now, job.req.units)
             if self.limits and job.customer.plan.ceiling_rate:
                 self.limits.take(self.now, job.customer.key, job.req.units)
         job.servers.append(server)
--- a/tests/fennelwinch/test_adapter.py
+++ b/tests/fennelwinch/test_adapter.py
@@ -3,13 +3,15 @@
 import os
 import subprocess
 import sys
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
 
 from fennelwinch import interface as i
 from fennelwinch.adapter import Host, write_action
-from fennelwinch.codec import pack_words, read_report, unpack_words
+from fennelwinch.codec import WORD, pack_words, read_report, unpack_words
+from tests.helpers import SETTINGS, World
 
 ROOT = Path(__file__).parents[2]
 PARAMS = (
@@ -162,3 +164,13 @@
     assert read_report([("util", "7"), ("queue", "3")]) == i.LoadReport(queue=3.0)
     with pytest.raises(ValueError, match="nan"):
         read_report([("util", "nan")])
+
+
+def test_words_keep_their_flags_and_older_versions_pass_over_the_mark() -> None:
+    told = (i.Word(7, 1, 2, 3, True, 1.0, 2.0, 1.0, -3.0, granted=True), i.Word(0, i.SPLIT_MARK, 0, 0))
+    (data,) = pack_words(told)
+    assert unpack_words(data) == told
+    assert len(data) == 2 * WORD.size and data[8] != 0  # any flag is an answer to an older version: so it is
+    world = World(replace(SETTINGS, gateways=2))
+    world.tell(i.PeerMessage(1, (i.Word(7, i.SPLIT_MARK, 0, 2, asked=1.0),)))
+    assert not world.gateway.customers
--- a/tests/fennelwinch/test_rules.py
+++ b/tests/fennelwinch/test_rules.py
@@ -266,6 +266,75 @@
         world.ask(f"r{n}", set_size=2)
     world.run(S)
     assert len(of(i.Send, [action for _, action in world.log])) in (4, 5)  # half of 10 a second, from none
+    world = World(replace(SETTINGS, plans=(replace(plan, ceiling_burst=7.5),), gateways=2))
+    for n in range(40):
+        world.ask(f"r{n}", set_size=2)
+    world.run(S)
+    # Parts of under 4 units: half of that stays here, and nobody has said that the rest is the home's.
+    assert len(of(i.Send, [action for _, action in world.log])) in (2, 3)
+
+
+def ceiling_customer(gates: Set, home: int) -> str:
+    """A customer whose home is that gateway."""
+    return next(f"c{n}" for n in range(999) if zlib.crc32(f"c{n}".encode()) % len(gates.worlds) == home)
+
+
+CEILED = i.Plan(rate=8.0, burst=16.0, ceiling_rate=16.0, ceiling_burst=20.0, ceiling_slack=2.0)
+
+
+def test_ceiling_goes_where_the_traffic_is() -> None:
+    """All of a building's traffic stands at one of ten gateways: a tenth of its ceiling would be 2 units."""
+    gates = Set(10, replace(SETTINGS, plans=(CEILED,)))
+    name = ceiling_customer(gates, 3)
+    for n in range(20):  # all of the set come to speak with the home
+        gates.ask(n % 10, f"w{n}", customer=name)
+        gates.run(200 * MS)
+    gates.run(5 * S)
+    before = gates.sent()
+    for n in range(30):
+        gates.ask(7, f"r{n}", customer=name)
+        gates.run(100 * MS)
+    assert gates.sent() - before > 20  # of the 16 + 3 * 8 that its quota holds; its own share is 2 + 3 * 1.6
+
+
+class Older(Set):
+    """The gateways up to number 4 are of a version that splits no ceilings."""
+
+    def carry(self, sender: int, actions: list[i.Action]) -> None:
+        super().carry(sender, actions)
+        self.posted = [(sender, peer, tuple(word for word in words if sender > 4 or word.plan_index == 0))
+                       for sender, peer, words in self.posted]
+
+
+def test_home_gives_out_only_what_those_leave_that_say_so() -> None:
+    """A gateway of an older version keeps its whole part of a ceiling, and says nothing."""
+    gates = Older(10, replace(SETTINGS, plans=(CEILED,)))
+    name = ceiling_customer(gates, 3)
+    home = gates.worlds[3].gateway
+    for n in range(20):
+        gates.ask(n % 10, f"w{n}", customer=name)
+        gates.run(200 * MS)
+    (customer,) = home.customers.values()
+    assert customer.pooled == pytest.approx(0.5 * 6 / 10)  # the home and those from 5 on
+    gates.run(11 * S)  # nobody says so any more
+    home.give(customer, 1.0)
+    assert customer.pooled == pytest.approx(0.5 / 10)
+
+
+def test_units_of_the_home_do_not_keep() -> None:
+    """What was given out while the home's store went on filling must not be added up beside it."""
+    gates = Set(2, replace(SETTINGS, plans=(replace(CEILED, ceiling_burst=6.0),)), fleet=())  # with no server everything is held
+    name = ceiling_customer(gates, 1)
+    world = gates.worlds[0]
+    for n in range(4):
+        gates.ask(n % 2, f"w{n}", customer=name)
+        gates.run(500 * MS)
+    customer = world.gateway.customers[next(iter(world.gateway.customers))]
+    customer.ceiling = 0.0
+    customer.given = [(world.now + 300 * MS, 1.0)]
+    assert customer.has_given(world.now + 300 * MS, 1.0)
+    assert not customer.has_given(world.now + 301 * MS, 1.0)
+    assert customer.given == []
 
 
 def test_no_time_left_is_answered_at_once() -> None:
@@ -382,16 +451,17 @@
     assert 1 <= names.count("s0") <= 0.6 * 1000 / 20  # warmth is 0.2 to 0.36 in these 2 s
 
 
-def test_ceiling_holds_over_a_large_set_with_restarts() -> None:
+@pytest.mark.parametrize("loss", [0.0, 0.3])
+def test_ceiling_holds_over_a_large_set_with_restarts(loss: float) -> None:
     """All parts together, half of the set restarted, all traffic on few gateways for a while."""
     plan = i.Plan(rate=10.0, burst=30.0, ceiling_rate=18.0, ceiling_burst=40.0, ceiling_slack=4.0)
-    gates = Set(20, replace(SETTINGS, plans=(plan,)))
+    gates = Set(20, replace(SETTINGS, plans=(plan,)), loss=loss)
     start = gates.worlds[0].now
-    for n in range(1200):
+    for n in range(4800):
         gates.ask(n % 3 if 300 < n < 600 else n * 7 % 20, f"r{n}")
         if n % 8 == 0:
             gates.run(10 * MS)
-        if n in (400, 800):
+        if n in (400, 1600, 2800):
             for world in gates.worlds[::2]:
                 world.out.clear()
                 world.timers.clear()
