--- a/fennelwinch/codec.py
+++ b/fennelwinch/codec.py
@@ -114,6 +114,8 @@
         late_fail_price=pairs.number("prices.late-fail"),
         message_price=pairs.number("prices.peer"),
         probe_price=pairs.number("prices.probe"),
+        handshake_price=pairs.number("prices.handshake"),
+        keep_us=pairs.whole("ceilings.conn-idle-us", 30_000_000) // 2,
         answer_grace_us=pairs.whole("obligations.grace-to-answer-us"),
         ask_within_us=pairs.whole("obligations.ask-within-us"),
         cold_from=pairs.number("obligations.cold-from", 1.0),
--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -113,6 +113,8 @@
     late_fail_price: float = 0.0
     message_price: float = 0.0
     probe_price: float = 0.0
+    handshake_price: float = 0.0
+    keep_us: int = 0
     answer_grace_us: int = 0
     ask_within_us: int = 0
     cold_from: float = 1.0
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -33,6 +33,7 @@
 ASK_SHARE = 0.25  # part of a gateway's intake that the asks for one customer may take
 PATIENCE_STEPS = 200  # first tries by which the known patience of clients can rise by about its double
 SMOOTH, RATE_SMOOTH = 0.1, 0.3  # weight of a new latency, and of a period's sends, in a running mean
+KEPT_CHOICES, HANDSHAKE_WEIGHT = 6, 10  # of these, with a connection that rests; cost of a new one
 CHOICES = 8  # servers looked at for one attempt: many gateways that all take the emptiest would flood it
 SUSPECT_AT = 1.7  # two failures running, or a mix with more failures than answers
 BROKEN_PART = 0.5  # of a failure: how much a spoilt answer or a reset counts
@@ -48,9 +49,11 @@
     def __init__(self, entry: i.Server) -> None:
         self.entry = entry
         self.out: dict[tuple[str, int], int] = {}  # attempts out and when each was sent
-        self.heard_us = self.avoid_until = self.next_us = self.backoff_us = 0
+        self.heard_us = self.avoid_until = self.sent_us = self.backoff_us = 0
+        self.credit = 1.0  # of a request that it may be sent while cold, as of `sent_us`
         self.slowness, self.fails = 1.0, 0.0  # latency over the mean of its class; failures of late
         self.on_trial, self.load_at = False, 0
+        self.kept = self.kept_at = 0  # connections that rest there, and since when the last does
         self.load: float | None = None
         self.warm_from = entry.started_us  # start of its ramp: its start, or its return from suspicion
 
@@ -175,6 +178,7 @@
         self.n_past: int | None = None  # no N: the cap is lifted
         self.overhead, self.accepted, self.out, self.cc_us = 1.0, 0, 0, self.second  # accepted: this period
         self.signals: dict[str, list[float]] = {"util": [], "latency": []}
+        self.warm = 0.0  # servers' worth of capacity that is up, where a cold one counts for its part
         self.rate, self.mean_load = 0.0, 0.0  # first attempts a second; load of the servers, as they say
         self.wanted = 0  # requests let through by their quotas in this period
         self.ended = dict.fromkeys(ENDS, 0)  # requests given up on, by why
@@ -246,10 +250,13 @@
             known = self.servers.get(entry.name)
             if known is None or known.entry.started_us != entry.started_us:
                 known = self.servers[entry.name] = _Server(entry)
+                if self.warmth(known) < 1:  # all gateways hear of it at once: each has its own time to begin
+                    known.sent_us, known.credit = self.now, self.random.random()
             known.entry = entry
             if entry.state is i.ServerState.GONE:  # its id does not come again
                 del self.servers[entry.name]
         self.up = [server for server in self.servers.values() if server.entry.state is i.ServerState.UP]
+        self.warm = sum(map(self.warmth, self.up))
 
     # --- the cap: Dynamic Processor Overload Control, section 2 of the paper ---
 
@@ -261,7 +268,7 @@
         # be sent more than before.
         sent = max(self.accepted, self.wanted if self.n_past is None else min(self.wanted, self.n_past))
         self.rate += (RATE_SMOOTH if self.rate else 1) * (sent * S / self.cc_us - self.rate)
-        self.wanted = 0
+        self.wanted, self.warm = 0, sum(map(self.warmth, self.up))
         self.forget_customers()
         self.update_cap(self.accepted)
         was, most = self.cc_us, min(MOST_PERIODS, round(FAIR_N / max(1.0, self.rate * self.second / S)))
@@ -541,10 +548,34 @@
         allowed = [server for server in self.up if self.in_group(job, server)]
         usable = [server for server in allowed if self.now >= server.avoid_until and server not in job.servers
                   and not (server.on_trial and (server.out or job.rule.effect is i.Effect.UNSAFE))] or allowed
-        # All gateways may see a cold server as the emptiest: each passes it over as often as it is cold.
-        room = [server for server in usable if (warmth := self.warmth(server)) >= 1 or (
-            self.now >= server.next_us and self.random.random() < warmth)]
-        return min(self.random.sample(room, min(CHOICES, len(room))), key=self.cost, default=None)
+        return min(self.candidates(usable), key=self.cost, default=None)
+
+    def candidates(self, usable: list[_Server]) -> list[_Server]:
+        """A few to choose from; where connections have a price, most of them have one that rests.
+
+        A gateway of many meets most servers seldom: those that it stays with it also knows. Cold servers
+        that are due come first: what they are not sent, the warm ones must bear.
+        """
+        due: list[_Server] = []
+        kept: list[_Server] = []
+        others: list[_Server] = []
+        for server in usable:
+            if server.warm_from and self.warmth(server) < 1:
+                if self.is_due(server):
+                    due.append(server)
+            else:
+                (kept if self.is_kept(server) else others).append(server)
+        few = len(usable) <= CHOICES or not self.set.handshake_price
+        if few:
+            room = due + kept + others
+            return self.random.sample(room, min(CHOICES, len(room)))
+        first = self.random.sample(due, min(len(due), CHOICES - KEPT_CHOICES))
+        first += self.random.sample(kept, min(len(kept), KEPT_CHOICES))
+        return first + self.random.sample(others, min(len(others), CHOICES - len(first)))
+
+    def is_kept(self, server: _Server) -> bool:
+        """Whether a connection to it rests, as far as the module can know."""
+        return server.kept > 0 and self.now - server.kept_at < self.set.keep_us
 
     def in_group(self, job: _Job, server: _Server) -> bool:
         """A keyed request that may have run stays where its repeats are dropped, while they are."""
@@ -560,18 +591,23 @@
         load = server.load if self.now - server.load_at < REPORT_FRESH_US else None
         pressure = 1.0 if load is None else 0.5 + load / max(0.01, self.mean_load) / 2
         far = 1 + 10 * self.set.cross_zone_price * (server.entry.zone != self.set.zone)
-        waits = 0 if server.on_trial else len(server.out) + 1  # a trial that is due goes first
-        return waits * server.slowness * pressure * far
+        new = 1.0 if self.is_kept(server) else 1 + HANDSHAKE_WEIGHT * self.set.handshake_price
+        # A trial that is due goes first, and so does a cold server's part, which is spaced out.
+        waits = 0 if server.on_trial or self.warmth(server) < 1 else len(server.out) + 1
+        return waits * server.slowness * pressure * far * new
 
-    def warmth(self, server: _Server) -> float:
+    def warmth(self, server: _Server, at: int | None = None) -> float:
         """The least part of its capacity that a started or returned server has by now."""
-        age, cold = (self.now - server.warm_from) / max(1, self.set.warm_within_us), self.set.cold_from
-        return 1.0 if age >= 1 or not server.warm_from else cold + (1 - cold) * age
+        age = ((self.now if at is None else at) - server.warm_from) / max(1, self.set.warm_within_us)
+        cold = self.set.cold_from
+        return 1.0 if age >= 1 or not server.warm_from else cold + (1 - cold) * max(0.0, age)
 
-    def spacing(self, server: _Server) -> int:
-        """A server that started or came back gets its part of what others are sent here, spaced out."""
-        usual = max(1 / self.set.gateways, self.rate / max(1, len(self.up)))
-        return round(S / max(0.01, self.warmth(server)) / usual)
+    def is_due(self, server: _Server) -> bool:
+        """A server that started or came back gets its part of what warm ones are sent here, spaced out. Over
+        many gateways the space is longer than it takes to get warm, so it shrinks as the server does."""
+        usual = max(1 / self.set.gateways, self.rate / max(1.0, self.warm))
+        part = (self.warmth(server, server.sent_us) + self.warmth(server)) / 2
+        return server.credit + (self.now - server.sent_us) / S * usual * part >= 1
 
     def note_result(self, server: _Server, ok: bool) -> None:
         """Any kind of failure makes a server suspect; it comes back by a trial, then by the cold ramp."""
@@ -596,9 +632,10 @@
             if self.limits and job.customer.plan.ceiling_rate:
                 self.limits.take(self.now, job.customer.key, job.req.units)
         job.servers.append(server)
+        server.kept = server.kept - 1 if self.is_kept(server) else 0
         job.out[number] = server.out[(job.req.id, number)] = self.now
         job.customer.out, self.out = job.customer.out + 1, self.out + 1
-        server.next_us = self.now + self.spacing(server)
+        server.sent_us, server.credit = self.now, 0.0
         if job.ran_on is None:
             job.ran_on, job.ran_us = server, self.now
         self.actions.append(i.Send(job.req.id, server.entry.name, self.time_out(job)))
@@ -630,6 +667,8 @@
         server, job.customer.out, self.out = job.servers[event.attempt], job.customer.out - 1, self.out - 1
         del job.out[event.attempt], server.out[(event.id, event.attempt)]
         self.learn(job, server, event)
+        if event.result in (i.Result.OK, i.Result.ERROR, i.Result.FULL):
+            server.kept, server.kept_at = server.kept + 1, self.now
         job.unsent += event.result in (i.Result.CONNECT_FAILED, i.Result.MOOT)
         job.unrun += event.result in (i.Result.FULL, i.Result.CONNECT_FAILED, i.Result.MOOT)
         job.ran_on = None if job.unrun == len(job.servers) else job.ran_on
