The home draws the chance that it counts, so that fewer are sent on beyond quotas

Cause: Gateway.on_peer in rules.py takes the mean of the chance off the store (asked * chance), while the asker draws; what came of it is told with the asker's next word on that customer, which with 40 doors is often never. Two asks in time and a quarter of an inbox for one customer (ASKS, ASK_SHARE) were figures for three doors: one word in thirteen is lost each way.

Change: the home draws by the same chance, quota over summed demand, takes the whole off its store or nothing, and says so with its answer (a flag that older versions pass over: they draw themselves as before). Asks are up to three, for one customer up to half of an inbox.

--- a/fennelwinch/codec.py
+++ b/fennelwinch/codec.py
@@ -35,7 +35,9 @@
 
 # A word between gateways; amounts in steps of 1 / UNIT.
 WORD = struct.Struct("!IBHHBhhhh")
-ANSWER, GRANTED = 1, 2  # flags of a word
+ANSWER, GRANTED, INSIDE, OUTSIDE = 1, 2, 4, 8  # flags of a word
+DRAWN = {None: 0, True: INSIDE, False: OUTSIDE}
+DREW = {INSIDE: True, OUTSIDE: False}
 UNIT = 50
 MESSAGE_BYTES = 256
 
@@ -147,7 +149,7 @@
     packed = [
         WORD.pack(
             word.customer, word.plan_index, word.set_first, word.set_size,
-            word.is_answer * ANSWER | word.granted * GRANTED,
+            word.is_answer * ANSWER | word.granted * GRANTED | DRAWN[word.inside],
             *(max(-32768, min(32767, round(amount * UNIT)))
               for amount in (word.demand, word.spent, word.asked, word.level)),
         )
@@ -165,6 +167,7 @@
         i.Word(
             customer, plan, first, size, bool(flags & ANSWER),
             demand / UNIT, spent / UNIT, asked / UNIT, level / UNIT, bool(flags & GRANTED),
+            DREW.get(flags & OUTSIDE | flags & INSIDE),
         )
         for customer, plan, first, size, flags, demand, spent, asked, level in WORD.iter_unpack(data)
     )
--- a/fennelwinch/interface.py
+++ b/fennelwinch/interface.py
@@ -231,7 +231,8 @@
 
     A customer goes by a checksum of its name. `demand` and `spent` are new to the home; in an answer,
     `demand` is that of the whole set. `asked` waits for an answer; `level` is what the set has left or owes.
-    `granted`: units as asked come with the answer from the home's share of the ceiling.
+    `inside`: whether the home lets in what was asked, as it drew. `granted`: units as asked come with the
+    answer from the home's share of the ceiling.
     """
 
     customer: int
@@ -244,6 +245,7 @@
     asked: float = 0.0
     level: float = 0.0
     granted: bool = False
+    inside: bool | None = None
 
 
 SPLIT_MARK = 255  # in place of a plan: the sender keeps no more of any ceiling than its split share
--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -22,7 +22,7 @@
 USUAL_AIM_US = 1.5 * S  # what the figures for a second are meant for: where aims are shorter, all goes faster
 DEMAND_US = 0.1 * S  # ageing of demand: short, as the level of the store carries the longer memory
 # The wait for word from home, its part of the aim, and how often it is asked; how long a word holds.
-ASK_US, ASK_PART, ASKS, WORD_FRESH_US = 160_000, 3, 2, S
+ASK_US, ASK_PART, ASKS, WORD_FRESH_US = 160_000, 3, 3, S
 SILENT_US, ASK_AGAIN_US = 500_000, 300_000  # a peer is silent that answers no ask for so long; asked again
 # Of a ceiling whose parts would hold fewer units than the first: the share that is split over the set. The
 # rest is its home's, which gives it out with its words; for how long after the ask such units may be used.
@@ -30,7 +30,7 @@
 MARK_US, MARKED_US = 3 * S, 10 * S  # how often a peer is told that this is kept to; how long that counts
 LEAST_KEPT_US = 10 * S  # for which a customer is remembered in any case
 SPACE_US = 80_000  # between words to one peer, at most
-ASK_SHARE = 0.25  # part of a gateway's intake that the asks for one customer may take
+ASK_SHARE = 0.5  # part of a gateway's intake that the asks for one customer may take
 PATIENCE_STEPS = 200  # first tries by which the known patience of clients can rise by about its double
 SMOOTH, RATE_SMOOTH = 0.1, 0.3  # weight of a new latency, and of a period's sends, in a running mean
 KEPT_CHOICES, HANDSHAKE_WEIGHT = 6, 10  # of these, with a connection that rests; cost of a new one
@@ -451,7 +451,9 @@
         insort(self.held, (-job.worth, next(self.serial), job))
         self.release()
 
-    def end_waits(self, told: _Customer | None = None, granted: bool = False) -> None:
+    def end_waits(
+        self, told: _Customer | None = None, granted: bool = False, inside: bool | None = None
+    ) -> None:
         """Decide on those that wait for word: theirs has come, or what is known here must do."""
         ready = [job for job in self.waits if job.customer is told][:1]
         ready += [job for job in self.waits if job.decide_us <= self.now and job not in ready]
@@ -465,7 +467,10 @@
                 job.customer.given.append((job.asked_us + GRANT_US, job.req.units))
             chance = job.customer.chance(job.req.units)
             # As much the home has counted already, each time that it was asked; not where it has totals.
-            job.customer.spent -= 0 if self.limits else job.req.units * chance * job.asks
+            counted = chance * job.asks
+            if inside is not None and job.customer is told:
+                counted, chance = inside + chance * (job.asks - 1), float(inside)
+            job.customer.spent -= 0 if self.limits else job.req.units * counted
             self.decide(job, chance)
 
     def spend(self, customer: _Customer, units: float) -> None:
@@ -474,12 +479,14 @@
         if self.limits:
             self.limits.spend(self.now, customer.key, units, customer.part)
 
-    def tell(self, peer: int, customer: _Customer, asked: float) -> None:
+    def tell(
+        self, peer: int, customer: _Customer, asked: float, inside: bool | None = None
+    ) -> None:
         """A word to the home of what was asked and spent, or the home's answer with what it knows."""
         answer = customer.home == self.set.me
         demand = customer.demand if answer else customer.untold
         granted = answer and asked > 0 and customer.plan.ceiling_rate > 0 and self.give(customer, asked)
-        word = i.Word(*customer.key, answer, demand, customer.spent, asked, customer.level, granted)
+        word = i.Word(*customer.key, answer, demand, customer.spent, asked, customer.level, granted, inside)
         if peer != self.set.me:
             self.words.setdefault(peer, []).append(word)
         customer.untold = customer.spent = 0.0
@@ -518,15 +525,18 @@
                 customer.heard_us, customer.level, customer.asked_us = self.now, word.level, NEVER
                 customer.others = max(0.0, word.demand - customer.own)
                 customer.part = min(customer.part, max(0.0, word.level / customer.size))
-                self.end_waits(customer if word.asked else None, word.granted)
+                self.end_waits(customer if word.asked else None, word.granted, word.inside)
             elif customer.home == self.set.me:
                 customer.level = min(customer.level, word.level) if new else customer.level
                 customer.others += word.demand
                 counted = self.limits is not None and self.limits.counts(message.sender)
                 customer.spend(0.0 if counted else word.spent)
+                # The chance is drawn here, where it is counted: were its mean counted, and what came of it
+                # told with the asker's next word, the store would be wrong until then.
+                inside = self.random.random() < customer.chance(word.asked) if word.asked else None
                 if word.asked or customer.level < customer.plan.burst / 2:
-                    self.tell(message.sender, customer, word.asked)
-                customer.spend(0.0 if counted else word.asked * customer.chance(word.asked))
+                    self.tell(message.sender, customer, word.asked, inside)
+                customer.spend(0.0 if counted or not inside else word.asked)
 
     def in_my_set(self, key: i.Key) -> bool:
         _, plan, first, size = key
