--- a/tests/sim/test_world.py
+++ b/tests/sim/test_world.py
@@ -30,6 +30,18 @@
     assert (ledger.counts[Outcome.LOST_TO_KILL] > 0) == (name == "kill-a-door")
 
 
+@pytest.mark.parametrize("name", scenario_files.LARGE)
+def test_large_fleet_is_in_order(name: str) -> None:
+    """40 front doors and 60 servers: a mass restart, a zone lost and cold, most servers replaced at once."""
+    played = play(scenario_files.load(name, real=False), 1)
+    ledger = played.report.ledger
+    assert played.ok, played.report.json()
+    assert ledger.unaccounted == 0 and ledger.times_judged and ledger.requests > 3000
+    assert ledger.counts[Outcome.SERVED] > 0.65 * ledger.requests
+    with pytest.raises(scenario_files.ScenarioError, match="only `molereach simulate` plays that"):
+        scenario_files.load(name)
+
+
 DIGEST = """
 import sys
 from rig import scenario_files
