--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -569,12 +569,15 @@
         due: list[_Server] = []
         kept: list[_Server] = []
         others: list[_Server] = []
+        usual = max(1 / self.set.gateways, self.rate / max(1.0, self.warm))
+        oldest = self.now - self.set.keep_us
         for server in usable:
-            if server.warm_from and self.warmth(server) < 1:
-                if self.is_due(server):
+            if server.warm_from and (warmth := self.warmth(server)) < 1:
+                if self.is_due(server, warmth, usual):
                     due.append(server)
             else:
-                (kept if self.is_kept(server) else others).append(server)
+                server.warm_from = 0  # it need not be looked at again
+                (kept if server.kept and server.kept_at > oldest else others).append(server)
         few = len(usable) <= CHOICES or not self.set.handshake_price
         if few:
             room = due + kept + others
@@ -606,18 +609,17 @@
         waits = 0 if server.on_trial or self.warmth(server) < 1 else len(server.out) + 1
         return waits * server.slowness * pressure * far * new
 
-    def warmth(self, server: _Server, at: int | None = None) -> float:
+    def warmth(self, server: _Server) -> float:
         """The least part of its capacity that a started or returned server has by now."""
-        age = ((self.now if at is None else at) - server.warm_from) / max(1, self.set.warm_within_us)
-        cold = self.set.cold_from
+        age, cold = (self.now - server.warm_from) / max(1, self.set.warm_within_us), self.set.cold_from
         return 1.0 if age >= 1 or not server.warm_from else cold + (1 - cold) * max(0.0, age)
 
-    def is_due(self, server: _Server) -> bool:
-        """A server that started or came back gets its part of what warm ones are sent here, spaced out. Over
-        many gateways the space is longer than it takes to get warm, so it shrinks as the server does."""
-        usual = max(1 / self.set.gateways, self.rate / max(1.0, self.warm))
-        part = (self.warmth(server, server.sent_us) + self.warmth(server)) / 2
-        return server.credit + (self.now - server.sent_us) / S * usual * part >= 1
+    def is_due(self, server: _Server, warmth: float, usual: float) -> bool:
+        """A server that started or came back gets its part of what warm ones are sent here, `usual` a second,
+        spaced out. Over many gateways the space is longer than the warm-up, so it shrinks meanwhile."""
+        since, cold = self.now - server.sent_us, self.set.cold_from
+        then = max(cold, warmth - (1 - cold) * since / max(1, self.set.warm_within_us))
+        return server.credit + since / S * usual * (then + warmth) / 2 >= 1
 
     def note_result(self, server: _Server, ok: bool) -> None:
         """Any kind of failure makes a server suspect; it comes back by a trial, then by the cold ramp."""
