--- a/benchmarks/door.py
+++ b/benchmarks/door.py
@@ -1,6 +1,6 @@
 """CPU of a front door for one served request, against a bare pass-through of the same bytes, in one run.
 
-Clients in a closed loop send the same commands through a front door with 4, 50 and 500 servers, and through a
+Clients in a closed loop send the same commands through a front door with 4, 60 and 500 servers, and through a
 program that only hands bytes on. The servers answer at once. CPU is read from the clock of each process.
 """
 
@@ -26,7 +26,7 @@
 from rig.workload import CLASSES, PLANS
 from rig.world import settings
 
-SERVERS = (4, 50, 500)
+SERVERS = (4, 60, 500)
 CLIENTS = 16
 ROUNDS, QUICK_ROUNDS = 5, 3
 REQUESTS, QUICK_REQUESTS = 3000, 1000
