--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -21,6 +21,7 @@
 START_PER_SERVER, LEAST_OUT = 8, 2  # the second: for one gateway in any case
 USUAL_AIM_US = 1.5 * S  # what the figures for a second are meant for: where aims are shorter, all goes faster
 DEMAND_US = 0.1 * S  # ageing of demand: short, as the level of the store carries the longer memory
+SMALL_STORE_US = 0.5 * S  # of its rate, that a store which holds no whole request may owe
 # The wait for word from home, its part of the aim, and how often it is asked; how long a word holds.
 ASK_US, ASK_PART, ASKS, WORD_FRESH_US = 160_000, 3, 3, S
 SILENT_US, ASK_AGAIN_US = 500_000, 300_000  # a peer is silent that answers no ask for so long; asked again
@@ -108,7 +109,10 @@
         if self.plan.max_out and self.out >= max(1, self.plan.max_out // self.size):
             return 0.0
         # A store that does not hold the whole of a request serves none of it: what is sent on then is beyond.
-        quota = self.level if self.level >= units else 0.0
+        if self.plan.burst * self.reach < units:  # never, by its size: then it may owe some
+            quota = self.level + self.plan.rate * self.reach * SMALL_STORE_US / S
+        else:
+            quota = self.level if self.level >= units else 0.0
         return max(0.0, min(1.0, quota / max(units, self.demand))) if self.plan.rate else 1.0
 
     def has_given(self, now: int, units: float) -> bool:
@@ -123,7 +127,9 @@
             self.ceiling -= units
 
     def spend(self, units: float) -> None:
-        least = -self.plan.rate * self.reach * DEMAND_US / S  # it owes nothing for long
+        small = self.plan.burst * self.reach < 1
+        owes_us = SMALL_STORE_US if small else DEMAND_US  # for no longer
+        least = -self.plan.rate * self.reach * owes_us / S
         self.level = max(self.level - units, least)
 
 
@@ -735,7 +741,7 @@
 
 def full_again_us(plan: i.Plan) -> int:
     """How long the stores of a customer take at most to be full, from what it may owe."""
-    quota = plan.burst / plan.rate + DEMAND_US / S if plan.rate else 0.0
+    quota = plan.burst / plan.rate + SMALL_STORE_US / S if plan.rate else 0.0
     ceiling = plan.ceiling_burst / plan.ceiling_rate if plan.ceiling_rate else 0.0
     return round(S * max(quota, ceiling))
 
--- a/tests/fennelwinch/test_rules.py
+++ b/tests/fennelwinch/test_rules.py
@@ -714,6 +714,19 @@
     assert told == pytest.approx(11 - 3 * 10 / 11)  # three times the chance: 10 are left of 11 asked
 
 
+@pytest.mark.parametrize("burst", [0.0, 0.5])
+def test_store_that_holds_no_whole_request_serves_its_rate(burst: float) -> None:
+    """A plan may name a rate and no burst; or little of it may be spent on this side of a split."""
+    for every_ms, least, most in ((200, 45, 50), (20, 80, 110)):  # 5 a second of 9, and 50
+        world = World(replace(SETTINGS, plans=(i.Plan(rate=9.0, burst=burst),)))
+        for n in range(10_000 // every_ms):
+            world.ask(f"r{n}")
+            world.run(every_ms * MS)
+            if (f"r{n}", 0) in world.out:
+                world.answer(f"r{n}")
+        assert least <= sum(isinstance(action, i.Send) for _, action in world.log) <= most
+
+
 def test_home_counts_what_it_let_in_and_not_the_mean_of_it() -> None:
     """Each of 40 gateways asks once, so none tells the home later what came of the chance."""
     gates = Set(40, replace(SETTINGS, plans=(i.Plan(rate=0.01, burst=12.0),)))
