Ceiling units go only with requests that the home let in, and those that are over are dropped

Need: the home gave units of a ceiling also with answers that refused by the quota, where they were lost after 0.3 s; and units that are over stayed in the asker's list until a request of that customer came to be sent on, so a customer that was refused all the time made it grow.

Change: no units with a request that the home drew as outside; what is over goes whenever units come. The test gives 100 units over 10 s to a customer that sends nothing: at most 4 are kept.

--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -119,6 +119,10 @@
         self.given = [(until, left) for until, left in self.given if now <= until]
         return any(left >= units for _, left in self.given)
 
+    def take_given(self, now: int, until: int, units: float) -> None:
+        self.has_given(now, units)  # those that are over go, whether or not any request asks for them
+        self.given.append((until, units))
+
     def pass_ceiling(self, now: int, units: float) -> None:
         """Units are sent on: the home's first, as they do not keep."""
         if self.has_given(now, units):
@@ -399,7 +403,7 @@
             self.tell(home, customer, 0.0)
         elif home == self.set.me or heard or self.is_silent(home) or not customer.plan.rate:
             if home == self.set.me and self.is_short(customer, units) and self.give(customer, units):
-                customer.given.append((self.now + GRANT_US, units))
+                customer.take_given(self.now, self.now + GRANT_US, units)
             self.decide(job, customer.chance(units))
         else:
             self.ask(job)
@@ -470,7 +474,7 @@
                 self.ask(job)  # words may be lost
                 continue
             if granted and job.customer is told:
-                job.customer.given.append((job.asked_us + GRANT_US, job.req.units))
+                job.customer.take_given(self.now, job.asked_us + GRANT_US, job.req.units)
             chance = job.customer.chance(job.req.units)
             # As much the home has counted already, each time that it was asked; not where it has totals.
             counted = chance * job.asks
@@ -491,7 +495,8 @@
         """A word to the home of what was asked and spent, or the home's answer with what it knows."""
         answer = customer.home == self.set.me
         demand = customer.demand if answer else customer.untold
-        granted = answer and asked > 0 and customer.plan.ceiling_rate > 0 and self.give(customer, asked)
+        wanted = answer and asked > 0 and inside is not False and customer.plan.ceiling_rate > 0
+        granted = wanted and self.give(customer, asked)
         word = i.Word(*customer.key, answer, demand, customer.spent, asked, customer.level, granted, inside)
         if peer != self.set.me:
             self.words.setdefault(peer, []).append(word)
--- a/tests/fennelwinch/test_rules.py
+++ b/tests/fennelwinch/test_rules.py
@@ -336,6 +336,9 @@
     assert customer.has_given(world.now + 300 * MS, 1.0)
     assert not customer.has_given(world.now + 301 * MS, 1.0)
     assert customer.given == []
+    for n in range(100):  # also where no request of the customer comes to be sent on
+        customer.take_given(world.now + n * 100 * MS, world.now + n * 100 * MS + 300 * MS, 1.0)
+    assert len(customer.given) <= 4
 
 
 def test_no_time_left_is_answered_at_once() -> None:
