The names of large scenarios are one list, not a switch of another

Need: shipped() had taken an argument that only load() used, and load() looked at the list of large names beside it. Change: load() knows both lists, shipped() names those that are played in real time, as before.

--- a/rig/scenario_files.py
+++ b/rig/scenario_files.py
@@ -21,19 +21,19 @@
 LARGE = ("mass-replacement", "mass-restart", "zone-lost")  # only `molereach simulate` plays these
 
 
-def shipped(large: bool = False) -> Iterator[str]:
-    """The names of the scenarios that come with the rig, with those of large fleets where they are wanted."""
+def shipped() -> Iterator[str]:
+    """The names of the scenarios that come with the rig, without those of large fleets."""
     for entry in sorted(resources.files("rig").joinpath("scenarios").iterdir(), key=lambda file: file.name):
         name = entry.name.removesuffix(".toml")
-        if entry.name.endswith(".toml") and (large or name not in LARGE):
+        if entry.name.endswith(".toml") and name not in LARGE:
             yield name
 
 
 def load(name_or_file: str, changes: dict[str, Any] | None = None, real: bool = True) -> Scenario:
     """A shipped scenario by its name, or one from a file; ScenarioError is one line."""
-    names = list(shipped(large=not real))
+    names = [*shipped(), *LARGE]
     try:
-        if name_or_file in names or name_or_file in LARGE:
+        if name_or_file in names:
             text = resources.files("rig").joinpath("scenarios", f"{name_or_file}.toml").read_text("utf-8")
         elif Path(name_or_file).suffix == ".toml":
             text = Path(name_or_file).read_text("utf-8")
