--- a/molereach/door/calls.py
+++ b/molereach/door/calls.py
@@ -7,22 +7,38 @@
 with the tier, and calls that failed come still further apart, each with chance of its own: jitter as in
 Brooker, Exponential Backoff and Jitter (AWS Architecture Blog, 2015), over a window that the whole tier
 shares. A small tier calls as if it were alone.
+
+That holds where the list must be asked for. Where changes are sent unasked, the address is an agent on the
+front door's own machine: it answers at once and at no cost, and what it has counts as told. A call that waits
+there helps nobody, and a front door that restarts would serve from a list that it was told is old.
 """
 
+from fennelwinch import interface as i
+
 CALL_S = 0.2  # of discovery's time, for each front door of the tier: it takes one call from each in so long
 AT_ONCE = 8  # calls that may come in step and are no burden
 BACKOFF_S, MOST_BACKOFF_S = 0.1, 1.0  # after failures, for one front door alone
 MOST_DOUBLINGS = 8  # more make no number that is of use
 MOST_WINDOWS = 4  # failed calls come no further apart than so many windows, at their middle
+# Of the time within which a front door must have asked, so that what was listed does not count as told
+# unheard: the window ends by then, whatever the tier. After a failed call that time is four times as long.
+ASK_PART, AFTER_FAILED = 0.8, 4
 
 
 class CallPacing:
     """How long to wait before each call, in seconds; `draw` is evenly distributed from 0 to 1."""
 
-    def __init__(self, doors: int) -> None:
-        self.window_s = CALL_S * max(0, doors - AT_ONCE)
+    def __init__(self, doors: int, must_ask: bool = True, ask_within_s: float = 0.0) -> None:
+        """`must_ask`: the list is not sent unasked; `ask_within_s`: 0 where no time is set for that."""
+        self.window_s = CALL_S * max(0, doors - AT_ONCE) if must_ask else 0.0
+        self.most_s = ASK_PART * ask_within_s or float("inf")
+        self.window_s = min(self.window_s, self.most_s)
         self.failures = 0
 
+    @classmethod
+    def of(cls, settings: i.Settings) -> "CallPacing":
+        return cls(settings.gateways, settings.must_subscribe, settings.ask_within_us / 1e6)
+
     def first(self, draw: float) -> float:
         """Before the first call of a process that knows a list already: others may have started with it."""
         return self.window_s * draw
@@ -37,5 +53,6 @@
         shared = self.window_s * draw
         if self.failures:
             shared = self.window_s * min(MOST_WINDOWS, 2 ** (self.failures - 1)) * (0.5 + draw)
+            shared = min(shared, AFTER_FAILED * self.most_s)
         self.failures += 1
         return max(alone, shared)
--- a/molereach/door/discovery.py
+++ b/molereach/door/discovery.py
@@ -211,13 +211,14 @@
 
     def __init__(
         self, address: Address, catalog: Catalog, version: int, heard: Callable[[News], None],
-        spawn: Callable[[Coroutine[None, None, None]], object], doors: int = 1,
+        spawn: Callable[[Coroutine[None, None, None]], object],
+        pacing: Callable[[], CallPacing] = lambda: CallPacing(1),
         draw: Callable[[], float] = random.random,
     ) -> None:
         self.catalog, self.heard, self.spawn = catalog, heard, spawn
         self.first = asyncio.Event()
-        self.doors, self.draw = doors, draw
-        self.source = Source(address, catalog, version, self.take, CallPacing(doors), draw)
+        self.pacing, self.draw = pacing, draw
+        self.source = Source(address, catalog, version, self.take, pacing(), draw)
         self.next: Source | None = None  # it has told nothing yet
 
     @property
@@ -238,7 +239,7 @@
         if self.next:
             self.next.close()
         self.source.retire()
-        self.next = Source(address, self.catalog, None, self.take, CallPacing(self.doors), self.draw)
+        self.next = Source(address, self.catalog, None, self.take, self.pacing(), self.draw)
         self.spawn(self.next.run())
 
     def take(self, source: Source, news: News) -> None:
--- a/molereach/door/frontdoor.py
+++ b/molereach/door/frontdoor.py
@@ -20,6 +20,7 @@
 from molereach.clients.requests import CommandError
 from molereach.clients.resp import FAILED, ClientConnection, Command, CommandParser, Reply
 from molereach.clock import now_us
+from molereach.door.calls import CallPacing
 from molereach.door.config import Address, Config
 from molereach.door.discovery import Catalog, Discovery, News
 from molereach.door.ending import Ending
@@ -84,7 +85,7 @@
         version = known.event.version if known else 0
         self.discovery = Discovery(
             config.discovery, self.catalog, version, self.list_heard, self.backends.spawn,
-            config.settings.gateways, random.Random(config.settings.seed ^ CALLS_SEED).random,
+            lambda: CallPacing.of(config.settings), random.Random(config.settings.seed ^ CALLS_SEED).random,
         )
         self.carry_out: dict[type, Callable[..., None]] = {
             i.Send: self.send, i.Cancel: self.cancel, i.Refuse: self.refuse, i.Fail: self.fail,
--- a/tests/door/test_calls.py
+++ b/tests/door/test_calls.py
@@ -4,9 +4,11 @@
 import heapq
 import random
 import time
+from dataclasses import replace
 
-from molereach.door.calls import AT_ONCE, BACKOFF_S, CALL_S, MOST_BACKOFF_S, CallPacing
+from molereach.door.calls import AFTER_FAILED, AT_ONCE, BACKOFF_S, CALL_S, MOST_BACKOFF_S, CallPacing
 from molereach.door.discovery import Catalog, Discovery, News
+from molereach.door.frontdoor import FrontDoor
 from tests.sockets import CONFIG, HEAD, Watch, catalog, chunk, run
 
 DOORS = 40
@@ -83,7 +85,7 @@
         doors, draw = AT_ONCE + 5, 0.1
         found = Discovery(
             await watch.start(), Catalog(CONFIG), 4, heard.put_nowait,
-            lambda job: tasks.append(asyncio.create_task(job)), doors, lambda: draw,
+            lambda job: tasks.append(asyncio.create_task(job)), lambda: CallPacing(doors), lambda: draw,
         )
         started = time.monotonic()
         found.start()
@@ -92,3 +94,31 @@
         tasks[0].cancel()
 
     run(job())
+
+
+ASK_WITHIN_S = 10.0
+
+
+def test_agent_of_ones_own_machine_is_called_at_once_in_any_tier() -> None:
+    """What it has counts as told: 148 of 200 were killed and sent to drained servers meanwhile."""
+    async def job() -> None:
+        settings = replace(CONFIG.settings, gateways=200, must_subscribe=False, ask_within_us=10_000_000)
+        door = FrontDoor(replace(CONFIG, settings=settings))
+        try:
+            pacing = door.discovery.source.pacing
+            assert pacing.first(1.0) == 0
+            assert pacing.ended(1.0) == BACKOFF_S
+            assert max(pacing.ended(1.0) for _ in range(100)) == MOST_BACKOFF_S
+        finally:
+            door.close()
+
+    run(job())
+
+
+def test_large_tier_that_must_ask_has_called_before_lists_count_as_told() -> None:
+    """However many they are; and after a failed call within four times as long."""
+    settings = replace(CONFIG.settings, gateways=200, must_subscribe=True, ask_within_us=10_000_000)
+    pacing = CallPacing.of(settings)
+    assert 0 < pacing.first(1.0) < ASK_WITHIN_S
+    assert pacing.ended(1.0) < ASK_WITHIN_S
+    assert max(pacing.ended(1.0) for _ in range(100)) < AFTER_FAILED * ASK_WITHIN_S
