--- a/molereach/door/calls.py
+++ b/molereach/door/calls.py
@@ -13,6 +13,8 @@
 there helps nobody, and a front door that restarts would serve from a list that it was told is old.
 """
 
+import math
+
 from fennelwinch import interface as i
 
 CALL_S = 0.2  # of discovery's time, for each front door of the tier: it takes one call from each in so long
@@ -30,9 +32,8 @@
 
     def __init__(self, doors: int, must_ask: bool = True, ask_within_s: float = 0.0) -> None:
         """`must_ask`: the list is not sent unasked; `ask_within_s`: 0 where no time is set for that."""
-        self.window_s = CALL_S * max(0, doors - AT_ONCE) if must_ask else 0.0
-        self.most_s = ASK_PART * ask_within_s or float("inf")
-        self.window_s = min(self.window_s, self.most_s)
+        self.most_s = ASK_PART * ask_within_s or math.inf
+        self.window_s = min(CALL_S * max(0, doors - AT_ONCE), self.most_s) if must_ask else 0.0
         self.failures = 0
 
     @classmethod
--- a/tests/door/test_calls.py
+++ b/tests/door/test_calls.py
@@ -100,7 +100,7 @@
 
 
 def test_agent_of_ones_own_machine_is_called_at_once_in_any_tier() -> None:
-    """What it has counts as told: 148 of 200 were killed and sent to drained servers meanwhile."""
+    """What it has counts as told: 148 of 212 were killed and sent to drained servers meanwhile."""
     async def job() -> None:
         settings = replace(CONFIG.settings, gateways=200, must_subscribe=False, ask_within_us=10_000_000)
         door = FrontDoor(replace(CONFIG, settings=settings))
