--- a/fennelwinch/rules.py
+++ b/fennelwinch/rules.py
@@ -28,7 +28,7 @@
 # Of a ceiling whose parts would hold fewer units than the first: the share that is split over the set. The
 # rest is its home's, which gives it out with its words; for how long after the ask such units may be used.
 SMALL_PART, SPLIT_SHARE, GRANT_US = 4, 0.5, 300_000
-MARK_US, MARKED_US = 3 * S, 10 * S  # how often a peer is told that this is kept to; how long that counts
+MARK_US, MARKED_US = 3 * S, 10 * S  # how often a peer is told that this is kept to; older ones speak without
 LEAST_KEPT_US = 10 * S  # for which a customer is remembered in any case
 SPACE_US = 80_000  # between words to one peer, at most
 ASK_SHARE = 0.5  # part of a gateway's intake that the asks for one customer may take
@@ -75,9 +75,11 @@
         self.own, self.others = 0.0, 0.0  # aged demand, here and at the others of the set
         # Empty at the gateway's start, as a restart looks like a first one; it fills from then on.
         self.split = SPLIT_SHARE if split else 1.0
-        self.ceiling = min(plan.ceiling_burst, plan.ceiling_rate * (now - since) / S) * self.split / self.size
+        filled = plan.ceiling_rate * (now - since) / S
+        self.ceiling = min(plan.ceiling_burst, filled) * self.split / self.size
         self.given: list[tuple[int, float]] = []  # units of its home's that came here: until when, how many
-        self.pool = self.pooled = 0.0  # at the home: a store for the whole set, and its share of the ceiling
+        self.pooled = 1.0 - self.split  # at the home: its share of the ceiling, and a store for the whole set
+        self.pool = min(self.most_pooled, filled * self.pooled)
         self.heard_us, self.out = -NEVER, 0
         self.untold = self.spent = 0.0  # demand and spending that the home has not been told of
         self.reach = 1.0  # the part of the quota that may be spent on this side of a split
@@ -89,8 +91,7 @@
         took, plan, part, self.at = (now - self.at) / S, self.plan, 1 / self.size, now
         share = part * self.split
         self.ceiling = min(plan.ceiling_burst * share, self.ceiling + plan.ceiling_rate * took * share)
-        most = max(0.0, plan.ceiling_burst - plan.ceiling_rate * GRANT_US / S) * self.pooled
-        self.pool = min(most, self.pool + plan.ceiling_rate * took * self.pooled)
+        self.pool = min(self.most_pooled, self.pool + plan.ceiling_rate * took * self.pooled)
         aged = math.exp(-took * S / DEMAND_US)
         self.own *= aged
         if now - self.heard_us > WORD_FRESH_US:
@@ -99,6 +100,11 @@
         self.part = min(plan.burst * part, self.part + plan.rate * took * part, max(0.0, self.level))
         return self
 
+    @property
+    def most_pooled(self) -> float:
+        """What the home's store holds: less what may still be used of units that it has given out."""
+        return max(0.0, self.plan.ceiling_burst - self.plan.ceiling_rate * GRANT_US / S) * self.pooled
+
     @property
     def demand(self) -> float:
         """That of the whole set, as far as it is known."""
@@ -176,7 +182,8 @@
         self.asked_us: dict[int, int] = {}  # by peer: the last ask
         self.ceilings = any(plan.ceiling_rate for plan in settings.plans)
         self.marked_us: dict[int, int] = {}  # when each peer was told that ceilings are split here,
-        self.marks_us: dict[int, int] = {}  # and when it last said so
+        self.marks_us: dict[int, int] = {}  # when it last said so,
+        self.heard_us: dict[int, int] = {}  # and when it last said anything
         self.waits: list[_Job] = []  # those that wait for word
         self.words: dict[int, list[i.Word | i.LimitWord]] = {}  # for each peer
         self.told_us: dict[int, int] = {}  # when words last left for it
@@ -364,7 +371,7 @@
             split = self.splits() and self.set.plans[key[1]].ceiling_burst < SMALL_PART * key[3]
             known = _Customer(self.set.plans[key[1]], key, self.set, self.now, self.since_us, split)
             if self.sets.setdefault(key[:2], key) != key:  # a name of another set must not open a fresh burst
-                known.part = known.level = known.ceiling = 0.0
+                known.part = known.level = known.ceiling = known.pool = 0.0
         self.customers[key] = known
         if self.limits:
             home, known.reach, joined = self.limits.reach(self.now, key)
@@ -419,18 +426,25 @@
     def give(self, customer: _Customer, units: float) -> bool:
         """At the home: give out units of the ceiling that are its own. Those that are not used are lost.
 
-        Its share is what the gateways of the set leave that say they keep to theirs.
+        Its share is what the gateways of the set leave: all but those that speak and do not say so. One that
+        has not been heard since this start has spent nothing that it had to tell.
         """
         _, _, first, size = customer.key
         members = ((first + n) % self.set.gateways for n in range(size))
-        leave = sum(member == self.set.me or self.now - self.marks_us.get(member, -MARKED_US) < MARKED_US
-                    for member in members)
+        leave = sum(map(self.leaves, members))
         customer.pooled = (1 - customer.split) * leave / size
+        customer.pool = min(customer.pool, customer.most_pooled)
         if customer.pool < units or customer.level < units:  # what the quota refuses would be lost
             return False
         customer.pool -= units
         return True
 
+    def leaves(self, member: int) -> bool:
+        """Whether it keeps to the smaller share of ceilings, as far as is known: an older version speaks, and
+        does not say so."""
+        heard, said = self.heard_us.get(member), self.marks_us.get(member)
+        return heard is None or (said is not None and heard - said < MARKED_US)
+
     def is_silent(self, peer: int) -> bool:
         """It has answered no ask for long, as one that restarts: waiting for it would cost the aim. Now and
         then it is asked all the same."""
@@ -519,6 +533,7 @@
     def on_peer(self, message: i.PeerMessage) -> None:
         """The home adds up what its set asks and spends, or takes over at its start, and answers."""
         self.unanswered.pop(message.sender, None)
+        self.heard_us[message.sender] = self.now
         if self.limits:
             self.limits.hear(self.now, message)
         for word in message.words:
