--- a/tests/limits/test_replacement.py
+++ b/tests/limits/test_replacement.py
@@ -1,5 +1,7 @@
-"""A tier that is replaced one by one, from front doors without [limits] to such with it and back: both kinds share
-customers meanwhile, in virtual time and as processes."""
+"""A tier that is replaced one by one, from front doors without [limits] to such with it and back.
+
+Both kinds share customers meanwhile, in virtual time and as processes.
+"""
 
 import asyncio
 from collections.abc import Sequence
