Spread: entries down and renewals up along a tree by rank that heals by itself

200 front doors must hear of each entry, and their sessions must be renewed each beat, with words for each door that do not grow with their number.

A tree by rank in the list of the living, eight below each, with the leader first. One pulse a beat comes down; a word up leaves three eighths of a beat later, once all below have spoken, so every ask is at the leader in the same beat, and grants go down with the next pulse. Weighed: grants in words of their own (twice the words down a beat, against the stated bound), and a path of names in each word against rings (bytes that grow, and wrong while views differ). A ring is broken by the mark of the pulse instead: only the leader makes new ones, and a parent that brings none for two beats is left.

--- /dev/null
+++ b/molereach/council/spread/gather.py
@@ -0,0 +1,108 @@
+"""Asks from below on their way up, and where the grants go back.
+
+At most `MOST_DOORS` of each are kept. Where there is no room, names that are known to live push out those
+that are not, so invented names cannot keep out anybody.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+from molereach.council.interface import MOST_DOORS
+from molereach.council.spread.words import Ask, Grant
+
+K = TypeVar("K")
+V = TypeVar("V")
+
+
+class Places(Generic[K, V]):
+    """A mapping of at most `MOST_DOORS`, in which the known come before the unknown."""
+
+    def __init__(self) -> None:
+        self.known: dict[K, V] = {}
+        self.unknown: dict[K, V] = {}
+
+    def __len__(self) -> int:
+        return len(self.known) + len(self.unknown)
+
+    def get(self, key: K) -> V | None:
+        return self.known.get(key) or self.unknown.get(key)
+
+    def put(self, key: K, value: V, known: bool) -> None:
+        if key not in self.known and key not in self.unknown and len(self) >= MOST_DOORS:
+            if not known or not self.unknown:
+                return
+            self.unknown.popitem()
+        (self.known if key in self.known or known else self.unknown)[key] = value
+        if known:
+            self.unknown.pop(key, None)
+
+    def values(self) -> tuple[V, ...]:
+        return (*self.known.values(), *self.unknown.values())
+
+    def keep(self, wanted: Callable[[V], bool]) -> None:
+        self.known = {key: value for key, value in self.known.items() if wanted(value)}
+        self.unknown = {key: value for key, value in self.unknown.items() if wanted(value)}
+
+
+@dataclass(slots=True)
+class _Route:
+    child: str
+    order: tuple[int, int]  # life and number of the ask that came this way
+    heard_us: int
+    open: bool = True  # nothing was granted since it came: in a ring of doors a grant goes round once a beat
+
+
+class Gather:
+    """The newest ask of each session, and the child that the newest ask of each name came by."""
+
+    def __init__(self, me: str, kept_us: int) -> None:
+        self.me, self.kept_us = me, kept_us
+        self.own: Ask | None = None
+        self.asks: Places[tuple[str, int, int], Ask] = Places()
+        self.routes: Places[str, _Route] = Places()
+
+    def mine(self, ask: Ask) -> None:
+        """Said again with each word up until it is granted, as any word may be lost."""
+        self.own = ask
+
+    def take(self, now: int, child: str, asks: Iterable[Ask], alive: dict[str, int]) -> None:
+        for ask in asks:
+            if ask.name == self.me:  # its own come from here alone
+                continue
+            key, known = (ask.name, ask.life, ask.fence), ask.name in alive
+            held = self.asks.get(key)
+            if held is None or ask.number > held.number:
+                self.asks.put(key, ask, known)
+            route, order = self.routes.get(ask.name), (ask.life, ask.number)
+            if route is None or order >= route.order:
+                self.routes.put(ask.name, _Route(child, order, now), known)
+
+    def flush(self, now: int) -> tuple[Ask, ...]:
+        """All that is to go up, this front door's own first; it is not kept, as who asked will ask again."""
+        asks = self.asks.values()
+        self.asks = Places()
+        self.routes.keep(lambda route: now - route.heard_us <= self.kept_us)
+        return ((self.own, *asks) if self.own else asks)[:MOST_DOORS]
+
+    def split(self, grants: Iterable[Grant]) -> tuple[list[Grant], dict[str, list[Grant]]]:
+        """Those for this front door, and those for each child; without a way to go they are dropped."""
+        own: list[Grant] = []
+        below: dict[str, list[Grant]] = {}
+        shut: list[_Route] = []
+        for grant in grants:
+            if grant.name == self.me:
+                own.append(grant)
+            elif (route := self.routes.get(grant.name)) and route.open:
+                shut.append(route)
+                below.setdefault(route.child, []).append(grant)
+        for route in shut:
+            route.open = False
+        for grant in own:
+            self.granted(grant)
+        return own, below
+
+    def granted(self, grant: Grant) -> None:
+        ask = self.own
+        if ask and (grant.life, grant.fence) == (ask.life, ask.fence) and grant.number >= ask.number:
+            self.own = None
--- /dev/null
+++ b/molereach/council/spread/settings.py
@@ -0,0 +1,53 @@
+"""What can be set about the tree, and the bounds that follow. Times in microseconds.
+
+How a beat goes by: the leader sends a pulse down; each front door's word up leaves `hold_us` after the pulse
+came by, or later: when all below have spoken, or `late_us` is over. So an ask that waits for the pulse is at
+the leader in the same beat, and what was given in time goes down with the next pulse, in the same words.
+"""
+
+from dataclasses import dataclass
+
+from molereach.council.interface import S
+
+MOST_CHILDREN = 64  # whatever the settings say
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    beat_us: int = S // 2
+    fan: int = 8  # children of each front door by rank
+    entries_bytes: int = 32 << 10  # of entries in one word, and kept for passing on
+    silent_beats: int = 3  # a child that has said nothing for so long is forgotten
+    doubt_beats: int = 2  # a parent that has brought nothing new of the leader for so long is doubted
+    patience_beats: float = 1.5  # for the first word of one that was asked to be the parent
+    most_patience_beats: float = 3.0  # the same, after many have not answered
+    most_home_beats: int = 16  # most between asks of the parent by rank, while another one serves
+
+    def __post_init__(self) -> None:
+        if not 2 <= self.fan <= MOST_CHILDREN // 2:
+            raise ValueError(f"fan must be from 2 to {MOST_CHILDREN // 2}")
+        if self.beat_us < 1_000:
+            raise ValueError("beat_us must be at least 1000")
+
+    @property
+    def most_children(self) -> int:
+        """With those who came for want of a better parent."""
+        return 2 * self.fan
+
+    @property
+    def hold_us(self) -> int:
+        """From the pulse to the first words up."""
+        return self.beat_us * 3 // 8
+
+    @property
+    def fetch_us(self) -> int:
+        """Least time between two asks of the log to catch up."""
+        return self.beat_us // 4
+
+    def late_us(self, depth: int) -> int:
+        """How long to wait for words from below that do not come; less the further down, as they add up."""
+        return self.beat_us * 3 // 8 if depth == 0 else self.beat_us // (2 << min(depth, 4))
+
+    def doubt_us(self, depth: int) -> int:
+        """Longer the further down: when an inner front door dies, only its children look for another."""
+        return self.doubt_beats * self.beat_us + self.beat_us * min(depth, 8) // 4
--- /dev/null
+++ b/molereach/council/spread/words.py
@@ -0,0 +1,156 @@
+"""What the core is told, what it does, and what front doors say to each other along the tree.
+
+Words are arrays on the wire. An ask takes at most 48 bytes of msgpack for names of up to 22 characters and
+positions below 2**32.
+"""
+
+from dataclasses import dataclass
+from typing import Annotated
+
+from msgspec import Meta
+
+from molereach.council.interface import MOST_DOORS, Entry, Life, LifeNumber, Name, Position, Wire
+
+MOST_ENTRIES = 64  # in one word
+MOST_DEPTH = 64
+
+Ballot = Position
+Count = Annotated[int, Meta(ge=0, le=1 << 62)]
+
+
+class Ask(Wire, frozen=True, array_like=True):
+    """One front door asks for its session to be renewed. Made by it alone and never changed on the way."""
+
+    name: Name
+    life: LifeNumber
+    fence: Position
+    number: Count
+    applied: Position
+
+
+class Grant(Wire, frozen=True, array_like=True):
+    """The answer to the ask of this number."""
+
+    name: Name
+    life: LifeNumber
+    fence: Position
+    number: Count
+
+
+# --- messages ---
+
+
+class Word(Wire, frozen=True, array_like=True, tag_field="kind", tag=lambda name: "s." + name.lower()):
+    """A message."""
+
+
+class Up(Word, frozen=True):
+    """From a child, once a beat: what it has, and the asks of all below it, its own first."""
+
+    applied: Position
+    below: Annotated[int, Meta(ge=1, le=MOST_DOORS)]  # front doors, itself counted
+    asks: Annotated[tuple[Ask, ...], Meta(max_length=MOST_DOORS)] = ()
+
+
+class Down(Word, frozen=True):
+    """From a parent. A `number` that was not seen before is a pulse; only the leader makes new ones."""
+
+    ballot: Ballot
+    number: Count
+    leader: Name
+    depth: Annotated[int, Meta(ge=0, le=MOST_DEPTH)]  # of who speaks; 0 is the leader
+    decided: Position  # applied by who speaks
+    entries: Annotated[tuple[Entry, ...], Meta(max_length=MOST_ENTRIES)] = ()
+    grants: Annotated[tuple[Grant, ...], Meta(max_length=MOST_DOORS)] = ()
+
+
+class Whom(Word, frozen=True):
+    """From one that has a parent and would rather have this one."""
+
+
+class Redirect(Word, frozen=True):
+    """Take this parent (it may be who speaks), and hear of the newest leader known."""
+
+    parent: Name
+    ballot: Ballot
+    leader: Name | None = None
+
+
+Message = Up | Down | Whom | Redirect
+
+
+# --- events, with `Heard` and `Tick` of the interface ---
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """Who lives, by membership, and who leads, by the log; either may be wrong for a time."""
+
+    alive: tuple[Life, ...]
+    leader: str | None
+    ballot: int
+    panel: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Grown:
+    """The log here has applied all up to `position`; `entries` are the newest of them, in order."""
+
+    position: int
+    entries: tuple[Entry, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Mine:
+    """This front door's own ask, in the place of its last one."""
+
+    ask: Ask
+
+
+@dataclass(frozen=True, slots=True)
+class Give:
+    """At the leader: what the keeper of sessions gave."""
+
+    grants: tuple[Grant, ...]
+
+
+# --- actions, with `Say` of the interface ---
+
+
+@dataclass(frozen=True, slots=True)
+class Learn:
+    """For the log: entries that follow on what is applied here, or on what is already given to it."""
+
+    entries: tuple[Entry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Fetch:
+    """The log here is behind and should catch up from this front door."""
+
+    source: str
+
+
+@dataclass(frozen=True, slots=True)
+class Gathered:
+    """At the leader: asks of all who came up, for the keeper."""
+
+    asks: tuple[Ask, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """For this front door's own session."""
+
+    grants: tuple[Grant, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Parent:
+    """Whom this front door listens to from now on; None for the leader, or for nobody."""
+
+    name: str | None
+
+
+Event = View | Grown | Mine | Give
+Action = Learn | Fetch | Gathered | Granted | Parent
--- /dev/null
+++ b/tests/council/spread/test_faults.py
@@ -0,0 +1,173 @@
+"""Deaths, stops, lost words, rings, leaders that change, views that differ: all reach all again in time."""
+
+import pytest
+
+from molereach.council.spread.core import Spread
+from molereach.council.spread.settings import Settings
+from tests.council.spread.world import BEAT, World
+
+FAN = Settings().fan
+HEALED = 10  # beats
+
+
+def all_reach_all(world: World, beats: float = HEALED) -> None:
+    began, position = world.now, world.propose()
+    world.run(beats)
+    assert not world.lacking(position)
+    assert not world.ungranted(began)
+
+
+def steady(world: World) -> None:
+    """The tree is the one by rank."""
+    for name in world.living:
+        core = world.nodes[name].core
+        assert core.above.name == core.ranks.parent
+        assert len(core.children.table) <= FAN
+
+
+@pytest.mark.parametrize("count", [9, 50, 200])
+def test_an_inner_door_dies_and_nobody_says_so(count: int) -> None:
+    world = World(count)
+    world.start()
+    for name in ("door-000", "door-002", "door-003"):  # of the leader's children
+        world.kill(name)
+    all_reach_all(world, 5)
+    orphans = [name for name, parent in world.parents().items() if parent in ("door-000", "door-002")]
+    assert not orphans
+    world.view()
+    world.run(40)
+    steady(world)
+
+
+@pytest.mark.parametrize("count", [3, 9, 50, 200])
+def test_the_leader_dies_and_views_of_the_next_come_over_seconds(count: int) -> None:
+    world = World(count)
+    world.start()
+    world.kill("door-001")
+    world.run(4)
+    world.lead("door-002")
+    world.view(within_us=6 * BEAT)
+    world.run(1)
+    all_reach_all(world)
+    world.run(40)
+    steady(world)
+
+
+def test_half_of_the_tree_with_the_old_leader_comes_over_without_being_told() -> None:
+    world = World(50)
+    world.start()
+    half = world.living[:25]  # the old leader's
+    world.cut = {(a, b) for a in half for b in world.living[25:]}
+    world.cut |= {(b, a) for a, b in world.cut}
+    world.run(3)
+    world.lead("door-030")
+    world.view(world.living[25:])
+    world.run(4)
+    world.cut = set()
+    world.run(5)
+    all_reach_all(world)
+    assert {world.nodes[name].core.leader for name in world.living} == {"door-030"}
+    assert not any(world.nodes[name].core.leads for name in half)
+
+
+def test_a_ring_of_doors_falls_apart() -> None:
+    """Each listens to the next; nobody's view says that they should not."""
+    world = World(9)
+    world.start()
+    ring = world.living[4:8]
+    for at, name in enumerate(ring):
+        core: Spread = world.nodes[name].core
+        core.above.name = ring[at - 1]  # still fresh, as far as it knows
+        world.feed(name, None)
+    all_reach_all(world, 5)
+
+
+def test_a_link_that_is_cut_for_long_is_gone_around_and_taken_again() -> None:
+    world = World(50)
+    world.start()
+    child = "door-049"
+    parent = world.parents()[child]
+    assert parent
+    world.cut = {(parent, child)}  # one way
+    world.run(6)
+    assert world.parents()[child] != parent
+    all_reach_all(world, 4)
+    world.cut = set()
+    world.run(Settings().most_home_beats + 4)
+    steady(world)
+
+
+def test_a_leader_that_stopped_and_woke_pulses_once_for_all_its_late_ticks() -> None:
+    world = World(9)
+    world.start()
+    world.nodes["door-001"].stopped_until = world.now + 10 * BEAT
+    world.run(10)
+    world.said.clear()
+    world.run(0.5)
+    assert world.said["door-001", "Down"] <= 2 * FAN
+    all_reach_all(world)
+
+
+def test_a_leader_that_was_replaced_while_it_was_stopped_follows() -> None:
+    world = World(50)
+    world.start()
+    world.nodes["door-001"].stopped_until = world.now + 10 * BEAT
+    world.run(5)
+    world.lead("door-004")
+    world.view([name for name in world.living if name != "door-001"], within_us=2 * BEAT)
+    world.run(5.5)
+    all_reach_all(world)
+    assert not world.nodes["door-001"].core.leads
+
+
+def history(seed: int) -> None:
+    """Random faults for 16 beats, and then none."""
+    count = 3 + seed * 7 % 28
+    world = World(count, seed, delay_us=5_000, jitter_us=40_000)
+    rnd = world.random
+    world.start()
+    world.loss = rnd.choice((0.0, 0.1, 0.3))
+    for _ in range(8):
+        match rnd.randrange(6):
+            case 0 if len(world.living) > 3:
+                name = rnd.choice(world.living[:count // 2 + 2])
+                if name != world.leader:
+                    world.kill(name)
+            case 1 if len(world.living) > 3:
+                world.kill(world.leader)
+                world.run(rnd.randrange(4))
+                world.lead(rnd.choice(world.living))
+                world.nodes[world.leader].stopped_until = 0
+                world.view(within_us=6 * BEAT)
+            case 2:
+                name = rnd.choice(world.living)
+                world.nodes[name].stopped_until = world.now + rnd.randrange(1, 8) * BEAT
+            case 3:
+                some = rnd.sample(world.living, max(2, len(world.living) // 2))
+                world.view(within_us=4 * BEAT, names=rnd.sample(world.living, 2), alive=some)
+            case 4:
+                a, b = rnd.sample(world.living, 2)
+                world.cut.add((a, b))
+            case 5:
+                world.lead(rnd.choice(world.living))
+                world.view(within_us=6 * BEAT)
+        world.run(2)
+        if rnd.random() < 0.7:
+            world.propose(b"x" * rnd.choice((10, 9000)))
+        most = 2 * FAN
+        assert all(len(world.nodes[name].core.children.table) <= most for name in world.living)
+    world.loss, world.cut = 0.0, set()
+    for node in world.nodes.values():
+        node.stopped_until = min(node.stopped_until, world.now)
+    world.view()
+    world.run(0.1)  # all have woken and know who lives
+    all_reach_all(world)
+
+
+@pytest.mark.parametrize("group", range(10))
+def test_random_histories(group: int) -> None:
+    for seed in range(group * 10, group * 10 + 10):
+        try:
+            history(seed)
+        except AssertionError as error:
+            raise AssertionError(f"history {seed}: {error}") from error
