Council: sessions by lease, their keeper and holder, permits, and the account of an entry

Need: what others count on must end at a front door that stalls or is cut off before anybody takes it for ended, and it must be known when an entry that forbids something holds everywhere.

Weighed: an end bound to the leader's confirmation alone. It does not do: an end that a leader proposed, and that is settled after its successor has begun to renew, ends a session that is held. So each leader enters `Keeping` with its ballot before it gives anything, and an end of an earlier ballot is refused (Chubby's epochs). Ends kept in the account instead of the state machine: ruled out, as another leader could not come to the same account.

Sessions are the state machine; the holder counts from its asks, each with a number used once; the keeper gives after a confirmed round that began after the ask, and proposes ends after the duration and the drift.

--- /dev/null
+++ b/molereach/council/leases/accounts.py
@@ -0,0 +1,95 @@
+"""The proof that an entry which forbids something holds everywhere.
+
+All that hangs on a session is done under it alone. So an entry at position P holds once each session that was
+open at P is accounted for: its front door said that it applied P, or an entry after P says that the session
+was replaced by a new life, over, or left. Who opened a session after P had P before. An account is a view: it
+follows from the log (`Sessions`) and from what open sessions have said, so that another leader comes to the
+same one.
+
+It takes it that a name is run once at a time: an earlier process of the same name is dead when a new life
+opens. Source: Burrows, "The Chubby lock service" (OSDI 2006), section 2.7: a change goes ahead once each
+cache has acknowledged it or its lease is over.
+"""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from molereach.council.interface import Accounted, Known, Life
+from molereach.council.leases.sessions import Opened, Past, Sessions
+
+
+class Saying(Protocol):
+    """What an open session has said of itself."""
+
+    applied: int
+    heard_us: int | None
+
+
+class Sayings(Protocol):
+    """Of the leader's keeper, what an account needs."""
+
+    position: int  # of the log, applied here
+
+    def said(self, name: str, fence: int) -> Saying | None:
+        """Of an open session; None if nothing is known of it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Missing:
+    """A front door for which there is no account yet, since when, and why."""
+
+    door: Life
+    since_us: int
+    applied: int
+    heard_us: int | None
+    why: str
+
+
+class Account:
+    """For the entry at `position`; `since_us` is when that was applied here, or this one began to lead."""
+
+    def __init__(self, position: int, sessions: Sessions, sayings: Sayings, since_us: int) -> None:
+        self.position, self.since_us = position, since_us
+        self._sessions, self._sayings = sessions, sayings
+
+    @property
+    def known_here(self) -> bool:
+        """Whether the log was applied here up to the entry; before that nobody is accounted for."""
+        return self._sayings.position >= self.position
+
+    def pending(self) -> tuple[Missing, ...]:
+        """Who is missing, by name."""
+        missing = [self._missing(session) for session in self._sessions.at(self.position)
+                   if self._accounted(session) is None]
+        return tuple(sorted(missing, key=lambda each: each.door))
+
+    def proof(self) -> tuple[Accounted, ...] | None:
+        """All that were open, by name; None while one is missing. At one position of the log, whoever can
+        give it gives the same."""
+        if not self.known_here:
+            return None
+        accounted: list[Accounted] = []
+        for session in self._sessions.at(self.position):
+            one = self._accounted(session)
+            if one is None:
+                return None
+            accounted.append(one)
+        return tuple(sorted(accounted, key=lambda each: each.door))
+
+    def _accounted(self, session: Opened | Past) -> Accounted | None:
+        if isinstance(session, Past):
+            return Accounted(session.life, session.known, session.position)
+        said = self._sayings.said(session.life.name, session.fence)
+        if said is None or said.applied < self.position:
+            return None
+        # Not the position that was said, which depends on when it was asked.
+        return Accounted(session.life, Known.SAID, self.position)
+
+    def _missing(self, session: Opened | Past) -> Missing:
+        said = self._sayings.said(session.life.name, session.fence)
+        applied, heard_us = (said.applied, said.heard_us) if said else (0, None)
+        if heard_us is not None and heard_us >= self.since_us:
+            why = f"applied only to {applied}"
+        else:
+            why = f"nothing heard since {self.since_us if heard_us is None else heard_us}"
+        return Missing(session.life, self.since_us, applied, heard_us, why)
--- /dev/null
+++ b/molereach/council/leases/bodies.py
@@ -0,0 +1,62 @@
+"""The bodies of the entries about sessions, and their one decoder.
+
+`Keeping` opens a leader's time as keeper, and `Ended` names it: an end that an earlier leader proposed, and
+that was settled only after its successor began to renew, would end a session that is held. It is refused by
+its ballot. This is the epoch of Burrows, "The Chubby lock service" (OSDI 2006), section 2.9, put on the
+keepers.
+"""
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from molereach.council.interface import Life, Position, Wire
+
+MACHINE = "sessions"
+MOST_SESSION_BODY_BYTES = 256  # the longest takes 200; and what is nested deep is refused before it is read
+
+BallotNumber = Annotated[int, Meta(ge=0, le=1 << 62)]
+
+
+class Open(Wire, frozen=True, tag_field="kind", tag="open"):
+    """A session for this life, proposed by itself; a lower life's session of the name is thereby ended."""
+
+    life: Life
+
+
+class Ended(Wire, frozen=True, tag_field="kind", tag="ended"):
+    """The session is certainly over by time. Only of the keeper that gives renewals now."""
+
+    life: Life
+    fence: Position
+    ballot: BallotNumber
+
+
+class Close(Wire, frozen=True, tag_field="kind", tag="close"):
+    """Left in order, proposed by itself: it has stopped what hangs on the session."""
+
+    life: Life
+    fence: Position
+
+
+class Keeping(Wire, frozen=True, tag_field="kind", tag="keeping"):
+    """The leader of this ballot keeps the sessions from here on; earlier leaders' ends are void after it."""
+
+    ballot: BallotNumber
+
+
+Body = Open | Ended | Close | Keeping
+
+_DECODER: msgspec.json.Decoder[Body] = msgspec.json.Decoder(Body)
+
+
+def encode(body: Body) -> bytes:
+    return msgspec.json.encode(body)
+
+
+def decode(data: bytes) -> Body:
+    """msgspec.DecodeError where it is none of them."""
+    if len(data) > MOST_SESSION_BODY_BYTES:
+        raise msgspec.DecodeError("too long")
+    return _DECODER.decode(data)
--- /dev/null
+++ b/molereach/council/leases/holder.py
@@ -0,0 +1,213 @@
+"""A front door's own session: opened, renewed each beat, and found to be over before others take it for over.
+
+It counts from when it asked, by its own clock, for less than the duration: whoever ends it counts from later
+and for more. Each ask has a number of its own, and a grant renews from the time of that ask alone. A session
+that has lapsed here but is not ended in the log may be renewed under the same fence; one that was ended is
+opened anew once its end was applied here, so that all that was settled meanwhile is known before anything is
+done again.
+
+Sources: Gray and Cheriton, "Leases" (SOSP 1989), section 2; Burrows, "The Chubby lock service" (OSDI 2006),
+section 2.8.
+"""
+
+from collections.abc import Callable, Sequence
+from enum import Enum
+
+from molereach.council.interface import (
+    NEVER_US,
+    Applied,
+    Leads,
+    Life,
+    Over,
+    ProposalOver,
+    Propose,
+    Restored,
+    Terms,
+    Tick,
+)
+from molereach.council.leases.asks import Asks
+from molereach.council.leases.bodies import MACHINE, Close, Open, encode
+from molereach.council.leases.sessions import Sessions
+from molereach.council.leases.words import BEAT_US, Ask, Granted, Held, Leave, Lost
+
+MOST_BACKOFF_BEATS = 10
+WITHIN_BEATS = 4  # for one proposal
+
+Event = Tick | Applied | Restored | ProposalOver | Granted | Leads | Leave
+Action = Propose | Ask | Held | Lost
+
+
+class Phase(Enum):
+    """Where the session stands, by the log as it was applied here."""
+
+    ABSENT = "absent"  # to be opened
+    OPEN = "open"
+    LEAVING = "leaving"
+    LEFT = "left"
+    SUPERSEDED = "superseded"  # a higher life has the name: this run must start anew
+
+
+class Holder:
+    """Implements `Session`. `Applied` is to be handed in after all that stands on the log has acted on it, as
+    the position is then told as applied."""
+
+    def __init__(
+        self, life: Life, sessions: Sessions, terms: Terms, draw: Callable[[], float], beat_us: int = BEAT_US
+    ) -> None:
+        self.life, self.sessions, self.terms, self.draw, self.beat_us = life, sessions, terms, draw, beat_us
+        self.phase = Phase.ABSENT
+        self.position = 0  # of the log, applied here
+        self._fence = 0  # of the session that is open, held or not
+        self._until_us = 0  # up to then it is held
+        self._held = 0  # the fence of the session that is held, as last told; 0 for none
+        self._why = ""
+        self._told = 0
+        self._asks = Asks(life)
+        self._misses = 0  # tries without an answer, while nothing is held
+        self._next_us = 0  # when it asks or proposes next
+        self._id = ""  # of the proposal to open that is under way, the same until it has an answer
+        self._first_us = 0  # when that was made first
+        self._close_id = ""
+
+    # --- Session ---
+
+    def holds(self, now_us: int) -> bool:
+        return self.phase is Phase.OPEN and now_us < self._until_us
+
+    @property
+    def fence(self) -> int:
+        """As of the last event: `holds` is to be asked first."""
+        return self._held
+
+    @property
+    def applied(self) -> int:
+        """What the last ask told that was granted."""
+        return self._told
+
+    # --- Core ---
+
+    @property
+    def wake_us(self) -> int:
+        if self.phase in (Phase.LEFT, Phase.SUPERSEDED):
+            return NEVER_US
+        return min(self._next_us, self._until_us) if self._held else self._next_us
+
+    def handle(self, now_us: int, event: Event) -> Sequence[Action]:
+        match event:
+            case Granted() if self.phase is Phase.OPEN:
+                self._granted(now_us, event)
+            case Applied():
+                self.position = event.entry.position
+                if event.entry.machine == MACHINE:
+                    mine = event.entry.id == self._id
+                    self._follow(now_us, event.entry.position if mine else 0)
+            case Restored():
+                self.position = event.position
+                self._follow(now_us, 0)
+            case ProposalOver():
+                self._proposed(now_us, event)
+            case Leads() if event.leader is not None:  # one that may answer; not all ask it at once
+                self._misses = 0
+                self._next_us = min(self._next_us, now_us + int(self.draw() * self.beat_us))
+            case Leave():
+                self._leave(now_us)
+            case _:
+                pass
+        told = self._tell(now_us)
+        return told + self._due(now_us) if now_us >= self._next_us else told
+
+    def _tell(self, now_us: int) -> list[Action]:
+        """Say when it begins or ceases to be held."""
+        held, before = (self._fence if self.holds(now_us) else 0), self._held
+        if held == before:
+            return []
+        self._held = held
+        why, self._why = self._why or "not renewed in time", ""
+        lost: list[Action] = [Lost(before, why)] if before else []
+        return [*lost, Held(held)] if held else lost
+
+    # --- what the log says ---
+
+    def _follow(self, now_us: int, mine: int) -> None:
+        """Keep to what was applied here; `mine` is the position at which the own proposal was settled."""
+        opened, highest = self.sessions.open(self.life.name), self.sessions.life(self.life.name)
+        if highest is not None and highest > self.life:
+            self._over("a later life has the name", Phase.SUPERSEDED)
+        elif opened is not None and opened.life == self.life:
+            if opened.fence != self._fence and self.position >= opened.fence:
+                self._open(now_us, opened.fence, mine)
+        elif self._fence:
+            self._over("ended in the log", Phase.LEFT if self.phase is Phase.LEAVING else Phase.ABSENT)
+            self._next_us = now_us
+
+    def _open(self, now_us: int, fence: int, mine: int) -> None:
+        # Where another proposal opened it than the one under way, only a grant says from when it counts.
+        self._over("ended in the log", Phase.LEAVING if self.phase is Phase.LEAVING else Phase.OPEN)
+        self._until_us = self._first_us + self.terms.held_us if fence == mine else 0
+        self._fence, self._next_us, self._misses = fence, now_us, 0
+
+    def _over(self, why: str, phase: Phase) -> None:
+        self._fence, self._until_us, self._id, self._why, self.phase = 0, 0, "", why, phase
+        self._asks.forget()
+
+    def _proposed(self, now_us: int, event: ProposalOver) -> None:
+        if event.id == self._close_id:
+            self._next_us = now_us + self.beat_us
+        if event.id != self._id or not self._id:
+            return
+        self._next_us = now_us + self._backoff_us()
+        if event.over is Over.SETTLED:
+            self._follow(now_us, event.position)
+        # Settled, and applied here, and no session of it is open: refused, or over again already.
+        settled = event.over is Over.SETTLED and self.position >= event.position
+        if settled or event.over is Over.REFUSED:
+            self._id = ""
+        if self.phase is Phase.LEAVING and not self._fence:
+            self.phase = Phase.LEFT  # if it is settled yet, it is held by nobody, and ends by time
+
+    # --- renewals, and the end in order ---
+
+    def _granted(self, now_us: int, event: Granted) -> None:
+        for grant in event.grants:
+            if found := self._asks.granted(grant):
+                made_us, ask = found
+                self._until_us = max(self._until_us, made_us + self.terms.held_us)
+                self._told, self._misses = ask.applied, 0
+                self._next_us = min(self._next_us, now_us + self.beat_us)
+
+    def _leave(self, now_us: int) -> None:
+        if self.phase is Phase.OPEN or (self.phase is Phase.ABSENT and self._id):
+            self.phase, self._until_us, self._next_us, self._why = Phase.LEAVING, 0, now_us, "leaves"
+            self._asks.forget()
+        elif self.phase is Phase.ABSENT:
+            self.phase = Phase.LEFT
+
+    # --- time ---
+
+    def _backoff_us(self) -> int:
+        return self.beat_us * min(MOST_BACKOFF_BEATS, 1 << min(self._misses, MOST_BACKOFF_BEATS))
+
+    def _due(self, now_us: int) -> list[Action]:
+        """Ask, or propose, and say when next."""
+        within_us = WITHIN_BEATS * self.beat_us
+        match self.phase:
+            case Phase.OPEN:
+                self._next_us = now_us + (self.beat_us if self._held else self._backoff_us())
+                self._misses = 0 if self._held else self._misses + 1
+                return [self._asks.make(now_us, self._fence, self.position)]
+            case Phase.ABSENT:
+                if not self._id:
+                    self._id, self._first_us = self._draw_id("open"), now_us
+                self._misses, self._next_us = self._misses + 1, now_us + within_us + self.beat_us
+                return [Propose(MACHINE, self._id, encode(Open(self.life)), within_us)]
+            case Phase.LEAVING:
+                self._next_us = now_us + within_us + self.beat_us
+                if not self._fence:  # its opening has no answer yet
+                    return []
+                self._close_id = self._close_id or self._draw_id("close")
+                return [Propose(MACHINE, self._close_id, encode(Close(self.life, self._fence)), within_us)]
+            case _:
+                return []
+
+    def _draw_id(self, what: str) -> str:
+        return f"{what}.{self.life.number:x}.{int(self.draw() * (1 << 53)):x}"
--- /dev/null
+++ b/molereach/council/leases/words.py
@@ -0,0 +1,76 @@
+"""What goes along the tree for sessions: asks up, gathered, and grants down. Arrays, as each beat carries
+them.
+
+Source: Gray and Cheriton, "Leases" (SOSP 1989), section 4: renewals are told in batches.
+"""
+
+from dataclasses import dataclass
+from typing import Annotated
+
+from msgspec import Meta
+
+from molereach.council.interface import LifeNumber, Name, Position, S, Wire
+
+BEAT_US = S // 2  # between two asks of one front door
+
+AskNumber = Annotated[int, Meta(ge=1, le=1 << 62)]
+
+
+class Ask(Wire, frozen=True, array_like=True):
+    """Renew my session; and so far I have applied the log, in all that stands on it."""
+
+    name: Name
+    life: LifeNumber
+    fence: Position
+    number: AskNumber  # never again within this life, so that a grant is for one ask alone
+    applied: Position
+
+
+class Grant(Wire, frozen=True, array_like=True):
+    """The session is renewed, from when this ask was made. It says nothing of any other ask."""
+
+    name: Name
+    life: LifeNumber
+    fence: Position
+    number: AskNumber
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """Event for the keeper: asks that came up the tree, at most one of each front door that counts."""
+
+    asks: tuple[Ask, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Given:
+    """Action of the keeper: grants to go down the tree; a lost one costs a beat."""
+
+    grants: tuple[Grant, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """Event for the holder: grants that came down the tree; those for others are passed over."""
+
+    grants: tuple[Grant, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """Event for the holder: close the session in order. From here on it is not held."""
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """Action of the holder: the session is held from here on; ask `holds` before each use all the same."""
+
+    fence: int
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """Action of the holder: the session is not held any more. `why` is one plain line."""
+
+    fence: int
+    why: str
--- /dev/null
+++ b/tests/council/leases/entries.py
@@ -0,0 +1,24 @@
+"""Entries and lives, made in a line."""
+
+import msgspec
+
+from molereach.council.interface import Entry, Life, Outcome
+from molereach.council.leases.bodies import MACHINE, Body, Open, encode
+from molereach.council.leases.sessions import Opened, Sessions
+
+A, B, C = Life("a", 1), Life("b", 1), Life("c", 1)
+
+
+def entry(
+    position: int, body: Body | bytes, proposer: Life = A, name: str = "", machine: str = MACHINE
+) -> Entry:
+    data = body if isinstance(body, bytes) else encode(body)
+    return Entry(position, machine, name or f"id{position}", proposer, position, data)
+
+
+def opened(sessions: Sessions, position: int, life: Life) -> Outcome:
+    return sessions.apply(entry(position, Open(life), life))
+
+
+def fence_of(outcome: Outcome) -> int:
+    return msgspec.json.decode(outcome.value, type=Opened).fence
--- /dev/null
+++ b/tests/council/leases/histories.py
@@ -0,0 +1,47 @@
+"""Random histories: what goes wrong, and when, drawn from a seed."""
+
+from molereach.council.interface import Propose, S
+from molereach.council.leases.words import Leave
+from tests.council.leases.world import MS, TERMS, Cores, World
+
+NAMES = ("a", "b", "c", "d")
+LENGTH_US = 16 * S
+BOUND = (1 - TERMS.drift, 1.0, 1 + TERMS.drift)  # of rates; what lies between is drawn too
+
+
+def trouble(world: World) -> None:
+    """One thing goes wrong, and the next is planned."""
+    chance = world.chance
+    door = world.doors[chance.choice(NAMES)]
+    match chance.randrange(12):
+        case 0 | 1:
+            world.elect(door)
+        case 2 | 3 | 4 | 5:
+            world.stop(door, chance.randrange(50 * MS, 5 * S))
+        case 6 | 7:
+            door.cut_until = world.now + chance.randrange(100 * MS, 4 * S)
+        case 8:
+            world.start(door.life.name)
+        case 9:
+            world.to(door, lambda: world.cores_handle(door, Leave()))
+        case _:
+            forbid(world)
+    world.after(chance.randrange(50 * MS, 1200 * MS), lambda: trouble(world))
+
+
+def forbid(world: World) -> None:
+    """An entry of some other machine, which is to be accounted for."""
+    number = len(world.open_at)
+    world.append(Propose("other", f"forbid.{number}", b"", S), world.doors["a"].life)
+
+
+def history(seed: int, cores: Cores = Cores(), quick: bool = False) -> World:  # noqa: B008
+    """Run one; its world at the end. With `quick` clocks are at the bound, and words take next to no time."""
+    world = World(seed, cores, BOUND[::2] if quick else (*BOUND, 1 - TERMS.drift / 3))
+    world.quick = quick
+    for name in NAMES:
+        world.start(name)
+    world.elect(world.doors["a"])
+    world.after(2 * S, lambda: trouble(world))
+    world.run(LENGTH_US)
+    return world
--- /dev/null
+++ b/tests/council/leases/world.py
@@ -0,0 +1,355 @@
+"""A virtual world of front doors with clocks of their own, one true log, and what can go wrong between them.
+
+The log here keeps to what `molereach/council/interface.py` promises and to no more: one order, each id once,
+any proposal settled at any time or never, also when its proposer leads no more; `Confirmed` only if its asker
+truly led after it asked. True time is in microseconds; each front door sees its own clock only.
+"""
+
+import heapq
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+from molereach.council.interface import (
+    Accounted,
+    Applied,
+    Confirm,
+    Confirmed,
+    Entry,
+    Leads,
+    Life,
+    Outcome,
+    Over,
+    ProposalOver,
+    Propose,
+    Restored,
+    S,
+    Terms,
+    Tick,
+)
+from molereach.council.leases.accounts import Account
+from molereach.council.leases.bodies import MACHINE, Close, Ended, decode
+from molereach.council.leases.holder import Holder
+from molereach.council.leases.keeper import Keeper
+from molereach.council.leases.sessions import Opened, Sessions
+from molereach.council.leases.words import Ask, Asked, Given, Granted, Leave
+
+MS = 1000
+TERMS = Terms(2 * S, 0.02)
+
+
+class BrokenError(AssertionError):
+    """What must never be, was."""
+
+
+@dataclass(frozen=True, slots=True)
+class Clock:
+    """What a front door reads at a true time."""
+
+    offset_us: int
+    rate: float
+
+    def at(self, true_us: int) -> int:
+        return self.offset_us + int(true_us * self.rate)
+
+    def true(self, here_us: int) -> int:
+        return int((here_us - self.offset_us) / self.rate) + 1
+
+
+@dataclass(eq=False)
+class Door:
+    """One run of one front door: its replica, its cores, and the mail that waits while it is stopped."""
+
+    life: Life
+    clock: Clock
+    sessions: Sessions
+    holder: Holder
+    keeper: Keeper
+    leader: str | None = None
+    stopped_until: int = 0
+    cut_until: int = 0
+    tick_at: int = 1 << 62
+    mail: list[Callable[[], None]] = field(default_factory=list)
+    learnt: int = 0  # entries of the order that were applied
+    waiting: dict[str, ProposalOver] = field(default_factory=dict)  # settled, not applied here yet
+    out: set[str] = field(default_factory=set)  # proposals without their one word
+    accounts: dict[int, Account] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class Cores:
+    """What a world is made of; a mutation changes one."""
+
+    holder: type[Holder] = Holder
+    keeper: type[Keeper] = Keeper
+    sessions: type[Sessions] = Sessions
+    account: type[Account] = Account
+    terms: Terms = TERMS
+
+
+class World:
+    """Runs until a true time; raises `BrokenError` where an invariant fails. All chance is of the seed."""
+
+    def __init__(self, seed: int, cores: Cores = Cores(), rates: Sequence[float] = ()) -> None:
+        self.chance, self.cores, self.rates = random.Random(seed), cores, rates
+        self.quick = False  # words take under a millisecond: what is left is what clocks make
+        self.now, self._sequence = 0, 0
+        self._queue: list[tuple[int, int, Callable[[], None]]] = []
+        self.doors: dict[str, Door] = {}
+        self.order: list[Entry] = []
+        self.truth = cores.sessions()
+        self.outcomes: list[Outcome] = []
+        self.snapshots: list[bytes] = []
+        self.ids: dict[str, int] = {}
+        self.leader: Door | None = None
+        self.ballot = 0
+        self.over: set[int] = set()  # fences of sessions that were decided as ended or closed
+        self.open_at: dict[int, dict[str, Opened]] = {}  # by position of an entry that forbids something
+        self.proofs: dict[tuple[int, int], tuple[Accounted, ...]] = {}
+        self.given = self.ended = self.proven = 0
+
+    # --- time ---
+
+    def after(self, delay_us: int, act: Callable[[], None]) -> None:
+        self._sequence += 1
+        heapq.heappush(self._queue, (self.now + max(0, delay_us), self._sequence, act))
+
+    def run(self, until_us: int) -> None:
+        while self._queue and self._queue[0][0] <= until_us:
+            self.now, _, act = heapq.heappop(self._queue)
+            act()
+            self.check()
+        self.now = max(self.now, until_us)
+        self.check()
+
+    # --- front doors ---
+
+    def start(self, name: str) -> Door:
+        """Start a front door; an earlier run of the name is dead."""
+        before = self.doors.get(name)
+        if before is not None and before is self.leader:
+            self.leader = None
+        life = Life(name, before.life.number + 1 if before else 1)
+        rate = self.chance.choice(self.rates) if self.rates else 1.0
+        sessions, terms = self.cores.sessions(), self.cores.terms
+        holder = self.cores.holder(life, sessions, terms, self.chance.random)
+        door = Door(life, Clock(self.chance.randrange(1 << 40), rate), sessions, holder,
+                    self.cores.keeper(sessions, terms))
+        self.doors[name] = door
+        self.after(0, lambda: self.to(door, lambda: self.learn(door, len(self.order))))
+        self.after(0, lambda: self.to(door, lambda: self.cores_handle(door, Tick())))
+        return door
+
+    def alive(self, door: Door) -> bool:
+        return self.doors[door.life.name] is door
+
+    def to(self, door: Door, act: Callable[[], None]) -> None:
+        """Let a front door act; one that is stopped does so when it wakes, one that is dead never."""
+        if not self.alive(door):
+            return
+        if self.now < door.stopped_until:
+            door.mail.append(act)
+            return
+        act()
+        self.plan(door)
+
+    def stop(self, door: Door, for_us: int) -> None:
+        door.stopped_until = max(door.stopped_until, self.now + for_us)
+        self.after(for_us, lambda: self.wake(door))
+
+    def wake(self, door: Door) -> None:
+        if self.now < door.stopped_until:
+            return
+        mail, door.mail = door.mail, []
+        for act in mail:
+            self.to(door, act)
+            self.check()
+
+    def plan(self, door: Door) -> None:
+        at = max(self.now, door.clock.true(min(door.holder.wake_us, door.keeper.wake_us)))
+        if at < door.tick_at or door.tick_at < self.now:
+            door.tick_at = at
+            self.after(at - self.now, lambda: self.to(door, lambda: self.tick(door, at)))
+
+    def tick(self, door: Door, at: int) -> None:
+        if door.tick_at == at:
+            door.tick_at = 1 << 62
+            self.cores_handle(door, Tick())
+
+    def cores_handle(self, door: Door, event: Any) -> None:  # noqa: ANN401
+        """Hand an event to who takes it, the keeper first: what was applied is told as applied last."""
+        now_us = door.clock.at(self.now)
+        if isinstance(event, (Leads, Asked, Confirmed, Tick, Applied, Restored, ProposalOver)):
+            self.act(door, door.keeper.handle(now_us, event))
+        if isinstance(event, (Tick, Applied, Restored, ProposalOver, Granted, Leads, Leave)):
+            self.act(door, door.holder.handle(now_us, event))
+
+    def act(self, door: Door, actions: Sequence[Any]) -> None:
+        for action in actions:
+            match action:
+                case Ask():
+                    self.ask(door, action)
+                case Given():
+                    self.give(action)
+                case Propose():
+                    self.propose(door, action)
+                case Confirm():
+                    self.confirm(door, action)
+
+    # --- the tree ---
+
+    def delay(self) -> int:
+        """Mostly short; one in twenty is late by seconds, unless all is quick."""
+        draw = self.chance.random()
+        if self.quick:
+            return 1 + int(draw * MS)
+        if draw < 0.05:
+            return int(self.chance.random() * 4 * S)
+        return MS + int(draw * 60 * MS)
+
+    def copies(self) -> int:
+        """How often a word arrives."""
+        draw = self.chance.random()
+        return 0 if draw < 0.05 else 2 if draw > 0.95 else 1
+
+    def ask(self, door: Door, ask: Ask) -> None:
+        to = self.doors.get(door.leader or "")
+        if to is None or self.now < max(door.cut_until, to.cut_until):
+            return
+        for _ in range(self.copies()):
+            self.after(self.delay(), lambda: self.to(to, lambda: self.cores_handle(to, Asked((ask,)))))
+
+    def give(self, given: Given) -> None:
+        for grant in given.grants:
+            self.given += 1
+            to = self.doors[grant.name]
+            if self.now >= to.cut_until:
+                for _ in range(self.copies()):
+                    self.after(self.delay(), lambda to=to: self.granted(to, given))  # type: ignore[misc]
+
+    def granted(self, door: Door, given: Given) -> None:
+        """By name, whoever runs under it by now: a grant may reach a later life."""
+        to = self.doors[door.life.name]
+        self.to(to, lambda: self.cores_handle(to, Granted(given.grants)))
+
+    # --- the log ---
+
+    def elect(self, door: Door) -> None:
+        self.leader, self.ballot = door, self.ballot + 1
+        for each in self.doors.values():
+            if each is door or self.chance.random() < 0.85:  # some go on in an old belief
+                news = Leads(door.life.name, self.ballot, each is door)
+                self.after(self.delay(), lambda each=each, news=news: self.to(  # type: ignore[misc]
+                    each, lambda: self.hear(each, news)))
+
+    def hear(self, door: Door, news: Leads) -> None:
+        door.leader = news.leader
+        self.cores_handle(door, news)
+
+    def confirm(self, door: Door, confirm: Confirm) -> None:
+        def followed() -> None:
+            if self.leader is door and self.now >= door.cut_until:
+                answer = Confirmed(confirm.token, self.ballot)
+                self.after(self.delay(), lambda: self.to(door, lambda: self.cores_handle(door, answer)))
+        self.after(self.delay(), followed)
+
+    def propose(self, door: Door, propose: Propose) -> None:
+        door.out.add(propose.id)
+        unknown = ProposalOver(propose.id, Over.UNKNOWN)
+        self.after(int(propose.within_us / door.clock.rate),
+                   lambda: self.to(door, lambda: self.word(door, unknown)))
+        if self.chance.random() < 0.03:
+            refused = ProposalOver(propose.id, Over.REFUSED)
+            self.after(0, lambda: self.to(door, lambda: self.word(door, refused)))
+        elif self.chance.random() < 0.95 and self.now >= door.cut_until:
+            self.after(self.delay(), lambda: self.settle(door, propose))
+
+    def word(self, door: Door, over: ProposalOver) -> None:
+        if over.id in door.out:
+            door.out.remove(over.id)
+            self.cores_handle(door, over)
+
+    def settle(self, door: Door, propose: Propose) -> None:
+        if propose.id not in self.ids:
+            self.append(propose, door.life)
+        position = self.ids[propose.id]
+        over = ProposalOver(propose.id, Over.SETTLED, self.outcomes[position - 1], position)
+
+        def told() -> None:
+            if door.learnt >= position:
+                self.word(door, over)
+            else:
+                door.waiting[propose.id] = over
+        self.after(self.delay(), lambda: self.to(door, told))
+
+    def append(self, propose: Propose, proposer: Life) -> Entry:
+        position = len(self.order) + 1
+        entry = Entry(position, propose.machine, propose.id, proposer, self.now // MS, propose.body)
+        outcome = Outcome()
+        if entry.machine == MACHINE:
+            outcome = self.truth.apply(entry)
+            body = decode(entry.body)
+            if isinstance(body, (Ended, Close)) and not outcome.error:
+                self.over.add(body.fence)
+                self.ended += isinstance(body, Ended)
+        else:
+            self.open_at[position] = {each.life.name: each for each in self.truth.all_open()}
+        self.order.append(entry)
+        self.outcomes.append(outcome)
+        self.snapshots.append(self.truth.snapshot())
+        self.ids[propose.id] = position
+        for each in self.doors.values():
+            self.after(self.delay(), lambda each=each: self.to(  # type: ignore[misc]
+                each, lambda: self.learn(each, position)))
+        return entry
+
+    def learn(self, door: Door, position: int) -> None:
+        """Apply the order up to a position, at times by a snapshot."""
+        if position - door.learnt > 1 and self.chance.random() < 0.3:
+            door.sessions.restore(self.snapshots[position - 1])
+            self.accounts(door, range(door.learnt + 1, position + 1))
+            door.learnt = position
+            self.cores_handle(door, Restored(position))
+        while door.learnt < position:
+            entry = self.order[door.learnt]
+            outcome = door.sessions.apply(entry) if entry.machine == MACHINE else Outcome()
+            if entry.machine == MACHINE and outcome != self.outcomes[entry.position - 1]:
+                raise BrokenError(f"another outcome at {entry.position}")
+            door.learnt = entry.position
+            self.accounts(door, range(entry.position, entry.position + 1))
+            self.cores_handle(door, Applied(entry, outcome))
+        for over in [over for over in door.waiting.values() if over.position <= door.learnt]:
+            del door.waiting[over.id]
+            self.word(door, over)
+
+    def accounts(self, door: Door, positions: range) -> None:
+        for position in positions:
+            if position in self.open_at:
+                now_us = door.clock.at(self.now)
+                door.accounts[position] = self.cores.account(position, door.sessions, door.keeper, now_us)
+
+    # --- what must hold after each step ---
+
+    def check(self) -> None:
+        for door in self.doors.values():
+            if door.holder.holds(door.clock.at(self.now)) and door.holder.fence in self.over:
+                raise BrokenError(f"{door.life} holds {door.holder.fence}, which is over, at {self.now}")
+            if self.now >= door.stopped_until:
+                for position, account in list(door.accounts.items()):
+                    if proof := account.proof():
+                        del door.accounts[position]
+                        self.proof(door, position, proof)
+
+    def proof(self, door: Door, position: int, proof: tuple[Accounted, ...]) -> None:
+        self.proven += 1
+        if {each.door.name: each.door for each in proof} != {
+                name: each.life for name, each in self.open_at[position].items()}:
+            raise BrokenError(f"the proof of {position} is not of those that were open")
+        if self.proofs.setdefault((position, door.learnt), proof) != proof:
+            raise BrokenError(f"two proofs of {position} at {door.learnt}")
+        for each in self.doors.values():
+            session = self.open_at[position].get(each.life.name)
+            held = session is not None and each.holder.fence == session.fence
+            if held and each.learnt < position and each.holder.holds(each.clock.at(self.now)):
+                raise BrokenError(f"{each.life} holds without {position}, which was proven")
