--- /dev/null
+++ b/tests/council/links/test_cores.py
@@ -0,0 +1,176 @@
+"""What waits, when to dial, whether a link lives, how much in a turn, how many unproven."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from molereach.council.links import retry
+from molereach.council.links.budget import BEGIN_US, MOST_STEPS, MOST_TURN_US, Turn
+from molereach.council.links.places import Places
+from molereach.council.links.pulse import Pulse, Verdict
+from molereach.council.links.queue import Item, Outbox, Rule
+from molereach.council.links.retry import Retry
+
+RULES = {
+    "log": Rule(4, 100, losable=False), "spread": Rule(6, 100, latest=frozenset({int})), "hint": Rule(6, 100),
+}
+
+
+def item(part: str, body: bytes, kind: type = str, life: int | None = None) -> Item:
+    return Item(part, kind, body, life)
+
+
+def said(box: Outbox, life: int = 1) -> list[bytes]:
+    found = []
+    while one := box.pop(life):
+        found.append(one.body)
+    return found
+
+
+def test_messages_go_in_the_order_in_which_they_were_said_over_all_parts() -> None:
+    box = Outbox(RULES)
+    for number, part in enumerate(("log", "hint", "spread", "log", "hint")):
+        box.put(item(part, b"%d" % number))
+    assert said(box) == [b"0", b"1", b"2", b"3", b"4"] and not len(box) and not box.size
+
+
+def test_the_oldest_of_a_part_that_may_lose_goes_first_and_of_another_the_new_one() -> None:
+    box = Outbox(RULES)
+    assert all(box.put(item("hint", b"%d" % number)) for number in range(9))
+    assert [box.put(item("log", b"%d" % number)) for number in range(5)] == [True] * 4 + [False]
+    assert box.dropped == 4
+    assert said(box) == [b"3", b"4", b"5", b"6", b"7", b"8", b"0", b"1", b"2", b"3"]
+
+
+def test_where_the_room_of_all_is_short_what_may_not_be_lost_pushes_out_what_may() -> None:
+    box = Outbox(RULES, most_messages=3)
+    for part, body in (("log", b"a"), ("hint", b"b"), ("spread", b"c"), ("log", b"d"), ("log", b"e")):
+        assert box.put(item(part, body))
+    assert not box.put(item("log", b"f")) and box.dropped == 3
+    assert said(box) == [b"a", b"d", b"e"]
+
+
+def test_a_later_one_of_a_kind_takes_the_place_of_an_older_one_for_the_same_run_only() -> None:
+    box = Outbox(RULES)
+    for body, kind, life in ((b"1", int, None), (b"2", str, None), (b"3", int, 7), (b"4", int, None)):
+        box.put(item("spread", body, kind, life))
+    box.put(item("spread", b"5"))
+    assert (box.void, box.dropped) == (1, 0)
+    assert said(box, 7) == [b"2", b"3", b"4", b"5"]
+    box.put(item("spread", b"6", int))  # the one before has left: nothing of it is kept
+    assert said(box) == [b"6"] and box.void == 1
+
+
+def test_what_is_for_another_run_is_dropped() -> None:
+    box = Outbox(RULES)
+    for life in (6, None, 7):
+        box.put(item("hint", b"%d" % (life or 0), life=life))
+    assert said(box, 7) == [b"0", b"7"] and box.dropped == 1
+
+
+@given(st.lists(st.tuples(st.sampled_from(sorted(RULES)), st.integers(0, 130), st.sampled_from((int, str)),
+                          st.sampled_from((None, 1, 2)))), st.integers(1, 12), st.integers(1, 200))
+def test_bounds_hold_after_each_message_and_all_are_accounted_for(
+    many: list[tuple[str, int, type, int | None]], most: int, most_bytes: int,
+) -> None:
+    box = Outbox(RULES, most, most_bytes)
+    for part, size, kind, life in many:
+        box.put(item(part, bytes(size), kind, life))
+        assert len(box) <= most and box.size <= most_bytes
+        for name, rule in RULES.items():
+            waiting = box.parts[name]
+            assert len(waiting.items) <= rule.most_messages
+            assert waiting.size == sum(len(one.body) for one in waiting.items.values()) <= rule.most_bytes
+            assert len(waiting.newest) <= len(waiting.items)
+    assert len(said(box)) + box.dropped + box.void == len(many)
+
+
+def test_waits_double_up_to_the_most_and_chance_shortens_them_within_bounds() -> None:
+    late, early = Retry(lambda: 0.0), Retry(lambda: 0.999)
+    waits = []
+    for _ in range(8):
+        late.failed(0)
+        early.failed(0)
+        waits.append(late.wait_us(0))
+        assert retry.LEAST_US <= early.wait_us(0) <= late.wait_us(0)
+    assert waits == [200_000, 400_000, 800_000, 1_600_000, 3_200_000, 5_000_000, 5_000_000, 5_000_000]
+    assert early.wait_us(0) < retry.MOST_US * 0.51 and early.wait_us(retry.MOST_US) == 0
+
+
+def test_a_link_that_breaks_at_once_is_no_good_one_but_one_that_lasted_is() -> None:
+    one = Retry(lambda: 0.0)
+    for _ in range(3):
+        one.opened(0)
+        one.failed(retry.GOOD_US - 1)
+    assert one.failures == 3
+    one.opened(0)
+    one.failed(retry.GOOD_US)
+    assert (one.failures, one.wait_us(retry.GOOD_US)) == (1, retry.LEAST_US)
+    one.closed(0)
+    assert (one.failures, one.wait_us(0)) == (0, 0)
+
+
+def test_a_silent_peer_is_found_only_while_something_is_unacknowledged() -> None:
+    pulse = Pulse(4, 50, 60)
+    assert all(pulse.beat(0, 0) is Verdict.LIVES for _ in range(20))
+    pulse.on_sent()
+    pulse.on_bytes()
+    assert [pulse.beat(0, 0) for _ in range(5)] == [Verdict.LIVES] * 4 + [Verdict.SILENT]
+    pulse = Pulse(4, 50, 60)
+    pulse.on_sent()
+    pulse.on_ack(1)
+    assert all(pulse.beat(0, 0) is Verdict.LIVES for _ in range(20))
+
+
+def test_a_peer_that_speaks_and_does_not_read_is_found_but_a_slow_reader_is_not() -> None:
+    def beats(drained: int, acks: bool) -> list[Verdict]:
+        pulse, found = Pulse(4, 5, 60), []
+        for number in range(20):
+            pulse.on_sent()
+            pulse.on_bytes()
+            if acks:
+                pulse.on_ack(number)
+            found.append(pulse.beat(number * drained, 1000))
+        return found
+
+    assert beats(0, False)[:5] == [Verdict.LIVES] * 4 + [Verdict.STALLED]
+    assert beats(1, False) == beats(0, True) == [Verdict.LIVES] * 20
+
+
+def test_a_link_without_messages_is_idle_and_one_with_messages_either_way_is_not() -> None:
+    pulse = Pulse(4, 5, 3)
+    for step in (pulse.on_heard, lambda: (pulse.on_sent(), pulse.on_ack(1))):
+        step()
+        assert [pulse.beat(0, 0) for _ in range(4)] == [Verdict.LIVES] * 3 + [Verdict.IDLE]
+
+
+def test_what_was_never_sent_cannot_be_acknowledged() -> None:
+    pulse = Pulse(4, 5, 60)
+    pulse.on_sent()
+    for wrong in (2, -1):
+        try:
+            pulse.on_ack(wrong)
+        except ValueError:
+            continue
+        raise AssertionError(wrong)
+
+
+def test_a_turn_ends_by_steps_or_by_time_and_always_takes_one_step() -> None:
+    turn, steps = Turn(0), 0
+    while turn.another(0):
+        steps += 1
+    assert steps == MOST_STEPS
+    late = Turn(0)
+    assert late.another(10 * MOST_TURN_US) and not late.another(10 * MOST_TURN_US)
+    turn = Turn(0)
+    assert turn.another(0) and turn.another(BEGIN_US - 1) and not turn.another(BEGIN_US)
+
+
+def test_unproven_connections_are_bounded_in_all_and_of_each_source() -> None:
+    places = Places(5, 3)
+    assert [places.take("x") for _ in range(4)] == [True, True, True, False]
+    assert [places.take("y") for _ in range(3)] == [True, True, False] and places.refused == 2
+    places.leave("x")
+    assert places.take("y") and not places.take("z")
+    for source in ("x", "x", "y", "y", "y"):
+        places.leave(source)
+    assert not places.taken
--- /dev/null
+++ b/tests/council/links/test_frames.py
@@ -0,0 +1,71 @@
+"""Frames: only the next one of the same session and side opens, and no length makes room before its time."""
+
+import pytest
+
+from molereach.council.links import frames
+from molereach.council.links.frames import DIALLER, LISTENER, TAG_BYTES, Cutter, FrameError, Opener
+
+KEY, SESSION = b"k" * 32, b"s" * 32
+BODIES = [b"one", b"two" * 100, b"\0"]
+
+
+def sealed() -> bytes:
+    sealer = frames.Sealer(KEY, SESSION, DIALLER)
+    return b"".join(map(sealer.seal, BODIES))
+
+
+def opened(data: bytes, step: int = 1 << 20, *, key: bytes = KEY, session: bytes = SESSION,
+           direction: bytes = DIALLER) -> list[bytes]:
+    """What opens of a stream that comes in pieces of `step` bytes."""
+    cutter, opener = Cutter(frames.MOST_BODY_BYTES, TAG_BYTES), Opener(key, session, direction)
+    found = []
+    for start in range(0, len(data), step):
+        cutter.feed(data[start:start + step])
+        while (frame := cutter.next()) is not None:
+            found.append(opener.open(frame))
+    return found
+
+
+@pytest.mark.parametrize("step", [1, 7, 1000])
+def test_bodies_come_whole_however_the_stream_is_cut(step: int) -> None:
+    assert opened(sealed(), step) == BODIES
+
+
+@pytest.mark.parametrize("other", [{"key": b"o" * 32}, {"session": b"o" * 32}, {"direction": LISTENER}])
+def test_frames_of_another_key_session_or_side_do_not_open(other: dict[str, bytes]) -> None:
+    with pytest.raises(FrameError, match="tag"):
+        opened(sealed(), **other)
+
+
+def test_a_frame_doubled_left_out_or_overtaken_does_not_open() -> None:
+    sealer = frames.Sealer(KEY, SESSION, DIALLER)
+    first, second = sealer.seal(b"first"), sealer.seal(b"second")
+    for data in (first + first, second, second + first):
+        with pytest.raises(FrameError, match="tag"):
+            opened(data)
+
+
+def test_a_flipped_bit_anywhere_is_never_taken_for_a_body() -> None:
+    whole = frames.Sealer(KEY, SESSION, DIALLER).seal(b"a body")
+    for place in range(len(whole)):
+        data = bytearray(whole)
+        data[place] ^= 1
+        try:
+            assert opened(bytes(data)) == []  # a longer length: the frame is not whole
+        except FrameError:
+            continue
+        assert place < frames.HEAD_BYTES
+
+
+@pytest.mark.parametrize("size", [0, frames.MOST_BODY_BYTES + 1, (1 << 32) - 1])
+def test_a_length_out_of_bounds_is_refused_by_its_four_bytes_alone(size: int) -> None:
+    cutter = Cutter(frames.MOST_BODY_BYTES, TAG_BYTES)
+    cutter.feed(size.to_bytes(frames.HEAD_BYTES, "big"))
+    with pytest.raises(FrameError, match=f"{size} bytes"):
+        cutter.next()
+
+
+@pytest.mark.parametrize("size", [0, frames.MOST_BODY_BYTES + 1])
+def test_a_body_that_would_not_be_taken_is_not_sealed(size: int) -> None:
+    with pytest.raises(FrameError, match=f"{size} bytes"):
+        frames.Sealer(KEY, SESSION, DIALLER).seal(bytes(size))
