--- a/molereach/council/membership/beliefs.py
+++ b/molereach/council/membership/beliefs.py
@@ -41,11 +41,10 @@
         return Rumour(self.me.name, self.me.number, self.incarnation, status)
 
     def words_for(self, name: str) -> tuple[Rumour, ...]:
-        """What a message to that one says first: who asks, and what it may have to refute (buddy system)."""
+        """What a message to that one says first: who speaks, and what is believed of who hears (the buddy
+        system), so that it can refute it, or end where that is a later run."""
         member = self.table.members.get(name)
-        if member is None or member.status is Status.ALIVE:
-            return (self.own(),)
-        return self.own(), member.rumour
+        return (self.own(), member.rumour) if member else (self.own(),)
 
     def everything(self) -> list[Rumour]:
         return [self.own(), *(member.rumour for member in self.table.members.values())]
@@ -79,12 +78,12 @@
             return []
         return self.hear(now, Rumour(sender.name, sender.number, 0, Status.ALIVE))
 
-    def newer(self, sender: Life) -> Rumour | None:
-        """The word on a later run than the one that speaks, which must hear of it and end."""
+    def newer(self, sender: Life) -> bool:
+        """Whether a later run than the one that speaks is known; that one must hear of it and end."""
         if sender.name == self.me.name:
-            return self.own() if sender.number < self.me.number else None
+            return sender.number < self.me.number
         member = self.table.members.get(sender.name)
-        return member.rumour if member and member.rumour.number > sender.number else None
+        return member is not None and member.rumour.number > sender.number
 
     def _confirm(self, rumour: Rumour) -> None:
         """One more accuser of one that is suspected here under the same incarnation."""
--- a/molereach/council/membership/words.py
+++ b/molereach/council/membership/words.py
@@ -15,6 +15,7 @@
 
 MOST_MESSAGE_BYTES = 1_200
 MOST_FRAME_BYTES = 150  # of a message without its rumours: the longest is a PingReq with a name of 64
+LEAST_RUMOUR_BYTES = 7
 MOST_RUMOURS = 128  # that fit in any message; a longer list is refused before its members are looked at
 MOST_INCARNATION = 1 << 53
 MOST_SEQ = (1 << 32) - 1
@@ -112,8 +113,10 @@
     """Those of the rumours, in order, that fit together in one message; one that does not is passed over."""
     room = MOST_MESSAGE_BYTES - MOST_FRAME_BYTES
     for rumour in rumours:
+        if most <= 0 or room < LEAST_RUMOUR_BYTES:
+            return
         size = len(_encoder.encode(rumour))
-        if most > 0 and size <= room:
+        if size <= room:
             room, most = room - size, most - 1
             yield rumour
 
--- a/tests/council/membership/world.py
+++ b/tests/council/membership/world.py
@@ -1,7 +1,7 @@
 """A small virtual world of front doors: one heap of deliveries, faults by link and by node, a fixed seed.
 
-All that is said goes through the wire's encoding. A node that stands still gets its mail late and all at once,
-and its Tick late too, before or after the mail; a slow one handles everything late.
+All that is said goes through the wire's encoding. A node that stands still gets its mail late and all at
+once, and its Tick late too, before or after the mail; a slow one handles everything late.
 """
 
 import heapq
@@ -12,7 +12,7 @@
 from molereach.council.membership.core import Event, Membership
 from molereach.council.membership.events import Changed, Displaced, Doubts, Join, Leave
 from molereach.council.membership.settings import MembershipSettings
-from molereach.council.membership.words import Status, decode, encode
+from molereach.council.membership.words import Status, Sync, decode, encode, pieces
 
 SETTINGS = MembershipSettings()
 BEAT = SETTINGS.beat_us
@@ -55,6 +55,7 @@
         self.now, self.order = 0, 0
         self.heap: list[tuple[int, int, Node, Event]] = []
         self.nodes: dict[str, Node] = {}
+        self.twins: list[Node] = []  # further processes under a name that another one has
         self.runs = 0
         self.bad: set[tuple[str, str]] = set()  # links, from and to
         self.side: dict[str, int] = {}  # of a cut; links between sides are bad
@@ -65,8 +66,8 @@
 
     def start(self, name: str, seeds: tuple[str, ...] = (), number: int | None = None) -> Node:
         self.runs += 1
-        core = Membership(Life(name, self.runs if number is None else number), self.settings, self.chance.random)
-        node = self.nodes[name] = Node(core)
+        me = Life(name, self.runs if number is None else number)
+        node = self.nodes[name] = Node(Membership(me, self.settings, self.chance.random))
         self.give(node, Join(seeds))
         return node
 
@@ -83,6 +84,19 @@
             node.sent = 0
         return nodes
 
+    def acquainted(self, size: int) -> list[Node]:
+        """The same for many, who are told of one another at once."""
+        nodes = [self.start(f"d{number:03}") for number in range(size)]
+        parts = pieces([node.core._beliefs.own() for node in nodes])
+        for node in nodes:
+            for part in parts:
+                self.give(node, Heard(nodes[0 if node is not nodes[0] else 1].core.me, Sync(part)))
+            node.core._beliefs.gossip.told.clear()
+        assert all(len(node.core.alive()) == size for node in nodes)
+        for node in nodes:
+            node.changes.clear()
+        return nodes
+
     def kill(self, name: str) -> None:
         self.nodes.pop(name).killed = True
 
@@ -142,9 +156,11 @@
         data = encode(action.message)
         node.sent += 1
         self.longest = max(self.longest, len(data))
-        to = self.nodes.get(action.to)
-        if to is None or (action.life is not None and action.life != to.core.me.number):
+        runs = [run for run in (self.nodes.get(action.to), *self.twins) if run and run.name == action.to]
+        meant = [run for run in runs if action.life in (None, run.core.me.number)]
+        if not meant:
             return
+        to = max(meant, key=lambda run: run.core.me.number)
         if (node.name, to.name) in self.bad or self.side.get(node.name) != self.side.get(to.name):
             return
         if self.chance.random() < self.loss:
