Sessions: an opening settled after its holder left is closed again; scripted tests of each core

Need: a holder that left while its opening had no answer came back to life when that was settled late. It now closes such a session, and its proposals are a part of their own, with one id and the time of the first try.

Also: the reason of a loss is not told again of the next session, and openings without an answer go with at most 10 beats between them, counted from try to try.

--- a/molereach/council/leases/holder.py
+++ b/molereach/council/leases/holder.py
@@ -1,17 +1,14 @@
 """A front door's own session: opened, renewed each beat, and found to be over before others take it for over.
 
 It counts from when it asked, by its own clock, for less than the duration: whoever ends it counts from later
-and for more. Each ask has a number of its own, and a grant renews from the time of that ask alone. A session
-that has lapsed here but is not ended in the log may be renewed under the same fence; one that was ended is
-opened anew once its end was applied here, so that all that was settled meanwhile is known before anything is
-done again.
+and for more. A session that has lapsed here but is not ended in the log may be renewed under the same fence;
+one that was ended is opened anew once that was applied here, so what was settled meanwhile is known first.
 
 Sources: Gray and Cheriton, "Leases" (SOSP 1989), section 2; Burrows, "The Chubby lock service" (OSDI 2006),
 section 2.8.
 """
 
 from collections.abc import Callable, Sequence
-from enum import Enum
 
 from molereach.council.interface import (
     NEVER_US,
@@ -26,30 +23,19 @@
     Tick,
 )
 from molereach.council.leases.asks import Asks
-from molereach.council.leases.bodies import MACHINE, Close, Open, encode
+from molereach.council.leases.bodies import MACHINE, Body, Close, Open
+from molereach.council.leases.proposal import WITHIN_BEATS, Proposal
 from molereach.council.leases.sessions import Sessions
-from molereach.council.leases.words import BEAT_US, Ask, Granted, Held, Leave, Lost
+from molereach.council.leases.words import BEAT_US, Ask, Granted, Held, Leave, Lost, Phase
 
 MOST_BACKOFF_BEATS = 10
-WITHIN_BEATS = 4  # for one proposal
 
 Event = Tick | Applied | Restored | ProposalOver | Granted | Leads | Leave
 Action = Propose | Ask | Held | Lost
 
 
-class Phase(Enum):
-    """Where the session stands, by the log as it was applied here."""
-
-    ABSENT = "absent"  # to be opened
-    OPEN = "open"
-    LEAVING = "leaving"
-    LEFT = "left"
-    SUPERSEDED = "superseded"  # a higher life has the name: this run must start anew
-
-
 class Holder:
-    """Implements `Session`. `Applied` is to be handed in after all that stands on the log has acted on it, as
-    the position is then told as applied."""
+    """Implements `Session`. `Applied` is handed in after all that stands on the log has acted on it."""
 
     def __init__(
         self, life: Life, sessions: Sessions, terms: Terms, draw: Callable[[], float], beat_us: int = BEAT_US
@@ -65,9 +51,8 @@
         self._asks = Asks(life)
         self._misses = 0  # tries without an answer, while nothing is held
         self._next_us = 0  # when it asks or proposes next
-        self._id = ""  # of the proposal to open that is under way, the same until it has an answer
-        self._first_us = 0  # when that was made first
-        self._close_id = ""
+        self._opening: Proposal | None = None
+        self._closing: Proposal | None = None
 
     # --- Session ---
 
@@ -88,8 +73,6 @@
 
     @property
     def wake_us(self) -> int:
-        if self.phase in (Phase.LEFT, Phase.SUPERSEDED):
-            return NEVER_US
         return min(self._next_us, self._until_us) if self._held else self._next_us
 
     def handle(self, now_us: int, event: Event) -> Sequence[Action]:
@@ -99,7 +82,7 @@
             case Applied():
                 self.position = event.entry.position
                 if event.entry.machine == MACHINE:
-                    mine = event.entry.id == self._id
+                    mine = self._opening is not None and event.entry.id == self._opening.id
                     self._follow(now_us, event.entry.position if mine else 0)
             case Restored():
                 self.position = event.position
@@ -119,10 +102,10 @@
     def _tell(self, now_us: int) -> list[Action]:
         """Say when it begins or ceases to be held."""
         held, before = (self._fence if self.holds(now_us) else 0), self._held
-        if held == before:
-            return []
         self._held = held
         why, self._why = self._why or "not renewed in time", ""
+        if held == before:
+            return []
         lost: list[Action] = [Lost(before, why)] if before else []
         return [*lost, Held(held)] if held else lost
 
@@ -142,28 +125,31 @@
 
     def _open(self, now_us: int, fence: int, mine: int) -> None:
         # Where another proposal opened it than the one under way, only a grant says from when it counts.
-        self._over("ended in the log", Phase.LEAVING if self.phase is Phase.LEAVING else Phase.OPEN)
-        self._until_us = self._first_us + self.terms.held_us if fence == mine else 0
+        made_us = self._opening.first_us if self._opening and fence == mine else None
+        leaves = self.phase in (Phase.LEAVING, Phase.LEFT)  # an opening that was settled late is closed again
+        self._over("ended in the log", Phase.LEAVING if leaves else Phase.OPEN)
+        self._until_us = 0 if made_us is None or leaves else made_us + self.terms.held_us
         self._fence, self._next_us, self._misses = fence, now_us, 0
 
     def _over(self, why: str, phase: Phase) -> None:
-        self._fence, self._until_us, self._id, self._why, self.phase = 0, 0, "", why, phase
+        self._fence, self._until_us, self._why, self.phase = 0, 0, why, phase
+        self._opening = self._closing = None
         self._asks.forget()
 
     def _proposed(self, now_us: int, event: ProposalOver) -> None:
-        if event.id == self._close_id:
+        if self._closing and event.id == self._closing.id:
             self._next_us = now_us + self.beat_us
-        if event.id != self._id or not self._id:
+        if self._opening is None or event.id != self._opening.id:
             return
-        self._next_us = now_us + self._backoff_us()
+        self._next_us = max(now_us, self._opening.tried_us + self._backoff_us())
         if event.over is Over.SETTLED:
             self._follow(now_us, event.position)
         # Settled, and applied here, and no session of it is open: refused, or over again already.
         settled = event.over is Over.SETTLED and self.position >= event.position
         if settled or event.over is Over.REFUSED:
-            self._id = ""
+            self._opening = None
         if self.phase is Phase.LEAVING and not self._fence:
-            self.phase = Phase.LEFT  # if it is settled yet, it is held by nobody, and ends by time
+            self.phase = Phase.LEFT  # if it is settled yet, it is held by nobody
 
     # --- renewals, and the end in order ---
 
@@ -176,7 +162,7 @@
                 self._next_us = min(self._next_us, now_us + self.beat_us)
 
     def _leave(self, now_us: int) -> None:
-        if self.phase is Phase.OPEN or (self.phase is Phase.ABSENT and self._id):
+        if self.phase is Phase.OPEN or (self.phase is Phase.ABSENT and self._opening):
             self.phase, self._until_us, self._next_us, self._why = Phase.LEAVING, 0, now_us, "leaves"
             self._asks.forget()
         elif self.phase is Phase.ABSENT:
@@ -189,25 +175,26 @@
 
     def _due(self, now_us: int) -> list[Action]:
         """Ask, or propose, and say when next."""
-        within_us = WITHIN_BEATS * self.beat_us
         match self.phase:
             case Phase.OPEN:
                 self._next_us = now_us + (self.beat_us if self._held else self._backoff_us())
                 self._misses = 0 if self._held else self._misses + 1
                 return [self._asks.make(now_us, self._fence, self.position)]
             case Phase.ABSENT:
-                if not self._id:
-                    self._id, self._first_us = self._draw_id("open"), now_us
-                self._misses, self._next_us = self._misses + 1, now_us + within_us + self.beat_us
-                return [Propose(MACHINE, self._id, encode(Open(self.life)), within_us)]
-            case Phase.LEAVING:
-                self._next_us = now_us + within_us + self.beat_us
-                if not self._fence:  # its opening has no answer yet
-                    return []
-                self._close_id = self._close_id or self._draw_id("close")
-                return [Propose(MACHINE, self._close_id, encode(Close(self.life, self._fence)), within_us)]
+                self._misses += 1
+                self._opening = self._opening or self._draw(now_us, "open", Open(self.life))
+                return [self._propose(now_us, self._opening)]
+            case Phase.LEAVING if self._fence:
+                self._closing = self._closing or self._draw(now_us, "close", Close(self.life, self._fence))
+                return [self._propose(now_us, self._closing)]
             case _:
+                self._next_us = NEVER_US
                 return []
 
-    def _draw_id(self, what: str) -> str:
-        return f"{what}.{self.life.number:x}.{int(self.draw() * (1 << 53)):x}"
+    def _draw(self, now_us: int, what: str, body: Body) -> Proposal:
+        return Proposal(f"{what}.{self.life.number:x}.{int(self.draw() * (1 << 53)):x}", body, now_us)
+
+    def _propose(self, now_us: int, proposal: Proposal) -> Propose:
+        # The log's word on it comes before that, unless it is lost.
+        self._next_us = now_us + (WITHIN_BEATS + 1) * self.beat_us
+        return proposal.tell(now_us, self.beat_us)
--- a/molereach/council/leases/keeper.py
+++ b/molereach/council/leases/keeper.py
@@ -29,12 +29,11 @@
     Tick,
 )
 from molereach.council.leases.bodies import MACHINE, Ended, Keeping, encode
+from molereach.council.leases.proposal import WITHIN_BEATS
 from molereach.council.leases.rounds import Rounds
 from molereach.council.leases.sessions import Sessions
 from molereach.council.leases.words import BEAT_US, Ask, Asked, Given, Grant
 
-WITHIN_BEATS = 4  # for one proposal, after which it is made again with the same id
-
 Event = Leads | Asked | Confirmed | Tick | Applied | Restored | ProposalOver
 Action = Confirm | Given | Propose
 
--- a/molereach/council/leases/words.py
+++ b/molereach/council/leases/words.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass
+from enum import Enum
 from typing import Annotated
 
 from msgspec import Meta
@@ -56,6 +57,16 @@
     grants: tuple[Grant, ...]
 
 
+class Phase(Enum):
+    """Where the session stands, by the log as it was applied here."""
+
+    ABSENT = "absent"  # to be opened
+    OPEN = "open"
+    LEAVING = "leaving"
+    LEFT = "left"
+    SUPERSEDED = "superseded"  # a higher life has the name: this run must start anew
+
+
 @dataclass(frozen=True, slots=True)
 class Leave:
     """Event for the holder: close the session in order. From here on it is not held."""
--- a/tests/council/leases/mutants.py
+++ b/tests/council/leases/mutants.py
@@ -6,10 +6,10 @@
 from molereach.council.leases.accounts import Account
 from molereach.council.leases.asks import Asks
 from molereach.council.leases.bodies import Ended, decode, encode
-from molereach.council.leases.holder import Holder, Phase
+from molereach.council.leases.holder import Holder
 from molereach.council.leases.keeper import Keeper
 from molereach.council.leases.sessions import Opened, Past, Sessions
-from molereach.council.leases.words import Ask, Asked, Given, Grant, Granted
+from molereach.council.leases.words import Ask, Asked, Given, Grant, Granted, Phase
 from tests.council.leases.world import TERMS, Cores
 
 
--- /dev/null
+++ b/tests/council/leases/test_accounts.py
@@ -0,0 +1,127 @@
+"""The account of an entry: who is missing and why, and when the proof is whole."""
+
+from molereach.council.interface import (
+    Accounted,
+    Applied,
+    Known,
+    Leads,
+    Life,
+    Outcome,
+    Restored,
+    S,
+    Session,
+    Terms,
+)
+from molereach.council.leases.accounts import Account, Missing
+from molereach.council.leases.bodies import Body, Close, Ended, Keeping, Open
+from molereach.council.leases.keeper import Keeper
+from molereach.council.leases.permits import RULES, Use, may
+from molereach.council.leases.sessions import Sessions
+from molereach.council.leases.words import Ask, Asked
+from tests.council.leases.entries import A, B, C, entry
+
+D = Life("d", 1)
+ANEW = Life("b", 2)
+
+
+class Leader:
+    """A replica with its keeper, at ballot 1."""
+
+    def __init__(self, order: list[tuple[Life, Body | None]]) -> None:
+        self.sessions, self.now = Sessions(), 0
+        self.keeper = Keeper(self.sessions, Terms())
+        self.keeper.handle(0, Leads("k", 1, True))
+        self.position = 0
+        for proposer, body in order:
+            self.learn(proposer, body)
+
+    def learn(self, proposer: Life, body: Body | None) -> None:
+        """None for an entry of another machine."""
+        self.position += 1
+        step = entry(self.position, body or b"", proposer, machine="sessions" if body else "other")
+        outcome = self.sessions.apply(step) if body else Outcome()
+        self.keeper.handle(self.now, Applied(step, outcome))
+
+    def said(self, life: Life, fence: int, applied: int) -> None:
+        self.keeper.handle(self.now, Asked((Ask(life.name, life.number, fence, 1, applied),)))
+
+    def account(self, position: int = 5) -> Account:
+        return Account(position, self.sessions, self.keeper, self.now)
+
+
+OPENED: list[tuple[Life, Body | None]] = [(D, Open(D)), (C, Open(C)), (B, Open(B)), (A, Open(A)), (A, None)]
+SINCE: list[tuple[Life, Body | None]] = [
+    (A, Keeping(1)), (ANEW, Open(ANEW)), (A, Ended(C, 2, 1)), (D, Close(D, 1)), (C, Open(C))]
+
+
+def test_who_is_missing_since_when_and_why() -> None:
+    leader = Leader(OPENED)
+    leader.now = 3 * S
+    account = leader.account()
+    leader.said(A, 4, 3)
+    leader.now = 4 * S
+    missing = account.pending()
+    assert [each.door for each in missing] == [A, B, C, D]
+    assert missing[0] == Missing(A, 3 * S, 3, 3 * S, "applied only to 3")
+    assert missing[1] == Missing(B, 3 * S, 0, None, "nothing heard since 3000000")
+    assert account.proof() is None
+
+
+def test_one_that_was_heard_before_the_entry_alone_is_silent_since() -> None:
+    leader = Leader(OPENED)
+    leader.said(A, 4, 3)
+    leader.now = 3 * S
+    assert leader.account().pending()[0].why == "nothing heard since 0"
+
+
+def test_each_is_accounted_for_in_its_own_way_and_the_proof_is_by_name() -> None:
+    leader = Leader(OPENED + SINCE)
+    account = leader.account()
+    leader.said(A, 4, 4)
+    assert account.proof() is None and [each.door for each in account.pending()] == [A]
+    leader.said(A, 4, 5)
+    assert account.pending() == () and account.proof() == (
+        Accounted(A, Known.SAID, 5), Accounted(B, Known.ANEW, 7), Accounted(C, Known.OVER, 8),
+        Accounted(D, Known.LEFT, 9))
+
+
+def test_one_that_opened_after_the_entry_needs_no_account() -> None:
+    leader = Leader([(A, None), (A, Open(A))])
+    assert leader.account(1).proof() == ()
+
+
+def test_nothing_is_proven_before_the_entry_was_applied_here() -> None:
+    leader = Leader(OPENED[:4])
+    for life, fence in ((A, 4), (B, 3), (C, 2), (D, 1)):
+        leader.said(life, fence, 5)
+    account = leader.account()
+    assert account.proof() is None
+    leader.learn(A, None)
+    assert account.proof() is not None
+
+
+def test_another_leader_comes_to_the_same_proof_also_from_a_snapshot() -> None:
+    one, other, third = Leader(OPENED + SINCE), Leader(OPENED + SINCE), Leader([])
+    third.sessions.restore(one.sessions.snapshot())
+    third.keeper.handle(0, Restored(10))
+    one.said(A, 4, 5)
+    other.now = 9 * S
+    other.said(A, 4, 10)  # asked later
+    third.said(A, 4, 7)
+    assert one.account().proof() == other.account().proof() == third.account().proof() is not None
+
+
+class _Held:
+    """A session that ends at 10."""
+
+    fence = applied = 1
+
+    def holds(self, now_us: int) -> bool:
+        return now_us < 10
+
+
+def test_each_use_hangs_on_the_session_but_serving() -> None:
+    session: Session = _Held()
+    assert set(RULES) == set(Use)
+    for use in Use:
+        assert may(use, session, 9) and may(use, session, 10) is (use is Use.SERVE)
--- /dev/null
+++ b/tests/council/leases/test_holder.py
@@ -0,0 +1,309 @@
+"""The holder: what renews, what does not, and how it opens, backs off and leaves."""
+
+from collections.abc import Sequence
+from itertools import pairwise
+from typing import Any
+
+import pytest
+
+from molereach.council.interface import (
+    Applied,
+    Leads,
+    Life,
+    Over,
+    ProposalOver,
+    Propose,
+    Restored,
+    S,
+    Terms,
+    Tick,
+)
+from molereach.council.leases.asks import MOST_ASKS
+from molereach.council.leases.bodies import Body, Close, Ended, Open, decode
+from molereach.council.leases.holder import Holder
+from molereach.council.leases.sessions import Sessions
+from molereach.council.leases.words import BEAT_US, Ask, Grant, Granted, Held, Leave, Lost, Phase
+from tests.council.leases.entries import A, B, entry
+from tests.council.leases.mutants import NumbersUsedAgain
+
+TERMS = Terms()
+LATER = 100 * S
+
+
+class Here:
+    """A holder, its replica, and a log that settles what it is told to."""
+
+    def __init__(self, life: Life = A, holder: type[Holder] = Holder, at_us: int = 0) -> None:
+        self.sessions, self.now, self.position = Sessions(), at_us, 0
+        self.holder = holder(life, self.sessions, TERMS, lambda: 0.5)
+        self.life = life
+
+    def handle(self, event: Any) -> Sequence[Any]:  # noqa: ANN401
+        return self.holder.handle(self.now, event)
+
+    def settle(self, body: Body | bytes, name: str = "", proposer: Life | None = None) -> Sequence[Any]:
+        self.position += 1
+        step = entry(self.position, body, proposer or self.life, name)
+        return self.handle(Applied(step, self.sessions.apply(step)))
+
+    def open(self) -> Sequence[Any]:
+        """Open at once; the actions on its entry."""
+        [propose] = self.handle(Tick())
+        assert isinstance(propose, Propose) and decode(propose.body) == Open(self.life)
+        return self.settle(propose.body, propose.id)
+
+    def ask(self) -> Ask:
+        while True:
+            self.now = max(self.now, self.holder.wake_us)
+            for each in self.handle(Tick()):
+                if isinstance(each, Ask):
+                    return each
+
+    def grant(self, ask: Ask, **changed: Any) -> Sequence[Any]:  # noqa: ANN401
+        fields = {"name": ask.name, "life": ask.life, "fence": ask.fence, "number": ask.number} | changed
+        return self.handle(Granted((Grant(**fields),)))
+
+    @property
+    def holds(self) -> bool:
+        return self.holder.holds(self.now)
+
+
+def test_it_counts_from_when_the_opening_was_proposed_first() -> None:
+    here = Here()
+    [first] = here.handle(Tick())
+    here.now = 2 * S
+    here.handle(ProposalOver(first.id, Over.UNKNOWN))
+    here.now = max(here.now, here.holder.wake_us)
+    [again] = here.handle(Tick())
+    assert again == first, "the same id, as either may be settled"
+    here.now = 4 * S
+    assert Held(1) in here.settle(first.body, first.id) and here.holder.fence == 1
+    assert here.holder.holds(TERMS.held_us - 1) and not here.holder.holds(TERMS.held_us)
+
+
+def test_an_opening_settled_too_late_is_renewed_by_a_grant() -> None:
+    here = Here()
+    [propose] = here.handle(Tick())
+    here.now = 6 * S
+    [ask] = here.settle(propose.body, propose.id)
+    assert not here.holds and here.holder.fence == 0
+    assert here.grant(ask) == [Held(1)] and here.holds
+
+
+def test_a_refused_opening_is_proposed_anew_and_counts_from_then() -> None:
+    here = Here()
+    [first] = here.handle(Tick())
+    here.handle(ProposalOver(first.id, Over.REFUSED))
+    assert here.holder.wake_us > 0, "not at once"
+    here.now = here.holder.wake_us
+    here.holder.draw = lambda: 0.7
+    [second] = here.handle(Tick())
+    assert second.id != first.id
+    here.settle(second.body, second.id)
+    assert here.holder.holds(here.now + TERMS.held_us - 1)
+
+
+def test_a_session_counts_from_the_ask_and_not_from_its_grant() -> None:
+    here = Here()
+    here.open()
+    ask = here.ask()
+    asked_us = here.now
+    here.now += 2 * S
+    here.grant(ask)
+    assert here.holder.holds(asked_us + TERMS.held_us - 1) and not here.holder.holds(asked_us + TERMS.held_us)
+
+
+def test_what_is_not_for_an_open_ask_of_this_session_renews_nothing() -> None:
+    here = Here()
+    here.open()
+    ask = here.ask()
+    until_us = TERMS.held_us
+    for changed in ({"name": "b"}, {"life": 2}, {"fence": 2}, {"number": ask.number + 1}):
+        here.grant(ask, **changed)
+        assert not here.holder.holds(until_us)
+    here.grant(ask)
+    assert here.holder.holds(until_us)
+
+
+def test_old_and_doubled_grants_and_grants_of_forgotten_asks_renew_nothing() -> None:
+    here = Here()
+    here.open()
+    first, second = here.ask(), here.ask()
+    asked_us = here.now
+    here.grant(second)
+    for old in (first, second):
+        here.now += 100_000
+        here.grant(old)
+        assert not here.holder.holds(asked_us + TERMS.held_us)
+    oldest = here.ask()
+    for _ in range(MOST_ASKS):
+        here.ask()
+    here.grant(oldest)
+    assert len(here.holder._asks._open) == MOST_ASKS and not here.holds
+
+
+def test_numbers_go_on_when_the_session_is_opened_anew() -> None:
+    here = Here()
+    here.open()
+    old = here.ask()
+    here.now = 6 * S
+    reopened = [each for each in here.settle(Ended(A, 1, 0)) if isinstance(each, Propose)]
+    here.settle(reopened[0].body, reopened[0].id)
+    assert here.ask().number > old.number
+
+
+@pytest.mark.parametrize("holder, wrong", [(Holder, False), (NumbersUsedAgain, True)])
+def test_a_grant_to_an_earlier_life_renews_nothing_of_the_next(holder: type[Holder], wrong: bool) -> None:
+    """The grant was on its way when the front door started anew; nothing was given to the new life, so by its
+    keeper's count it is over `over_us` after its opening."""
+    before = Here(A, holder)
+    before.open()
+    old = before.ask()
+    again = Here(Life("a", 2), holder, LATER)
+    again.open()
+    opened_us = again.now
+    again.now += S
+    assert again.ask().number == old.number
+    again.grant(old)
+    assert again.holder.holds(opened_us + TERMS.over_us) is wrong
+
+
+def test_it_is_over_by_itself_and_says_so_and_is_renewed_under_the_same_fence() -> None:
+    here = Here()
+    here.open()
+    here.ask()
+    late = Lost(1, "not renewed in time")
+    here.now = TERMS.held_us
+    assert here.handle(Tick())[0] == late and here.holder.fence == 0
+    assert Held(1) in here.grant(here.ask()) and here.holder.fence == 1
+
+
+def test_it_wakes_when_its_time_is_over() -> None:
+    here = Here()
+    here.open()
+    for _ in range(20):
+        here.now = here.holder.wake_us
+        if any(isinstance(each, Lost) for each in here.handle(Tick())):
+            break
+    assert here.now == TERMS.held_us
+
+
+def test_it_asks_each_beat_while_it_holds_and_backs_off_to_ten_beats() -> None:
+    here = Here()
+    here.open()
+    asked = []
+    for _ in range(30):
+        here.ask()
+        asked.append(here.now)
+    gaps = [later - earlier for earlier, later in pairwise(asked)]
+    assert gaps[:8] == [BEAT_US] * 8 and gaps[-1] == 10 * BEAT_US and max(gaps) == 10 * BEAT_US
+    here.handle(Leads("b", 2, False))
+    assert here.holder.wake_us - here.now <= BEAT_US, "one that may answer leads"
+
+
+def test_openings_without_an_answer_are_made_again_and_back_off_to_ten_beats() -> None:
+    here, made = Here(), []
+    for _ in range(12):
+        here.now = max(here.now, here.holder.wake_us)
+        [propose] = here.handle(Tick())
+        made.append(here.now)
+        here.now += propose.within_us
+        here.handle(ProposalOver(propose.id, Over.UNKNOWN))
+    assert made[-1] - made[-2] == 10 * BEAT_US
+
+
+def test_it_opens_anew_only_once_its_end_was_applied_here() -> None:
+    here = Here()
+    here.open()
+    here.now = 20 * S
+    here.ask()  # nobody answers: its session may be over, but it has not applied so
+    assert all(not isinstance(each, Propose) for each in here.handle(Tick()))
+    [propose] = here.settle(Ended(A, 1, 0))
+    assert decode(propose.body) == Open(A)
+    # The log's word alone does not open it: what was settled up to there must have been applied here.
+    here.handle(ProposalOver(propose.id, Over.SETTLED, here.sessions.apply(entry(9, Open(A), A)), 9))
+    assert not here.holds and here.holder.phase is Phase.ABSENT
+    assert here.handle(Restored(9)) and here.holder.phase is Phase.OPEN
+
+
+def test_a_session_that_came_by_snapshot_is_held_by_a_grant_alone() -> None:
+    here = Here()
+    here.handle(Tick())
+    here.sessions.apply(entry(4, Open(A), A))
+    [ask] = here.handle(Restored(4))
+    assert not here.holds and ask == Ask("a", 1, 4, 1, 4)
+    assert here.grant(ask) == [Held(4)]
+
+
+def test_an_opening_that_is_over_before_it_is_seen_here_is_made_anew_with_another_id() -> None:
+    here = Here()
+    [propose] = here.handle(Tick())
+    outcome = here.sessions.apply(entry(4, Open(A), A))
+    here.sessions.apply(entry(5, Ended(A, 4, 0)))
+    here.handle(Restored(5))
+    here.handle(ProposalOver(propose.id, Over.SETTLED, outcome, 4))
+    here.holder.draw = lambda: 0.7
+    here.now = here.holder.wake_us
+    [again] = here.handle(Tick())
+    assert again.id != propose.id
+
+
+def test_a_later_life_of_its_name_ends_it_for_good() -> None:
+    here = Here()
+    here.open()
+    assert here.settle(Open(Life("a", 2)), proposer=Life("a", 2)) == [Lost(1, "a later life has the name")]
+    here.now = LATER
+    assert not here.handle(Tick()) and not here.holds and here.holder.phase is Phase.SUPERSEDED
+
+
+def test_it_tells_what_it_has_applied_and_knows_what_was_heard() -> None:
+    here = Here()
+    here.open()
+    for _ in range(3):
+        here.settle(b"", proposer=B)
+    ask = here.ask()
+    assert ask.applied == 4 and here.holder.applied == 0
+    here.grant(ask)
+    assert here.holder.applied == 4
+
+
+def test_it_does_not_hold_from_the_moment_it_asks_to_close() -> None:
+    here = Here()
+    here.open()
+    ask = here.ask()
+    lost, close = here.handle(Leave())
+    assert lost == Lost(1, "leaves") and decode(close.body) == Close(A, 1) and not here.holds
+    here.grant(ask)
+    assert not here.holds
+    here.now += close.within_us
+    here.handle(ProposalOver(close.id, Over.UNKNOWN))
+    here.now = here.holder.wake_us
+    assert here.handle(Tick()) == [close]
+    here.settle(close.body, close.id)
+    assert here.holder.phase is Phase.LEFT
+    here.now = LATER
+    assert here.handle(Tick()) == [] and here.handle(Leads("b", 2, False)) == []
+
+
+def test_one_that_leaves_before_it_was_opened_closes_what_is_settled_late() -> None:
+    here = Here()
+    [propose] = here.handle(Tick())
+    assert here.handle(Leave()) == [] and here.holder.phase is Phase.LEAVING
+    here.handle(ProposalOver(propose.id, Over.UNKNOWN))
+    assert here.holder.phase is Phase.LEFT
+    [close] = here.settle(propose.body, propose.id)
+    assert decode(close.body) == Close(A, 1) and not here.holds
+    idle = Here()
+    idle.handle(Leave())
+    assert idle.holder.phase is Phase.LEFT and idle.handle(Tick()) == []
+
+
+def test_why_it_was_lost_is_not_told_of_the_next_session() -> None:
+    here = Here()
+    here.open()
+    here.now = 6 * S
+    here.handle(Tick())
+    [propose] = here.settle(Ended(A, 1, 0))
+    here.settle(propose.body, propose.id)
+    here.now += TERMS.held_us
+    assert here.handle(Tick())[0] == Lost(here.position, "not renewed in time")
--- /dev/null
+++ b/tests/council/leases/test_keeper.py
@@ -0,0 +1,233 @@
+"""The keeper: when it gives, when it ends a session, and when it does neither."""
+
+from collections.abc import Sequence
+from typing import Any
+
+from molereach.council.interface import (
+    NEVER_US,
+    Applied,
+    Confirm,
+    Confirmed,
+    Leads,
+    Life,
+    Over,
+    ProposalOver,
+    Propose,
+    Restored,
+    S,
+    Terms,
+    Tick,
+)
+from molereach.council.leases.bodies import Body, Close, Ended, Keeping, Open, decode
+from molereach.council.leases.keeper import Keeper
+from molereach.council.leases.rounds import MOST_ROUNDS
+from molereach.council.leases.sessions import Sessions
+from molereach.council.leases.words import BEAT_US, Ask, Asked, Given, Grant
+from tests.council.leases.entries import A, B, entry
+
+TERMS = Terms()
+OVER_US = TERMS.over_us + 1  # by whole microseconds of a clock
+
+
+class Here:
+    """A keeper at ballot 7, with a session of `a` opened at position 1 and its `Keeping` at position 2."""
+
+    def __init__(self, keeps: bool = True) -> None:
+        self.sessions, self.now, self.position = Sessions(), 0, 0
+        self.keeper = Keeper(self.sessions, TERMS)
+        self.settle(Open(A))
+        if keeps:
+            self.handle(Leads("k", 7, True))
+            self.settle(Keeping(7))
+
+    def handle(self, event: Any) -> Sequence[Any]:  # noqa: ANN401
+        return self.keeper.handle(self.now, event)
+
+    def settle(self, body: Body, proposer: Life = A) -> Sequence[Any]:
+        self.position += 1
+        step = entry(self.position, body, proposer)
+        return self.handle(Applied(step, self.sessions.apply(step)))
+
+    def asked(self, number: int, applied: int = 0, fence: int = 1, life: Life = A) -> Sequence[Any]:
+        return self.handle(Asked((Ask(life.name, life.number, fence, number, applied),)))
+
+    def given(self, token: int, ballot: int = 7) -> list[int]:
+        """The numbers of the asks that are given upon a confirmation."""
+        actions = self.handle(Confirmed(token, ballot))
+        return [grant.number for each in actions if isinstance(each, Given) for grant in each.grants]
+
+    def ends(self) -> list[Propose]:
+        """Go to where the end is due and confirm."""
+        self.now = self.keeper.wake_us
+        [confirm] = self.handle(Tick())
+        return [each for each in self.handle(Confirmed(confirm.token, 7)) if isinstance(each, Propose)]
+
+
+def test_a_renewal_is_given_after_a_round_that_began_after_the_ask() -> None:
+    here = Here()
+    [first] = here.asked(1)
+    assert isinstance(first, Confirm)
+    assert here.asked(2) == [], "the round that is out began before this ask"
+    first_given, second = here.handle(Confirmed(first.token, 7))
+    assert first_given == Given((Grant("a", 1, 1, 1),)) and isinstance(second, Confirm)
+    assert here.given(first.token) == [], "an answer counts once"
+    assert here.given(second.token) == [2]
+
+
+def test_a_later_round_lets_pass_what_waited_for_an_earlier_one() -> None:
+    here = Here()
+    [first] = here.asked(1)
+    here.settle(Open(B), B)
+    here.asked(1, fence=3, life=B)
+    here.now += BEAT_US
+    [second] = here.handle(Tick())
+    assert here.given(second.token) == [1, 1] and here.given(first.token) == []
+
+
+def test_nothing_is_given_under_another_ballot_or_by_one_that_does_not_lead() -> None:
+    here = Here()
+    [confirm] = here.asked(1)
+    assert here.given(confirm.token, 6) == [] == here.given(confirm.token, 8)
+    here.handle(Leads("other", 8, False))
+    assert here.given(confirm.token) == [] and here.keeper.wake_us == NEVER_US and here.asked(2) == []
+    here.handle(Leads("k", 9, True))
+    here.settle(Keeping(9))
+    assert here.given(confirm.token, 9) == [], "what was asked of its earlier time is void"
+
+
+def test_nothing_is_given_or_ended_before_its_own_keeping_is_in_the_log() -> None:
+    here = Here(keeps=False)
+    [propose] = here.handle(Leads("k", 7, True))
+    assert decode(propose.body) == Keeping(7) and here.asked(1) == []
+    here.now = 20 * S
+    assert here.handle(Tick()) == [propose], "no word came: again, with the same id"
+    here.handle(ProposalOver(propose.id, Over.UNKNOWN))
+    assert here.keeper.wake_us == here.now + BEAT_US
+    here.now += BEAT_US
+    assert here.handle(Tick()) == [propose]
+    [confirm] = here.settle(Keeping(7))
+    [given] = here.handle(Confirmed(confirm.token, 7))
+    assert given == Given((Grant("a", 1, 1, 1),)), "what was asked meanwhile is given, and not ended"
+
+
+def test_it_gives_way_to_a_later_keeper_before_it_is_told() -> None:
+    here = Here()
+    [confirm] = here.asked(1)
+    here.settle(Keeping(8), B)
+    assert here.given(confirm.token) == [] and not here.keeper.keeps and here.keeper.wake_us == NEVER_US
+
+
+def test_asks_that_are_not_of_the_open_session_or_not_new_are_passed_over() -> None:
+    here = Here()
+    assert here.asked(1, fence=2) == here.asked(1, life=Life("a", 2)) == here.asked(1, life=B) == []
+    [confirm] = here.asked(4)
+    assert here.given(confirm.token) == [4]
+    assert here.asked(4) == here.asked(3) == []
+    [confirm] = here.asked(6)
+    here.asked(5)
+    here.settle(Close(A, 1))
+    assert here.given(confirm.token) == [], "closed since"
+
+
+def test_an_end_is_proposed_after_the_time_and_once_it_is_confirmed() -> None:
+    here = Here()
+    assert here.keeper.wake_us == OVER_US
+    here.now = OVER_US - 1
+    assert here.handle(Tick()) == []
+    here.now = OVER_US
+    [confirm] = here.handle(Tick())
+    assert isinstance(confirm, Confirm), "an end waits for a word from the panel"
+    [propose] = here.handle(Confirmed(confirm.token, 7))
+    assert decode(propose.body) == Ended(A, 1, 7) and here.handle(Tick()) == []
+
+
+def test_a_round_from_before_the_end_was_due_does_not_let_it_pass() -> None:
+    here = Here()
+    here.now = OVER_US - 1
+    here.settle(Open(B), B)
+    [confirm] = here.asked(1, fence=3, life=B)
+    here.now = OVER_US
+    assert [type(each) for each in here.handle(Confirmed(confirm.token, 7))] == [Given, Confirm]
+
+
+def test_without_a_word_from_the_panel_nothing_is_ended_and_rounds_are_bounded() -> None:
+    here = Here()
+    for _ in range(40):
+        here.now = here.keeper.wake_us
+        [confirm] = here.handle(Tick())
+        assert isinstance(confirm, Confirm)
+    assert len(here.keeper._rounds._out) == MOST_ROUNDS and here.now >= OVER_US + 39 * BEAT_US
+
+
+def test_what_was_proposed_as_ended_is_given_nothing_more_and_is_proposed_again() -> None:
+    here = Here()
+    [propose] = here.ends()
+    for over in (Over.UNKNOWN, Over.REFUSED):
+        here.handle(ProposalOver(propose.id, over))
+        assert here.keeper.wake_us == here.now + BEAT_US
+        assert here.asked(9) == [], "held back, also where the end is not certain"
+        assert here.ends() == [propose], "with the same id"
+    here.handle(ProposalOver(propose.id, Over.SETTLED))
+    assert here.asked(10) == []
+
+
+def test_an_ask_that_waited_when_the_end_was_proposed_is_not_given() -> None:
+    here = Here()
+    here.now = OVER_US
+    [confirm] = here.handle(Tick())
+    here.asked(1)  # after the round that lets the end pass
+    propose, second = here.handle(Confirmed(confirm.token, 7))
+    assert isinstance(propose, Propose) and here.given(second.token) == []
+
+
+def test_an_ask_that_came_in_time_of_the_round_is_given_and_nothing_is_ended() -> None:
+    here = Here()
+    here.now = OVER_US
+    [first] = here.handle(Tick())
+    here.asked(1)
+    here.now += BEAT_US
+    [second] = here.handle(Tick())
+    assert here.given(second.token) == [1] and here.keeper.wake_us == here.now + OVER_US
+    assert first.token != second.token
+
+
+def test_a_new_leader_takes_all_as_given_when_it_was_elected() -> None:
+    here = Here()
+    here.handle(Leads("other", 8, False))
+    here.now = 9 * S
+    here.handle(Leads("k", 9, True))
+    here.settle(Keeping(9))
+    assert here.keeper.wake_us == here.now + OVER_US
+    here.handle(Leads("k", 9, True))  # told again
+    assert here.keeper.keeps
+
+
+def test_a_session_counts_from_when_its_opening_was_applied_here() -> None:
+    here = Here()
+    here.now = 3 * S
+    here.sessions.apply(entry(3, Open(B), B))
+    here.handle(Restored(3))
+    assert here.keeper.wake_us == OVER_US, "that of a, which was open before"
+    here.settle(Close(A, 1))
+    assert here.keeper.wake_us == 3 * S + OVER_US and here.keeper.position == 3
+
+
+def test_a_keeper_that_was_stopped_counts_from_when_it_gave() -> None:
+    here = Here()
+    [confirm] = here.asked(1)
+    here.now = 100 * S  # stopped between the round and its answer
+    assert here.given(confirm.token) == [1] and here.keeper.wake_us == 100 * S + OVER_US
+
+
+def test_what_was_said_only_grows_and_is_of_one_session() -> None:
+    here = Here()
+    here.now = S
+    here.asked(2, applied=5)
+    here.now = 2 * S
+    here.asked(1, applied=3)
+    kept = here.keeper.said("a", 1)
+    assert kept and (kept.applied, kept.heard_us) == (5, 2 * S)
+    assert here.keeper.said("a", 2) is None and here.keeper.said("b", 1) is None
+    here.settle(Open(Life("a", 2)), Life("a", 2))
+    kept = here.keeper.said("a", 3)
+    assert kept and (kept.applied, kept.heard_us) == (0, None)
