Council's log: Multi-Paxos with one batch open, starts that are vouched for, changes of panel

Front doors are to settle entries whatever fails. Made general from the agents' single decrees: an acceptor holds one promise for all later positions and one accepted batch, so a batch costs one round trip; the panel of a position is what the entries before it say, and after a change the leader asks the new panel's promises anew.

Entries may be learned in part of a batch: a batch is accepted and proposed again whole, so what is left of it stays an accepted value. Instances by batch were ruled out, as whoever learned half of one would open another.

A seat votes after a start once more than half of all seats, its own not counted, wrote its run down; votes of runs that another voter knows to be over are void. A disk set back is found, and votes no more.

--- /dev/null
+++ b/molereach/council/log/leader.py
@@ -0,0 +1,111 @@
+"""One try to lead: a majority's promises, then one batch after another, one at a time.
+
+Source: Lamport, "Paxos Made Simple" (2001), section 3. Promises hold for all later positions under the same
+panel, so a batch costs one round trip. The first batch is the highest that was accepted among the promises,
+whole. After a change of panel the new panel's promises are asked for before anything else is proposed.
+"""
+
+from collections.abc import Callable
+from enum import Enum
+
+from molereach.council.interface import Entry
+from molereach.council.log.confirm import Rounds
+from molereach.council.log.learner import OWN, Learner
+from molereach.council.log.panel import majority
+from molereach.council.log.recovery import settled
+from molereach.council.log.settings import MOST_BATCH, MOST_BATCH_BYTES, Settings
+from molereach.council.log.words import Ask, Ballot, Panel, Promise, Voter
+
+
+class Phase(Enum):
+    PREPARING = "preparing"  # asks a majority to promise
+    LEADING = "leading"  # has their promises
+
+
+class Leadership:
+    """State of one ballot of this front door."""
+
+    def __init__(self, ballot: Ballot, after: int, now_us: int) -> None:
+        self.ballot = ballot
+        self.rounds = Rounds()
+        self.heard: dict[str, int] = {}  # when each disk was last heard to follow
+        self.elected = False  # had a majority's promises once
+        self.prepare(after, now_us)
+
+    def prepare(self, after: int, now_us: int) -> None:
+        """Ask for promises about all that follows this position."""
+        self.phase, self.after, self.since_us = Phase.PREPARING, after, now_us
+        self.promises: dict[str, Promise] = {}
+        self.batch: tuple[Entry, ...] = ()  # proposed, and not known to be decided
+        self.votes: dict[str, Voter] = {}
+        self.inherited = False  # the batch was proposed by an earlier leader
+
+    @property
+    def leads(self) -> bool:
+        """Has all that was decided before it: what it says of the log holds."""
+        return self.phase is Phase.LEADING and not self.inherited
+
+    def promised(self, disk: str, word: Promise, panel: Panel) -> bool:
+        """Take a promise; whether that makes a majority. Then `batch` is what must be proposed first."""
+        if self.phase is not Phase.PREPARING or word.after != self.after:
+            return False
+        self.promises[disk] = word
+        if not settled({key: promise.voter for key, promise in self.promises.items()}, panel):
+            return False
+        highest = max(self.promises.values(), key=lambda promise: promise.accepted_at)
+        self.phase, self.elected = Phase.LEADING, True
+        self.batch, self.inherited = highest.accepted, bool(highest.accepted)
+        return True
+
+    def propose(self, entries: tuple[Entry, ...]) -> None:
+        assert self.leads and not self.batch
+        self.batch, self.votes = entries, {}
+
+    def accepted(self, disk: str, last: int, voter: Voter, panel: Panel) -> tuple[Entry, ...]:
+        """Take a vote; the batch, once it is decided by it."""
+        if not self.batch or last != self.batch[-1].position:
+            return ()
+        self.votes[disk] = voter
+        if not settled(self.votes, panel):
+            return ()
+        batch, self.batch, self.votes, self.inherited = self.batch, (), {}, False
+        return batch
+
+    def followed(self, panel: Panel, now_us: int, within_us: int) -> bool:
+        """Whether a majority was heard of late."""
+        heard = sum(now_us - self.heard.get(seat.disk, self.since_us) < within_us for seat in panel)
+        return heard >= majority(panel)
+
+
+class Queue:
+    """Proposals that wait for a leader's next batch, each once."""
+
+    def __init__(self, settings: Settings, wall_ms: Callable[[int], int]) -> None:
+        self.settings, self.wall_ms = settings, wall_ms
+        self.asks: dict[str, Ask] = {}
+
+    def add(self, ask: Ask, learner: Learner) -> None:
+        """One more, unless it is known, too old to judge, or there are too many: then it is told again."""
+        if learner.once.find(ask.id) or not learner.once.certain(ask.since):
+            return
+        if len(self.asks) < self.settings.most_queued:
+            self.asks.setdefault(ask.id, ask)
+
+    def batch(self, now_us: int, learner: Learner) -> tuple[Entry, ...]:
+        """The next entries. One that may change the panel is the last of its batch."""
+        entries: list[Entry] = []
+        size = 0
+        at_ms = max(self.wall_ms(now_us), learner.at_ms)
+        while self.asks and len(entries) < MOST_BATCH:
+            ask = next(iter(self.asks.values()))
+            size += len(ask.body)
+            if entries and size > MOST_BATCH_BYTES:
+                break
+            del self.asks[ask.id]
+            if learner.once.find(ask.id) or not learner.once.certain(ask.since):
+                continue
+            position = learner.position + 1 + len(entries)
+            entries.append(Entry(position, ask.machine, ask.id, ask.proposer, at_ms, ask.body))
+            if ask.machine == OWN:
+                break
+        return tuple(entries)
--- /dev/null
+++ b/molereach/council/log/learner.py
@@ -0,0 +1,163 @@
+"""What is decided, applied in order: the machines, the panel, the tail kept for others, digests.
+
+All here follows from the entries alone, so it is the same at all front doors at the same position. A machine
+that raises is stopped at this front door and named; the others go on.
+"""
+
+from collections import deque
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from hashlib import blake2b
+
+import msgspec
+
+from molereach.council.interface import Applied, Entry, Outcome, StateMachine
+from molereach.council.log.once import REPEATED, USED, Done, Once
+from molereach.council.log.panel import changed
+from molereach.council.log.records import Snapshot
+from molereach.council.log.settings import MOST_BATCH, MOST_BATCH_BYTES, Settings
+from molereach.council.log.words import Panel
+
+OWN = "log"  # the machine of entries of the log's own; `Entry.machine` cannot be empty once it was sent
+
+
+@dataclass(frozen=True, slots=True)
+class MachineFailed:
+    """Action: a state machine raised and is stopped at this front door."""
+
+    machine: str
+    reason: str
+
+
+def short_hash(body: bytes) -> bytes:
+    return blake2b(body, digest_size=16).digest()
+
+
+class Learner:
+    """All that was decided, as far as it is known here."""
+
+    def __init__(self, panel: Panel, machines: Mapping[str, StateMachine], settings: Settings) -> None:
+        self.settings, self.machines = settings, machines
+        self.panel, self.position, self.chain = panel, 0, b""
+        self.last: Entry | None = None
+        self.once = Once(settings.most_once)
+        self.failed: set[str] = set()
+        self.tail: deque[Entry] = deque()
+        self.tail_bytes = 0
+
+    @property
+    def at_ms(self) -> int:
+        return self.last.at_ms if self.last else 0
+
+    # --- entries ---
+
+    def new(self, entries: Sequence[Entry]) -> tuple[Entry, ...]:
+        """Those that follow what is applied here; none where there is a gap."""
+        fresh = tuple(entry for entry in entries if entry.position > self.position)
+        expected = range(self.position + 1, self.position + 1 + len(fresh))
+        return fresh if [entry.position for entry in fresh] == list(expected) else ()
+
+    def apply(self, entry: Entry) -> list[Applied | MachineFailed]:
+        """Take the next entry."""
+        assert entry.position == self.position + 1
+        self.position, self.last = entry.position, entry
+        self.chain = blake2b(self.chain + msgspec.msgpack.encode(entry), digest_size=32).digest()
+        self._keep(entry)
+        failures: list[Applied | MachineFailed] = []
+        body, done = short_hash(entry.body), self.once.find(entry.id)
+        if done is None:
+            outcome = self._outcome(entry, failures)
+            self.once.add(entry, body, outcome)
+        elif (done.machine, done.body) == (entry.machine, body):
+            outcome = Outcome(REPEATED.format(done.position))
+        else:
+            outcome = Outcome(USED)
+        return [*failures, Applied(entry, outcome)]
+
+    def _outcome(self, entry: Entry, failures: list[Applied | MachineFailed]) -> Outcome:
+        if entry.machine == OWN:
+            self.panel, outcome = changed(self.panel, entry.body)
+            return outcome
+        machine = self.machines.get(entry.machine)
+        if machine is None:
+            return Outcome("no such machine")
+        if entry.machine in self.failed:
+            return Outcome("stopped here by a fault")
+        try:
+            return machine.apply(entry)
+        except Exception as error:
+            failures.append(self._failed(entry.machine, f"at entry {entry.position}: {error!r}"))
+            return Outcome("stopped here by a fault")
+
+    def _failed(self, name: str, reason: str) -> MachineFailed:
+        self.failed.add(name)
+        return MachineFailed(name, reason[:200])
+
+    def outcome_of(self, entry_id: str, machine: str, body: bytes) -> tuple[Done, Outcome] | None:
+        """What a proposal came to, if the table of ids has it."""
+        done = self.once.find(entry_id)
+        if done is None:
+            return None
+        same = (done.machine, done.body) == (machine, short_hash(body))
+        return done, done.outcome if same else Outcome(USED)
+
+    # --- the tail ---
+
+    def _keep(self, entry: Entry) -> None:
+        self.tail.append(entry)
+        self.tail_bytes += len(entry.body)
+        while len(self.tail) > self.settings.most_tail or self.tail_bytes > self.settings.most_tail_bytes:
+            self.tail_bytes -= len(self.tail.popleft().body)
+
+    def following(self, after: int) -> tuple[Entry, ...] | None:
+        """A bounded number of entries after a position; None where the tail does not reach back."""
+        if after >= self.position:
+            return ()
+        if not self.tail or self.tail[0].position > after + 1:
+            return None
+        skip = after + 1 - self.tail[0].position
+        return bounded(self.tail[index] for index in range(skip, min(len(self.tail), skip + MOST_BATCH)))
+
+    # --- snapshots ---
+
+    def snapshot(self) -> Snapshot:
+        machines = {name: machine.snapshot() for name, machine in sorted(self.machines.items())
+                    if name not in self.failed}
+        return Snapshot(self.position, self.last, self.chain, self.panel, tuple(self.once.done.values()),
+                        self.once.floor, machines, tuple(sorted(self.failed)))
+
+    def restore(self, snapshot: Snapshot) -> list[MachineFailed]:
+        """Be what a snapshot says. A machine that cannot is stopped here."""
+        failures = []
+        for name, machine in self.machines.items():
+            data = snapshot.machines.get(name)
+            if name in snapshot.failed:
+                failures.append(self._failed(name, "stopped before, by a fault"))
+            elif data is not None:
+                self.failed.discard(name)
+                try:
+                    machine.restore(data)
+                except Exception as error:
+                    failures.append(self._failed(name, f"snapshot of {snapshot.position}: {error!r}"))
+        self.position, self.last, self.chain = snapshot.position, snapshot.last, snapshot.chain
+        self.panel = snapshot.panel
+        self.once = Once(self.settings.most_once, snapshot.once, snapshot.once_floor)
+        self.tail.clear()
+        self.tail_bytes = 0
+        return failures
+
+    def digest(self) -> str:
+        """Of all entries and all state: equal at equal positions, everywhere."""
+        return blake2b(msgspec.msgpack.encode(self.snapshot()), digest_size=16).hexdigest()
+
+
+def bounded(entries: Iterable[Entry]) -> tuple[Entry, ...]:
+    """As many as go into one word; at least one."""
+    taken: list[Entry] = []
+    size = 0
+    for entry in entries:
+        size += len(entry.body)
+        if taken and (size > MOST_BATCH_BYTES or len(taken) == MOST_BATCH):
+            break
+        taken.append(entry)
+    return tuple(taken)
--- /dev/null
+++ b/molereach/council/log/once.py
@@ -0,0 +1,49 @@
+"""Each proposal is applied once, however often it was told and by whom.
+
+The log keeps the ids of the newest entries with what they came to, as part of its state, so all front doors
+judge a repeat alike. Their number is bounded, so an id that has fallen out is unknown again; therefore who
+asks says what it had applied when it first asked, and an ask from before the window is refused by the
+leader: a word that was a long time under way settles nothing a second time. An id used again by its owner
+after the window (4,096 entries) is a new proposal.
+"""
+
+from collections.abc import Iterable
+from typing import Annotated
+
+from msgspec import Meta
+
+from molereach.council.interface import Entry, Id, Outcome, Position, Wire
+
+REPEATED = "a repeat of the entry at {}"
+USED = "an id used for something else"
+
+
+class Done(Wire, frozen=True):
+    """What the first entry with an id came to."""
+
+    id: Id
+    machine: Annotated[str, Meta(max_length=64)]
+    body: Annotated[bytes, Meta(max_length=16)]  # its BLAKE2b
+    position: Position
+    outcome: Outcome
+
+
+class Once:
+    """The newest ids, in the order of their entries."""
+
+    def __init__(self, most: int, done: Iterable[Done] = (), floor: int = 0) -> None:
+        self.most, self.floor = most, floor  # `floor`: the position of the newest that was dropped
+        self.done = {each.id: each for each in done}
+
+    def find(self, entry_id: str) -> Done | None:
+        return self.done.get(entry_id)
+
+    def add(self, entry: Entry, body: bytes, outcome: Outcome) -> None:
+        self.done[entry.id] = Done(entry.id, entry.machine, body, entry.position, outcome)
+        while len(self.done) > self.most:
+            oldest = next(iter(self.done))
+            self.floor = self.done.pop(oldest).position
+
+    def certain(self, since: int) -> bool:
+        """Whether something first asked at this position would be in the table, had it been applied."""
+        return since >= self.floor
--- /dev/null
+++ b/molereach/council/log/outbox.py
@@ -0,0 +1,101 @@
+"""What leaves, and when: a word that rests on the disk leaves only once the disk has said so.
+
+Words to this front door's own seat go the same way as those to others and come back in order, so its own vote
+counts no earlier than theirs. What does not fit any more is lost, as any word may be.
+"""
+
+from collections import deque
+from dataclasses import dataclass
+from typing import Any
+
+from molereach.council.interface import Life, Persist, Say
+from molereach.council.log.records import Base, Record, encode
+from molereach.council.log.words import Message
+
+MOST_UNSYNCED = 1024  # writes under way: with more, a disk that hangs is given nothing new to vote for
+MOST_WAITING = 4096  # words that wait for the disk
+
+
+@dataclass(frozen=True, slots=True)
+class Stopped:
+    """Action: the disk failed; nothing is promised, accepted or led here any more in this run."""
+
+    reason: str
+
+
+class Outbox:
+    """Actions of one turn, in order, and words that wait for a write."""
+
+    def __init__(self, me: Life) -> None:
+        self.me = me
+        self.actions: list[Any] = []
+        self.mine: deque[Message] = deque()  # to this front door itself
+        self.written, self.synced = 0, 0  # tokens
+        self.failed = False
+        self._records: list[bytes] = []
+        self._base: bytes | None = None
+        self._new: list[tuple[str, Message, int | None]] = []
+        self._waiting: deque[tuple[int, str, Message, int | None]] = deque(maxlen=MOST_WAITING)
+
+    @property
+    def able(self) -> bool:
+        """Whether the disk takes writes and is not far behind."""
+        return not self.failed and self.written - self.synced < MOST_UNSYNCED
+
+    def act(self, action: object) -> None:
+        self.actions.append(action)
+
+    def say(self, to: str, message: Message, life: int | None = None) -> None:
+        """A word that rests on nothing."""
+        if to == self.me.name:
+            self.mine.append(message)
+        else:
+            self.actions.append(Say(to, message, life))
+
+    def vote(self, to: str, message: Message, life: int | None = None) -> None:
+        """A word that rests on all that was written so far, also in this turn."""
+        if not self.failed:
+            self._new.append((to, message, life))
+
+    def write(self, record: Record) -> None:
+        if not self.failed:
+            self._records.append(encode(record))
+
+    def rebase(self, base: Base) -> None:
+        """Write this in place of all before."""
+        if not self.failed:
+            self._base, self._records = encode(base), []
+
+    def flush(self) -> None:
+        """The end of a step: one write for all that it changed; then what may leave."""
+        if self._records or self._base is not None:
+            self.written += 1
+            self.act(Persist(self.written, tuple(self._records), self._base))
+            self._records, self._base = [], None
+        self._waiting.extend((self.written, *word) for word in self._new)
+        self._new.clear()
+        self.release()
+
+    def release(self) -> None:
+        while self._waiting and self._waiting[0][0] <= self.synced:
+            _, to, message, life = self._waiting.popleft()
+            self.say(to, message, life)
+
+    def persisted(self, token: int) -> None:
+        if not self.failed:
+            self.synced = max(self.synced, min(token, self.written))
+
+    def fail(self, reason: str) -> bool:
+        """The disk failed; whether that is new."""
+        if self.failed:
+            return False
+        self.failed = True
+        self._records, self._base = [], None
+        self._new.clear()
+        self._waiting.clear()
+        self.act(Stopped(reason[:200]))
+        return True
+
+    def taken(self) -> list[Any]:
+        actions, self.actions = self.actions, []
+        return actions
--- /dev/null
+++ b/molereach/council/log/proposals.py
@@ -0,0 +1,89 @@
+"""This front door's own proposals: told to the leader again and again until one word ends each.
+
+SETTLED when the entry was applied here; REFUSED when it never left; UNKNOWN when its time is over. An id
+that is under way already has one word for both times that it was given.
+"""
+
+from dataclasses import dataclass
+
+from molereach.council.interface import (
+    MOST_BODY_BYTES,
+    MOST_ID_CHARS,
+    NEVER_US,
+    Life,
+    Over,
+    ProposalOver,
+    Propose,
+)
+from molereach.council.log.learner import OWN, Learner
+from molereach.council.log.settings import Settings
+from molereach.council.log.words import Ask
+
+
+@dataclass(slots=True)
+class _Pending:
+    ask: Ask
+    until_us: int
+    again_us: int
+    told: int = 0
+
+
+class Proposals:
+    """Those under way, by id."""
+
+    def __init__(self, me: Life, settings: Settings, learner: Learner) -> None:
+        self.me, self.settings, self.learner = me, settings, learner
+        self.pending: dict[str, _Pending] = {}
+
+    def propose(self, now_us: int, event: Propose) -> ProposalOver | None:
+        """Take a proposal; its word where it is over at once."""
+        if event.id in self.pending:
+            pending = self.pending[event.id]
+            pending.until_us = max(pending.until_us, now_us + event.within_us)
+            return None
+        machine = event.machine or OWN
+        known = machine == OWN or machine in self.learner.machines
+        fits = len(event.body) <= MOST_BODY_BYTES and 0 < len(event.id) <= MOST_ID_CHARS
+        if not known or not fits or len(self.pending) >= self.settings.most_pending:
+            return ProposalOver(event.id, Over.REFUSED)
+        ask = Ask(machine, event.id, self.me, self.learner.position, event.body)
+        if over := self._settled(ask):
+            return over
+        self.pending[event.id] = _Pending(ask, now_us + event.within_us, now_us)
+        return None
+
+    def _settled(self, ask: Ask) -> ProposalOver | None:
+        found = self.learner.outcome_of(ask.id, ask.machine, ask.body)
+        return ProposalOver(ask.id, Over.SETTLED, found[1], found[0].position) if found else None
+
+    def settle(self) -> list[ProposalOver]:
+        """Those that have been applied here by now."""
+        overs = [over for each in self.pending.values() if (over := self._settled(each.ask))]
+        for over in overs:
+            del self.pending[over.id]
+        return overs
+
+    def expire(self, now_us: int) -> list[ProposalOver]:
+        late = [key for key, each in self.pending.items() if now_us >= each.until_us]
+        for key in late:
+            del self.pending[key]
+        return [ProposalOver(key, Over.UNKNOWN) for key in late]
+
+    def due(self, now_us: int) -> list[tuple[Ask, int]]:
+        """What to tell now, and how often it was told before."""
+        asks = []
+        for each in self.pending.values():
+            if now_us >= each.again_us:
+                asks.append((each.ask, each.told))
+                each.told += 1
+                each.again_us = now_us + self.settings.again_us
+        return asks
+
+    def hurry(self) -> None:
+        """Another leader: tell it at once."""
+        for each in self.pending.values():
+            each.again_us, each.told = 0, 0
+
+    @property
+    def wake_us(self) -> int:
+        return min((min(each.until_us, each.again_us) for each in self.pending.values()), default=NEVER_US)
