--- a/molereach/council/store/plan.py
+++ b/molereach/council/store/plan.py
@@ -17,15 +17,13 @@
 NUMBERED = re.compile(r"(base|tail)\.(0|[1-9][0-9]{0,17})(\.new)?")
 
 
-class MissingError(ValueError):
-    """A file of the set is gone; the text starts with its name."""
+class FileError(ValueError):
+    """A file of the set is gone or wrong; the text starts with its name."""
 
 
 @dataclass(frozen=True, slots=True)
 class Fresh:
-    """Nothing was ever promised here. `remove` in this order, the folder synced after each."""
-
-    remove: tuple[str, ...] = ()
+    """Nothing was ever promised here; a folder that was not finished is written over."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,15 +43,15 @@
 
 
 def plan(names: Iterable[str]) -> Fresh | Kept:
-    """What to do; names that are not ours are let be. `MissingError` is never mended here."""
+    """What to do; names that are not ours are let be. what raises `FileError` is never mended here."""
     present = set(names)
     ours = sorted(name for name in present if NUMBERED.fullmatch(name))
     if IDENTITY in present:
         return kept(present, ours)
     if IDENTITY + NEW in present and set(ours) <= {base_name(0), base_name(0) + NEW, tail_name(0)}:
-        return Fresh(tuple(ours))
+        return Fresh()
     if ours:
-        raise MissingError(f"{IDENTITY}: is missing, and {ours[0]} is there")
+        raise FileError(f"{IDENTITY}: is missing, and {ours[0]} is there")
     return Fresh()
 
 
@@ -65,12 +63,12 @@
             numbers[kind].add(int(number))
     last = max(numbers["base"], default=None)
     if last is None:
-        raise MissingError("base: there is none, though the folder was made")
+        raise FileError("base: there is none, though the folder was made")
     if last not in numbers["tail"]:
-        raise MissingError(f"{tail_name(last)}: is missing")
+        raise FileError(f"{tail_name(last)}: is missing")
     for ahead in sorted(numbers["tail"]):
         if ahead > last and base_name(ahead) + NEW not in present:
-            raise MissingError(f"{base_name(ahead)}: is missing")
+            raise FileError(f"{base_name(ahead)}: is missing")
     rest = [name for name in ours if name not in (base_name(last), tail_name(last))]
     # Unfinished tails first: without its `.new` one would say that its base was lost.
     order = sorted(rest, key=lambda name: (not name.startswith("tail"), name))
--- a/molereach/council/store/reader.py
+++ b/molereach/council/store/reader.py
@@ -6,7 +6,7 @@
 
 from molereach.council.store import frames, whole
 from molereach.council.store.disk import Disk
-from molereach.council.store.plan import IDENTITY, base_name, tail_name
+from molereach.council.store.plan import IDENTITY, FileError, base_name, tail_name
 from molereach.council.store.whole import Owner
 
 T = TypeVar("T")
@@ -22,10 +22,10 @@
 
 
 def load(disk: Disk, door: str, generation: int) -> Held:
-    """OSError, or ValueError that starts with the name of the file that is wrong."""
+    """OSError or `FileError` for the first file that is wrong."""
     owner = judge(disk, IDENTITY, whole.MOST_IDENTITY_FILE_BYTES, whole.decode_owner)
     if owner.door != door:
-        raise ValueError(f"{IDENTITY}: is of front door '{owner.door}', not '{door}'")
+        raise FileError(f"{IDENTITY}: is of front door '{owner.door}', not '{door}'")
     most = whole.BASE_HEAD_BYTES + whole.MOST_BASE_BYTES
     seed, base = judge(disk, base_name(generation), most,
                        lambda data: (whole.seed_of(data), whole.decode_base(owner, generation, data)))
@@ -42,8 +42,8 @@
     """What a file of at most `most` bytes says."""
     data = disk.read(name, most + 1)
     if len(data) > most:
-        raise ValueError(f"{name}: is larger than {most} bytes")
+        raise FileError(f"{name}: is larger than {most} bytes")
     try:
         return decode(data)
     except ValueError as error:
-        raise ValueError(f"{name}: {error}") from error
+        raise FileError(f"{name}: {error}") from error
--- a/molereach/council/store/worker.py
+++ b/molereach/council/store/worker.py
@@ -32,7 +32,7 @@
 
 class Worker:
     """Writes to one store. `done` is called by the loop, in the order of tokens; `DiskFailed` once, then
-    nothing."""
+    nothing. A disk that hangs says nothing, until too much waits."""
 
     def __init__(self, store: Store, done: Callable[[Persisted | DiskFailed], None]) -> None:
         """Within a running loop."""
