Council links: the service over TCP, one link for a pair, and a faulty relay for tests

Need: cores of the council say messages to names and must never wait, fail or lose another link for a peer's sake. Change: Links (service) takes Say and gives Heard; a board keeps one link for each pair and bounds those that are not proven or that others dialled; a peer keeps what waits over links; all links share the budget of one turn, and beats and dials of many are spread over turns.

Weighed, for two dials that cross: closing one of two open links by name afterwards loses what was written to it. Here who has the smaller name refuses the other's hello once it has said its own, and both know the same from the order of words. A link that is up gives way to a new dial of the same run: that peer has lost it, and waiting for silence would keep it out. Bye before a close in order, so that what is on its way is taken. A task or a lock for each peer was ruled out: a queue and turns do.

--- a/molereach/council/links/__init__.py
+++ b/molereach/council/links/__init__.py
@@ -1,7 +1,9 @@
 """TCP between the front doors of a council: a shell with its cores.
 
 Cores, in reading order: `frames` (bytes to bodies and back, each proven), `hello` (who the other side is),
-`words` (bodies to messages of the parts), `queue` (what waits for a peer), `retry` (when to dial), `pulse`
-(whether a link lives), `budget` (how much in one turn), `places` (how many at once); `settings` has their
-figures. Shells: `link` (one connection), `peer` (one front door and its way there), `service` (all of them).
+`words` (bodies to messages of the parts), `pulse` (whether a link lives), `speech` (all that is said on one),
+`queue` (what waits for a peer), `retry` (when to dial), `budget` (how much in one turn), `places` (how many
+unproven); `settings` and `stats` are figures. Shells: `owner` (what a link asks of it), `link` (one
+connection), `turns` (whose turn it is), `peer` (one front door and the way there), `board` (all of them),
+`service` (what the council uses).
 """
--- a/molereach/council/links/retry.py
+++ b/molereach/council/links/retry.py
@@ -30,8 +30,8 @@
         self.up_us = now_us
 
     def closed(self, now_us: int) -> None:
-        """In order: may be dialled at once."""
-        self.failures, self.at_us, self.up_us = 0, 0, None
+        """In order; a peer that has no room and ends one link for another is not dialled without a pause."""
+        self.failures, self.at_us, self.up_us = 0, now_us + LEAST_US, None
 
     def failed(self, now_us: int) -> None:
         """A dial that came to nothing, or a link that broke."""
