--- /dev/null
+++ b/molereach/council/node/parts.py
@@ -0,0 +1,49 @@
+"""The five cores of one front door, made from its settings, and the types that go between them and others."""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from molereach.council.interface import Life, StateMachine
+from molereach.council.leases.holder import Holder
+from molereach.council.leases.keeper import Keeper
+from molereach.council.leases.sessions import Sessions
+from molereach.council.log import words as log_words
+from molereach.council.log.core import LogCore
+from molereach.council.log.records import Recovered
+from molereach.council.log.settings import Settings as LogSettings
+from molereach.council.log.words import Panel
+from molereach.council.membership import words as membership_words
+from molereach.council.membership.core import Membership
+from molereach.council.membership.settings import MembershipSettings
+from molereach.council.node.settings import CouncilSettings
+from molereach.council.spread import words as spread_words
+from molereach.council.spread.core import Spread
+from molereach.council.spread.settings import Settings as SpreadSettings
+
+MEMBERSHIP, LOG, SPREAD = "membership", "log", "spread"
+WORDS: dict[str, Any] = {
+    MEMBERSHIP: membership_words.Message, LOG: log_words.Message, SPREAD: spread_words.Message,
+}
+
+
+class Parts:
+    """All cores of one front door. `machines` are those that stand on the log beside the sessions."""
+
+    def __init__(
+        self, me: Life, settings: CouncilSettings, disk: str, recovered: Recovered, panel: Panel,
+        machines: Mapping[str, StateMachine], draw: Callable[[], float], wall_ms: Callable[[int], int],
+    ) -> None:
+        beat_us = settings.beat_us
+        self.sessions = Sessions()
+        on_log = {self.sessions.name: self.sessions, **machines}
+        self.membership = Membership(
+            me, MembershipSettings(beat_us=beat_us, direct_us=beat_us * 2 // 5), draw)
+        self.log = LogCore(me, disk, recovered, panel, on_log, LogSettings(), draw, wall_ms)
+        self.holder = Holder(me, self.sessions, settings.terms, draw, beat_us)
+        self.keeper = Keeper(self.sessions, settings.terms, beat_us)
+        self.spread = Spread(me, SpreadSettings(beat_us=beat_us), draw)
+
+    @property
+    def wake_us(self) -> int:
+        return min(self.membership.wake_us, self.log.wake_us, self.holder.wake_us, self.keeper.wake_us,
+                   self.spread.wake_us)
--- /dev/null
+++ b/molereach/council/node/settings.py
@@ -0,0 +1,42 @@
+"""What an operator sets about the council, checked as a whole, and the figures that follow from it."""
+
+from dataclasses import dataclass, field
+
+from molereach.council.interface import MOST_DOORS, PANEL_SIZES, S, Terms
+
+MS = 1000  # microseconds in a millisecond
+LEAST_SESSION_BEATS = 4  # or one lost word ends a session
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class CouncilSettings:
+    """The same at all front doors of a council. ValueError names the key that is wrong."""
+
+    doors: dict[str, Address]  # where each listens, by name
+    panel: tuple[str, ...]  # that accepted first; what the log says of it since goes before
+    beat_us: int = 500 * MS
+    terms: Terms = field(default_factory=Terms)
+
+    def __post_init__(self) -> None:
+        if not 1 <= len(self.doors) <= MOST_DOORS:
+            raise ValueError(f"doors: {len(self.doors)} of them; 1 to {MOST_DOORS} can be")
+        if len(set(self.doors.values())) < len(self.doors):
+            raise ValueError("doors: two have one address")
+        if len(self.panel) not in PANEL_SIZES:
+            sizes = ", ".join(map(str, PANEL_SIZES))
+            raise ValueError(f"panel: {len(self.panel)} front doors; {sizes} can be")
+        for name in self.panel:
+            if name not in self.doors:
+                raise ValueError(f"panel: '{name}' is not among the doors")
+            if self.panel.count(name) > 1:
+                raise ValueError(f"panel: '{name}' stands there twice")
+        if self.terms.duration_us < LEAST_SESSION_BEATS * self.beat_us:
+            raise ValueError(f"session_ms: less than {LEAST_SESSION_BEATS} beats")
+        if not 0 <= self.terms.drift <= 0.05:
+            raise ValueError("drift: not from 0 to 0.05")
+
+    @property
+    def doubt_us(self) -> int:
+        """After so long without a word from any other front door, this one hears nobody."""
+        return max(2 * S, 4 * self.beat_us)
--- /dev/null
+++ b/tests/council/node/test_council.py
@@ -0,0 +1,123 @@
+"""Whole council parts of front doors in virtual time: with all well, and after each single fault."""
+
+import pytest
+
+from molereach.council.node.first import first_identity, first_panel
+from molereach.council.node.settings import CouncilSettings
+from sim.council import KEY, CouncilHistory
+from sim.histories import Mail, S
+from sim.troubles import calm, trouble
+
+MS = 1000
+
+
+def well(seed: int = 1, doors: int = 7, seats: int = 5, seconds: int = 6) -> CouncilHistory:
+    """A council that has formed."""
+    play = CouncilHistory(seed, doors, seats)
+    play.run(seconds * S)
+    return play
+
+
+def until(play: CouncilHistory, what: str, seconds: float) -> float:
+    """Seconds until something holds; a failure if it does not in time."""
+    begin = play.now
+    while play.now < begin + seconds * S:
+        play.run(play.now + 20 * MS)
+        play.proofs()
+        if (what == "led" and len(play.leaders()) == 1) or (what in play.marks and play.marks[what].proof_us):
+            return (play.now - begin) / S
+    raise AssertionError(f"not {what} in {seconds} s")
+
+
+def test_a_council_forms_and_all_hold_sessions() -> None:
+    play = well()
+    assert len(play.leaders()) == 1 and all(play.holding(door) for door in range(7))
+    mark = play.mark(6)
+    until(play, mark, 3)
+    told = play.marks[mark]
+    assert told.over_us - told.asked_us <= 200 * MS  # settled at who asked, as the design note says
+    assert len({core.parts.log.digest() for core in play.cored.values()}) == 1
+
+
+def test_a_leader_that_dies_is_replaced_and_its_session_ends_for_all() -> None:
+    play = well()
+    (leader,) = play.leaders()
+    life = play.lives[leader]
+    play.kill(play.nodes[leader], 60 * S)
+    assert until(play, "led", 4) <= 3
+    play.run(play.now + 9 * S)
+    mark = play.mark((leader + 1) % 7)
+    until(play, mark, 3)
+    core = play.cored[play.leaders()[0]]
+    past = core.parts.sessions.past(life.name)
+    assert past is not None and past.life == life
+    assert life.name not in {alive.name for alive in core.parts.membership.alive()}
+
+
+def test_a_front_door_that_stood_still_finds_its_session_over_before_it_acts() -> None:
+    play = well()
+    stopped = next(door for door in range(5, 7))
+    before = play.cored[stopped].parts.holder.fence
+    play.stop(play.nodes[stopped])
+    play.run(play.now + 12 * S)
+    assert not play.holding(stopped)  # by its own clock, whatever it has read
+    mark = play.mark(0)
+    until(play, mark, 3)  # nobody waits for it
+    play.resume(play.nodes[stopped])
+    play.run(play.now + 4 * S)
+    assert play.holding(stopped) and play.cored[stopped].parts.holder.fence > before
+    assert play.cored[stopped].position >= play.marks[mark].position
+
+
+def test_one_bad_link_kills_nobody_and_stops_nothing() -> None:
+    for one_way in (False, True):
+        play = well(seed=3)
+        cut = {(0, 5)} if one_way else {(0, 5), (5, 0)}
+        play.mail = Mail(cut=frozenset(cut))
+        for _ in range(30):
+            play.run(play.now + S)
+            assert all(len(play.cored[door].parts.membership.alive()) == 7 for door in range(7))
+        assert all(play.holding(door) for door in range(7))
+        until(play, play.mark(5), 4)
+
+
+def test_a_side_without_a_majority_settles_nothing_and_loses_its_sessions() -> None:
+    play = well()
+    small = frozenset({0, 1, 6})
+    play.mail = Mail(groups=(small, frozenset(range(7)) - small))
+    lost = play.mark(6, 4 * S)
+    play.run(play.now + 8 * S)
+    assert play.marks[lost].over is not None and play.marks[lost].over.value == "unknown"
+    assert not any(play.holding(door) for door in small) and all(play.holding(door) for door in (2, 3, 4, 5))
+    until(play, play.mark(5), 3)
+    calm(play)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_random_troubles(seed: int) -> None:
+    play = CouncilHistory(seed, (5, 6, 7, 8)[seed % 4], (3, 5)[seed % 2], drift=0.01, offset_us=3600 * S)
+    trouble(play, seed, 12)
+    calm(play)
+
+
+@pytest.mark.parametrize(("panel", "doors", "beat_us", "reason"), [
+    (("a", "b"), "abc", 500_000, "panel: 2 front doors"),
+    (("a", "b", "x"), "abc", 500_000, "panel: 'x' is not among the doors"),
+    (("a", "b", "b"), "abc", 500_000, "panel: 'b' stands there twice"),
+    (("a", "b", "c"), "", 500_000, "doors: 0 of them"),
+    (("a", "b", "c"), "abc", 2_000_000, "session_ms: less than 4 beats"),
+])
+def test_settings_that_cannot_be(panel: tuple[str, ...], doors: str, beat_us: int, reason: str) -> None:
+    addresses = {name: ("127.0.0.1", 7000 + number) for number, name in enumerate(doors)}
+    with pytest.raises(ValueError, match=reason):
+        CouncilSettings(addresses, panel, beat_us)
+
+
+def test_two_front_doors_at_one_address() -> None:
+    with pytest.raises(ValueError, match="two have one address"):
+        CouncilSettings({"a": ("h", 1), "b": ("h", 1)}, ("a", "b", "c"))
+
+
+def test_the_first_panel_is_the_same_for_all_who_have_the_key() -> None:
+    assert first_panel(KEY, ["b", "a", "c"]) == first_panel(KEY, ["c", "b", "a"])
+    assert first_identity(KEY, "a") != first_identity(KEY + b"x", "a") != first_identity(KEY, "b")
