Council links: a peer that fails has less room for what waits, and ended links fill no log

Cause: on reading the bounds again, 200 dead peers could hold 4 MB each. After a failure one holds 128 messages and 256 KB, until it is up; a message that is too large for that is lost and has the peer dialled, as who said it says it again. Ruled out: one bound over all peers, which lets one dead peer take the room of those that live; an age, which leaves the bound to who speaks most. Links that end by a fault are among the few lines a beat, as refusals are: one that breaks each link it opens wrote a line each time.

Seen to fail without it: the two rooms, the dial for what is lost, the trimming.

--- a/molereach/council/links/board.py
+++ b/molereach/council/links/board.py
@@ -169,7 +169,8 @@
             self.line("no link %s: %s", f"to {name}" if name else "for one that dialled", reason)
         peer = self.peers.get(name)
         if peer and peer.ended(link, reason, fault):
-            log.log(logging.WARNING if fault else logging.INFO, "link to %s is down: %s", name, reason)
+            tell = self.line if fault else log.info
+            tell("link to %s is down: %s", name, reason)
             self.tell(self.down, name, reason)
         if peer and not self.closed:
             peer.want()
--- a/molereach/council/links/peer.py
+++ b/molereach/council/links/peer.py
@@ -6,7 +6,7 @@
 from molereach.clock import now_us
 from molereach.council.links.link import Link
 from molereach.council.links.owner import Phase
-from molereach.council.links.queue import Outbox
+from molereach.council.links.queue import DOWN_ROOM, FULL_ROOM, Item, Outbox
 from molereach.council.links.retry import Retry
 from molereach.council.links.stats import PeerStats
 
@@ -23,10 +23,16 @@
         self.dialling: Link | None = None
         self.task: asyncio.Task[None] | None = None  # of the dial, once it has begun
         self.timer: asyncio.TimerHandle | None = None
-        self.again = False  # a link broke: one dial, also with nothing to say
+        self.again = False  # one dial, also with nothing that waits
         self.bytes_in = self.bytes_out = 0  # of links that are over
         self.reason = ""
 
+    def wait(self, item: Item) -> None:
+        """Say it when there is a link. One that is too large to wait for a peer that fails is lost, but who
+        said it will say it again: to a link, if there is one by then."""
+        if not self.outbox.put(item) and not self.link:
+            self.again = True
+
     def want(self) -> None:
         """Dial, now or when it is time, if there is a reason to."""
         if self.link or self.dialling or self.timer or not (self.again or len(self.outbox)):
@@ -47,6 +53,7 @@
         if self.dialling is link:
             self.dialling = None
         self.give_up()
+        self.outbox.fit(FULL_ROOM)
         self.retry.opened(now_us())
         return old
 
@@ -59,6 +66,7 @@
         self.reason = reason
         if fault:
             self.retry.failed(now_us())
+            self.outbox.fit(DOWN_ROOM)
         else:
             self.retry.closed(now_us())
         if used:
--- a/molereach/council/links/queue.py
+++ b/molereach/council/links/queue.py
@@ -9,8 +9,17 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-MOST_PEER_MESSAGES = 1024
-MOST_PEER_BYTES = 4 << 20
+
+@dataclass(frozen=True, slots=True)
+class Room:
+    """For one peer's messages of all parts."""
+
+    messages: int
+    size: int  # bytes
+
+
+FULL_ROOM = Room(1024, 4 << 20)  # it reads, or its link is cut; or it is dialled for the first time
+DOWN_ROOM = Room(128, 256 << 10)  # after a failure: of many dead peers each holds little
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,12 +83,9 @@
 class Outbox:
     """One peer's."""
 
-    def __init__(
-        self, rules: Mapping[str, Rule], most_messages: int = MOST_PEER_MESSAGES,
-        most_bytes: int = MOST_PEER_BYTES,
-    ) -> None:
+    def __init__(self, rules: Mapping[str, Rule], room: Room = FULL_ROOM) -> None:
         self.parts = {name: _Part(rule) for name, rule in rules.items()}
-        self.most_messages, self.most_bytes = most_messages, most_bytes
+        self.room = room
         self.said = 0  # numbers messages
         self.dropped = self.void = 0  # for want of room or of its life; by a later one of their kind
 
@@ -92,7 +98,18 @@
         return sum(part.size for part in self.parts.values())
 
     def over(self) -> bool:
-        return len(self) > self.most_messages or self.size > self.most_bytes
+        return len(self) > self.room.messages or self.size > self.room.size
+
+    def losable(self) -> "_Part | None":
+        """The one with the oldest message of those that may be lost."""
+        return self.oldest([part for part in self.parts.values() if part.rule.losable])
+
+    def fit(self, room: Room) -> None:
+        """Take another room; what may be lost gives way, and the rest is bounded by its part."""
+        self.room = room
+        while self.over() and (loser := self.losable()):
+            loser.remove(loser.first())
+            self.dropped += 1
 
     def put(self, item: Item) -> bool:
         """Whether it waits now; others may have gone for it. KeyError for a part without a rule."""
@@ -102,7 +119,7 @@
         while part.over() or self.over():
             loser = part if part.rule.losable else None
             if loser is None and not part.over():  # the room of all is short, not its own
-                loser = self.oldest([other for other in self.parts.values() if other.rule.losable])
+                loser = self.losable()
             if loser is None:
                 part.remove(self.said)
                 self.dropped += 1
--- a/molereach/council/links/service.py
+++ b/molereach/council/links/service.py
@@ -78,13 +78,13 @@
     def send(self, peer: Peer, item: Item) -> None:
         link = peer.link
         if link is None:
-            peer.outbox.put(item)
+            peer.wait(item)
             if self.server:
                 peer.want()
         elif item.life is not None and item.life != link.life.number:
             peer.outbox.dropped += 1
         elif link.paused or len(peer.outbox):
-            peer.outbox.put(item)  # its turn comes, or the link resumes
+            peer.wait(item)  # its turn comes, or the link resumes
         else:
             link.say(item.body)
 
--- a/tests/council/links/test_cores.py
+++ b/tests/council/links/test_cores.py
@@ -7,7 +7,7 @@
 from molereach.council.links.budget import BEGIN_US, MOST_STEPS, MOST_TURN_US, Turn
 from molereach.council.links.places import Places
 from molereach.council.links.pulse import Pulse, Verdict
-from molereach.council.links.queue import Item, Outbox, Rule
+from molereach.council.links.queue import Item, Outbox, Room, Rule
 from molereach.council.links.retry import Retry
 
 RULES = {
@@ -42,7 +42,7 @@
 
 
 def test_where_the_room_of_all_is_short_what_may_not_be_lost_pushes_out_what_may() -> None:
-    box = Outbox(RULES, most_messages=3)
+    box = Outbox(RULES, Room(3, 1000))
     for part, body in (("log", b"a"), ("hint", b"b"), ("spread", b"c"), ("log", b"d"), ("log", b"e")):
         assert box.put(item(part, body))
     assert not box.put(item("log", b"f")) and box.dropped == 3
@@ -67,12 +67,23 @@
     assert said(box, 7) == [b"0", b"7"] and box.dropped == 1
 
 
+def test_with_less_room_what_may_be_lost_gives_way_and_the_rest_stays_to_its_own_bounds() -> None:
+    box = Outbox(RULES, Room(99, 9999))
+    for number, part in enumerate(("hint", "log", "spread", "log", "hint", "log")):
+        box.put(item(part, b"%d" % number))
+    box.fit(Room(4, 9999))
+    assert box.dropped == 2
+    box.fit(Room(1, 9999))
+    assert box.dropped == 3 and not box.put(item("log", b"6")) and not box.put(item("hint", b"7"))
+    assert said(box) == [b"1", b"3", b"5"]
+
+
 @given(st.lists(st.tuples(st.sampled_from(sorted(RULES)), st.integers(0, 130), st.sampled_from((int, str)),
                           st.sampled_from((None, 1, 2)))), st.integers(1, 12), st.integers(1, 200))
 def test_bounds_hold_after_each_message_and_all_are_accounted_for(
     many: list[tuple[str, int, type, int | None]], most: int, most_bytes: int,
 ) -> None:
-    box = Outbox(RULES, most, most_bytes)
+    box = Outbox(RULES, Room(most, most_bytes))
     for part, size, kind, life in many:
         box.put(item(part, bytes(size), kind, life))
         assert len(box) <= most and box.size <= most_bytes
--- a/tests/council/links/test_service.py
+++ b/tests/council/links/test_service.py
@@ -9,6 +9,7 @@
 from molereach.council.links.board import BEATS_AT_ONCE, DIALS_AT_ONCE
 from molereach.council.links.budget import MOST_STEPS
 from molereach.council.links.hello import HelloError
+from molereach.council.links.queue import DOWN_ROOM
 from molereach.council.links.settings import LinkSettings
 from molereach.council.links.words import Bye
 from tests.council.links.doors import BY_HAND, HOST, PARTS, Door, Other, Raw, State, Word, doors, spin
@@ -253,16 +254,20 @@
     async def job() -> None:
         a, c = await doors("a", "c")
         with socket.create_server((HOST, 0)) as taken:
-            a.book["b"] = taken.getsockname()[:2]
+            a.book["b"] = a.book["d"] = taken.getsockname()[:2]
         b = Door("b", a.book)
         for number in range(10_000):
             a.say("b", number, "x" * 100, part="hint")
             a.links.say("log", Say("b", State(number)))
+            a.say("d", number, "x" * 100)
             assert a.links.board.peers["b"].outbox.size <= 1 << 16
+            assert len(a.links.board.peers["d"].outbox) <= 256
         a.say("c", 1)
         await c.until_heard(1)
         stats = a.links.stats().peers["b"]
         assert stats.queued == 101 and stats.dropped == 9_900
+        await spin(lambda: a.links.stats().peers["d"].failures)
+        assert a.links.stats().peers["d"].queued == DOWN_ROOM.messages
         await b.start()
         await b.until_heard(9_999)
         await b.until(lambda: len(b.heard) == 101)
@@ -271,6 +276,27 @@
     run(job())
 
 
+def test_a_peer_that_failed_has_less_room_until_it_is_up_and_is_dialled_for_what_is_too_large() -> None:
+    async def job() -> None:
+        a, b = await doors("a", "b")
+        there = a.book["b"]
+        with socket.create_server((HOST, 0)) as taken:
+            a.book["b"] = taken.getsockname()[:2]
+        a.say("b", 1, "x" * 900_000)
+        await spin(lambda: a.links.stats().peers["b"].failures)
+        assert a.links.stats().peers["b"].queued == 0
+        a.book["b"] = there
+        a.say("b", 2, "x" * 900_000)
+        await a.until(a.ups)
+        a.say("b", 3, "x" * 900_000)
+        for number in range(4, 34):
+            a.say("b", number, "x" * 60_000)
+        await b.until_heard(33)
+        assert b.numbers == list(range(3, 34))
+
+    run(job())
+
+
 def test_a_link_with_nothing_to_say_closes_in_order_and_takes_what_was_said_meanwhile() -> None:
     async def job() -> None:
         a, b = await doors("a", "b", settings=LinkSettings(beat_s=3600, most_idle=3))
