--- a/tests/council/spread/test_bounds.py
+++ b/tests/council/spread/test_bounds.py
@@ -137,6 +137,7 @@
     tell(core, 2, "d09", Up(0, 1, (ask("d09", 7), ask("d09", 1, fence=6), ask("d09", 1, life=9))))
     tell(core, 3, "d10", Up(0, 1, (ask("d09", 6),)))
     tell(core, 4, "d09", Up(0, 1, (ask("d09", 8),)))
+    tell(core, 4, "d09", Up(0, 1, (ask("d09", 7),)))
     tell(core, 5, "d09", Up(0, 1, (ask("d01", 99),)))  # in its own name: from itself alone
     (up,) = said(core.handle(BEAT, Tick()), Up).values()
     assert set(up.asks) == {ask("d09", 8), ask("d09", 1, fence=6), ask("d09", 1, life=9)}
@@ -188,6 +189,8 @@
     tell(core, 1, "d01", Up(0, 1, (ask("d01"), ask("d09"))))
     tell(core, 1, "d02", Up(0, 1, (ask("d02"),)))
     core.handle(1, Mine(ask("d00")))
+    core.handle(1, Mine(ask("d00", 2, life=9)))
+    core.handle(1, Mine(ask("d05")))
     (gathered,) = [action for action in core.handle(BEAT * 3 // 4, Tick()) if isinstance(action, Gathered)]
     assert gathered.asks == (ask("d00"), ask("d01"), ask("d09"), ask("d02"))
     assert Gathered((ask("d00"), ask("d03"))) in tell(core, BEAT * 7 // 8, "d03", Up(0, 1, (ask("d03"),)))
@@ -248,7 +251,14 @@
     words = said(core.handle(6, Grown(10, (entry(10),))), Down)
     assert words["d09"].entries == words["d10"].entries == () and words["d10"].decided == 10
     tell(core, 7, "d10", Up(9, 1))
-    for position in range(11, 200):
+    tell(core, 7, "d10", Up(8, 1))  # overtaken
+    words = said(core.handle(7, Grown(11, (entry(11),))), Down)
+    assert [one.position for one in words["d10"].entries] == [10, 11]
+    assert [one.position for one in said(tell(core, 7, "d11", Up(10, 1)), Down)["d11"].entries] == [11]
+    for position in range(12, 100):
+        core.handle(8, Grown(position, (entry(position),)))
+        assert len(core.below.pass_on.tail) <= MOST_ENTRIES
+    for position in range(100, 200):
         for word in said(core.handle(8, Grown(position, (entry(position, b"x" * 5000),))), Down).values():
             assert len(msgspec.msgpack.encode(word.entries)) <= 32 << 10
         assert len(core.below.pass_on.tail) <= MOST_ENTRIES
@@ -262,6 +272,7 @@
     assert tell(core, 4, "d00", Down(3, 1, "d00", 0, 7, (entry(7),))) == [Fetch("d00")]
     assert tell(core, 5, "d00", Down(3, 1, "d00", 0, 8)) == []  # it was said just now
     core.handle(6, Grown(8))
+    assert not tell(core, 7, "d00", Down(3, 1, "d00", 0, 8, (entry(9), entry(11))))  # a hole
     # What the log was given and lost is fetched after a beat.
     assert Learn((entry(9),)) in tell(core, BEAT, "d00", Down(3, 2, "d00", 0, 9, (entry(9),)))
     assert Fetch("d00") not in tell(core, BEAT * 2, "d00", Down(3, 3, "d00", 0, 9))
--- a/tests/council/spread/test_faults.py
+++ b/tests/council/spread/test_faults.py
@@ -29,11 +29,16 @@
 def test_an_inner_door_dies_and_nobody_says_so(count: int) -> None:
     world = World(count)
     world.start()
-    for name in ("door-000", "door-002", "door-003"):  # of the leader's children
+    dead = ("door-000", "door-002", "door-003")  # of the leader's children
+    for name in dead:
         world.kill(name)
+    before = world.parents()
+    world.moves.clear()
     all_reach_all(world, 5)
-    orphans = [name for name, parent in world.parents().items() if parent in ("door-000", "door-002")]
-    assert not orphans
+    after = world.parents()
+    for name, parent in before.items():
+        assert after[name] not in dead
+        assert parent in dead or not world.moves[name]  # those further down stay where they are
     world.view()
     world.run(40)
     steady(world)
--- a/tests/council/spread/world.py
+++ b/tests/council/spread/world.py
@@ -66,6 +66,7 @@
         self.said: Counter[tuple[str, str]] = Counter()
         self.peers: defaultdict[str, set[str]] = defaultdict(set)
         self.fetches = 0
+        self.moves: Counter[str] = Counter()  # from one parent to another
         self.most_up_over = 0  # bytes of a word up over 48 for each front door below
         for at in range(count):
             name = f"door-{at:03}"
@@ -140,6 +141,7 @@
                     node.granted.setdefault(grant.number, self.now)
             case Parent():
                 assert action.name != name
+                self.moves[name] += 1
 
     def say(self, name: str, node: Node, say: Say) -> None:
         self.said[name, type(say.message).__name__] += 1
