Council links: tests that the room of a peer that is up again is full, and that lines are few

Change: the relay holds what goes there until the link is paused, and more waits than a peer that failed may have. The lines of the log, a beat, have a test.

Seen to fail without it: the full room, the bound on lines, its reset on a beat, links that end among them.

--- a/tests/council/links/test_service.py
+++ b/tests/council/links/test_service.py
@@ -6,7 +6,7 @@
 import pytest
 
 from molereach.council.interface import Life, Say
-from molereach.council.links.board import BEATS_AT_ONCE, DIALS_AT_ONCE
+from molereach.council.links.board import BEATS_AT_ONCE, DIALS_AT_ONCE, MOST_LINES
 from molereach.council.links.budget import MOST_STEPS
 from molereach.council.links.hello import HelloError
 from molereach.council.links.queue import DOWN_ROOM
@@ -177,6 +177,27 @@
     run(job())
 
 
+def test_many_that_are_refused_or_break_their_links_write_few_lines_a_beat(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def job() -> None:
+        (a,) = await doors("a")
+        a.book["c"] = (HOST, 1)
+        for _ in range(MOST_LINES):
+            with pytest.raises(HelloError):
+                await Raw(Life("x", 1), "a").dial(a.book["a"])
+            raw = await Raw(Life("c", 1), "a").dial(a.book["a"])
+            raw.writer.write(bytes(4))
+            assert not await raw.frame()
+        assert a.downs() == MOST_LINES and len(caplog.records) == MOST_LINES
+        a.links.board.beat()
+        with pytest.raises(HelloError):
+            await Raw(Life("x", 1), "a").dial(a.book["a"])
+        assert len(caplog.records) == MOST_LINES + 1
+
+    run(job())
+
+
 def test_a_key_that_is_none_is_refused() -> None:
     async def job() -> None:
         for key in (b"", b"k" * 15, b"k" * 65):
@@ -285,14 +306,21 @@
         a.say("b", 1, "x" * 900_000)
         await spin(lambda: a.links.stats().peers["b"].failures)
         assert a.links.stats().peers["b"].queued == 0
-        a.book["b"] = there
+        relay = Relay(there)
+        a.book["b"] = await relay.start()
         a.say("b", 2, "x" * 900_000)
         await a.until(a.ups)
         a.say("b", 3, "x" * 900_000)
-        for number in range(4, 34):
-            a.say("b", number, "x" * 60_000)
-        await b.until_heard(33)
-        assert b.numbers == list(range(3, 34))
+        relay.stall("to")
+        link = a.links.board.peers["b"].link
+        while link and not link.paused:
+            a.say("b", 0, "x" * 10_000, part="hint")
+        for number in range(4, 24):
+            a.say("b", number, "x" * 60_000)  # more than would wait for one that failed
+        relay.pass_()
+        await b.until_heard(23)
+        assert [number for number in b.numbers if number] == list(range(3, 24))
+        await relay.close()
 
     run(job())
 
