Front doors take part in a council: section, shell, folder and links, real processes

Need: the cores have to run beside requests. Change: [council] of the operator file, checked as a whole before anything starts; node/service.py is the shell (one timer, links with a bounded turn, a thread for the disk); the session is closed in order after the last client; control tells its counters. The key's reading, until now of [limits] alone, is molereach/keyfile.py. Off: nothing of it is imported (test).

--- a/molereach/command.py
+++ b/molereach/command.py
@@ -42,6 +42,7 @@
     try:
         settings = operator.load(path)
         limits_of(path, settings)
+        council_of(path, settings)
         sections = settings.sections_on()
     except operator.OperatorError as error:
         if as_json:
@@ -72,11 +73,25 @@
     """What switches `[limits]` on; OperatorError where its key cannot be used."""
     if settings.limits is None:
         return None
+    from molereach import keyfile
     from molereach.limits import service
 
     try:
         return service.attacher(settings.limits)
-    except service.KeyFileError as error:
+    except keyfile.KeyFileError as error:
+        raise operator.OperatorError(f"{path}: {error}") from error
+
+
+def council_of(path: Path, settings: operator.OperatorFile) -> Attach | None:
+    """What switches `[council]` on; OperatorError where its settings or its key cannot be used."""
+    if settings.council is None:
+        return None
+    from molereach import keyfile
+    from molereach.council.node import attach
+
+    try:
+        return attach.attacher(settings.council)
+    except (keyfile.KeyFileError, ValueError) as error:
         raise operator.OperatorError(f"{path}: {error}") from error
 
 
@@ -84,12 +99,12 @@
     """Start the front door with an operator file; one that cannot be used starts nothing."""
     try:
         settings = operator.load(path)
-        limits = limits_of(path, settings)
+        limits, council = limits_of(path, settings), council_of(path, settings)
     except operator.OperatorError as error:
         return complain(str(error))
     level = (settings.log or operator.LogSection()).level.name
     # Off means not imported.
-    attach = [limits] if limits else []
+    attach = [each for each in (limits, council) if each]
     if section := settings.control:
         from molereach.fleet import control
 
--- a/molereach/door/frontdoor.py
+++ b/molereach/door/frontdoor.py
@@ -9,7 +9,7 @@
 import logging
 import random
 import resource
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import fields, replace
 
 from fennelwinch import interface as i
@@ -63,6 +63,8 @@
         self.gateway = Gateway(config.settings)
         self.inbox: list[i.Event] = []
         self.see: Callable[[i.ServerList], i.ServerList] = lambda news: news  # orders may lie over the list
+        self.counted: list[Callable[[], dict[str, int]]] = []  # counters of what stands beside
+        self.last: list[Callable[[], Awaitable[None]]] = []  # what ends after all clients
         self.open: dict[str, Exchange] = {}  # requests that are owed an answer
         self.ended: dict[str, Exchange] = {}  # those answered with attempts still out
         self.held_bytes = 0
@@ -146,6 +148,8 @@
                 break
         for peer, word in self.gateway.limits.bye() * BYES if self.gateway.limits else ():
             self.peers.tell(i.Tell(peer, (word,)))
+        for end in self.last:
+            await end()
         self.close()
 
     def close(self) -> None:
--- a/molereach/fleet/control.py
+++ b/molereach/fleet/control.py
@@ -218,6 +218,8 @@
         counters = {"asks": self.asks, "connections_refused": self.refused,
                     "clients": len(self.door.clients.connections), "open_requests": len(self.door.open),
                     "backend_connections": self.door.backends.count(), "held_bytes": self.door.held_bytes}
+        for beside in self.door.counted:
+            counters |= beside()
         return wire.Answer(wire.VERSION, ask.number, counters=counters)
 
     def on_quota(self, ask: wire.Ask, _: ControlConnection) -> wire.Answer:
--- a/molereach/operator.py
+++ b/molereach/operator.py
@@ -61,12 +61,34 @@
     key_file: str | None = None  # a secret of the whole tier, where the network is not trusted
 
 
+class CouncilSection(Section, frozen=True):
+    """`[council]`: front doors that settle things among themselves. The same at all, but for the folder."""
+
+    doors: dict[str, str]  # HOST:PORT where each listens for the others, by its name
+    panel: tuple[str, ...]  # the three, five or seven that accepted first
+    key_file: str  # a secret of the whole council
+    folder: str | None = None  # that lasts, mode 0700: who has a seat on the panel needs one
+    forming: bool = False  # a new folder takes the seat that the panel's first list gives this front door
+    beat_ms: Annotated[int, msgspec.Meta(ge=50, le=10_000)] = 500
+    session_ms: Annotated[int, msgspec.Meta(ge=200, le=120_000)] = 5000
+    drift: Annotated[float, msgspec.Meta(ge=0.0, le=0.05)] = 0.001  # of a clock's rate, either way
+
+    def __post_init__(self) -> None:
+        for name, address in self.doors.items():
+            host, _, port = address.rpartition(":")
+            if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+                raise ValueError(f"doors.{name}: '{address}' is not HOST:PORT")
+        if self.forming and self.folder is None:
+            raise ValueError("forming: without a folder")
+
+
 class OperatorFile(Section, frozen=True):
     """The whole file; a section that is None is off."""
 
     log: LogSection | None = None
     control: ControlSection | None = None
     limits: LimitsSection | None = None
+    council: CouncilSection | None = None
 
     def sections_on(self) -> list[str]:
         """The names of the sections that the file switches on, in the order of their definition."""
--- /dev/null
+++ b/tests/council/processes/member.py
@@ -0,0 +1,72 @@
+"""One process of a council, steered by lines on its standard input: the service, and marks on its log.
+
+Started as `python -m tests.council.processes.member CONFIG`, a JSON file. It answers each line with one line.
+"""
+
+import asyncio
+import json
+import logging
+import sys
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from molereach.council.interface import Terms
+from molereach.council.node.service import CouncilService, open_folder
+from molereach.council.node.settings import CouncilSettings
+from sim.council import Marks
+
+
+class Member:
+    """The service of this process, and what its tester may ask."""
+
+    def __init__(self, config: dict[str, Any]) -> None:
+        self.config, self.marks = config, Marks()
+        key = bytes.fromhex(config["key"])
+        doors = {name: (host, port) for name, (host, port) in config["doors"].items()}
+        terms = Terms(config["session_us"])
+        settings = CouncilSettings(doors, tuple(config["panel"]), config["beat_us"], terms)
+        opened = None
+        if folder := config.get("folder"):
+            opened = open_folder(Path(folder), config["name"], key, config["name"] in settings.panel)
+        ways = {name: (host, port) for name, (host, port) in config["ways"].items()}  # by relays
+        self.service = CouncilService(config["name"], settings, key, opened, {"marks": self.marks}, ways)
+
+    async def answer(self, ask: dict[str, Any]) -> dict[str, Any]:
+        match ask["what"]:
+            case "mark":
+                over = await self.service.propose("marks", ask["id"], b"{}", ask["within_us"])
+                return {"over": over.over.value, "position": over.position}
+            case "account":
+                proof = self.service.core.account(ask["position"], 0).proof()
+                return {"proof": proof and [[each.door.name, each.known.value] for each in proof]}
+            case "leave":
+                await self.service.leave()
+                return {}
+            case _:
+                core = self.service.core
+                alive = [life.name for life in core.parts.membership.alive()]
+                return {**self.service.counters(), "marks": self.marks.seen, "alive": alive,
+                        "leader": core.leader, "digest": core.parts.log.digest(), "ended": core.ended}
+
+
+async def run(config: dict[str, Any]) -> None:
+    member = Member(config)
+    await member.service.start(tuple(config["listen"]))
+    reader = asyncio.StreamReader()
+    loop = asyncio.get_running_loop()
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    print(json.dumps({"ready": config["name"]}), flush=True)
+    while line := await reader.readline():
+        ask = json.loads(line)
+        print(json.dumps({"number": ask["number"], **await member.answer(ask)}), flush=True)
+        if ask["what"] == "leave":
+            return
+    await member.service.close()
+
+
+if __name__ == "__main__":
+    logging.basicConfig(level="INFO", stream=sys.stderr, format="%(asctime)s %(message)s")
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(run(json.loads(Path(sys.argv[1]).read_bytes())))
--- a/tests/limits/test_service.py
+++ b/tests/limits/test_service.py
@@ -12,8 +12,9 @@
 from molereach import operator
 from molereach.door.config import parse
 from molereach.door.frontdoor import FrontDoor
+from molereach.keyfile import KeyFileError, read_key
 from molereach.limits.core import Limits
-from molereach.limits.service import KeyFileError, attacher, read_key
+from molereach.limits.service import attacher
 from molereach.limits.words import Codec
 from rig import scenario_files
 from rig.audit import Quota, quota_use
@@ -33,9 +34,9 @@
         file.write_bytes(data)
         file.chmod(mode)
         with pytest.raises(KeyFileError, match=reason):
-            read_key(file)
+            read_key(file, "limits.key_file")
     file.write_bytes(b"k" * 32 + b"\n")
-    assert read_key(file) == b"k" * 32
+    assert read_key(file, "limits.key_file") == b"k" * 32
 
 
 def test_section_switches_limits_on_before_the_first_event(tmp_path: Path) -> None:
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -91,5 +91,5 @@
     loaded = set(done.stdout.split())
     assert "molereach.door.frontdoor" in loaded
     off = ("msgspec", "argparse", "tomllib", "molereach.operator", "molereach.command", "rig", "hiredis",
-           "molereach.limits")
+           "molereach.limits", "molereach.council", "molereach.keyfile")
     assert not loaded.intersection(off)
