Membership: who doubts itself still tries the dead in time; tests for code that none needed

Taking out each piece of code once showed some that no test needed. Removed as they did nothing: the own refutation among the rumours (it goes with each message), the check for having left, keeping the time of a verdict.

--- a/molereach/council/membership/beliefs.py
+++ b/molereach/council/membership/beliefs.py
@@ -99,10 +99,9 @@
         if rumour.number != self.me.number:
             return [Displaced(rumour.life)] if rumour.number > self.me.number else []
         mine = self.own()
-        if self.left or (rumour.incarnation, rumour.status) <= (mine.incarnation, mine.status):
+        if (rumour.incarnation, rumour.status) <= (mine.incarnation, mine.status):
             return []
-        self.incarnation = min(MOST_INCARNATION, rumour.incarnation + 1)
-        self.gossip.spread(self.own())
+        self.incarnation = min(MOST_INCARNATION, rumour.incarnation + 1)  # told with each message from now on
         return [Doubts(self.doubt.level)] if self.doubt.change(1) else []
 
     # --- what is concluded ---
--- a/molereach/council/membership/core.py
+++ b/molereach/council/membership/core.py
@@ -36,7 +36,7 @@
         self._probing = Probing(self._beliefs, self._outbox, draw)
         self._seeds: tuple[str, ...] = ()
         self._beat_us = NEVER_US  # when the next one begins
-        self._sync_in, self._retry_in = settings.sync_beats, settings.retry_beats  # beats
+        self._sync_us = self._retry_us = NEVER_US  # by time, not by own beats, which doubt makes longer
 
     # --- what others ask ---
 
@@ -85,6 +85,8 @@
     def _join(self, now: int, seeds: tuple[str, ...]) -> None:
         self._seeds = tuple(dict.fromkeys(seed for seed in seeds if seed != self.me.name))[:MOST_DOORS]
         self._beat_us = now + int(self._draw() * self._settings.beat_us)
+        self._sync_us = now + self._around(self._settings.sync_beats)
+        self._retry_us = now + self._around(self._settings.retry_beats)
         self._seek(self._seeds, MOST_SEEDS_ASKED)
 
     def _leave(self) -> None:
@@ -113,34 +115,32 @@
         # Only now, with the doubt that the last probe left, or the next would end before others are asked.
         self._beat_us = now + self._beliefs.doubt.stretched(self._settings.beat_us)
         self._beliefs.table.forget(now - self._settings.forget_us)
-        self._sync_now_and_then()
-        self._retry_now_and_then()
+        self._sync_now_and_then(now)
+        self._retry_now_and_then(now)
         self._probing.begin(now)
 
-    def _sync_now_and_then(self) -> None:
-        self._sync_in -= 1
-        if self._sync_in <= 0:
-            self._sync_in = self._around(self._settings.sync_beats)
+    def _sync_now_and_then(self, now: int) -> None:
+        if now >= self._sync_us:
+            self._sync_us = now + self._around(self._settings.sync_beats)
             for name in sample(self._beliefs.table.living_names(), 1, self._draw):
                 self._outbox.tell_all(name, answer=True)
 
-    def _retry_now_and_then(self) -> None:
+    def _retry_now_and_then(self, now: int) -> None:
         """Try who is dead, or a seed that is not known: the cut may be over, also where both sides of it have
         long given the other up."""
         table = self._beliefs.table
         if not table.living:
             self._seek(self._seeds, MOST_SEEDS_ASKED)
-        self._retry_in -= 1
-        if self._retry_in <= 0:
-            self._retry_in = self._around(self._settings.retry_beats)
+        if now >= self._retry_us:
+            self._retry_us = now + self._around(self._settings.retry_beats)
             self._seek([*table.dead_names(), *(seed for seed in self._seeds if seed not in table.members)], 1)
 
     def _seek(self, names: Sequence[str], count: int) -> None:
         self._outbox.sync(sample(names, count, self._draw), answer=True)
 
     def _around(self, beats: int) -> int:
-        """So many in the mean, so that not all do it in the same beat."""
-        return max(1, round(beats * (0.5 + self._draw())))
+        """So long in the mean, so that not all do it in the same beat."""
+        return round(beats * self._settings.beat_us * (0.5 + self._draw()))
 
     # --- others' words ---
 
--- a/molereach/council/membership/table.py
+++ b/molereach/council/membership/table.py
@@ -71,8 +71,7 @@
             del self.members[self._oldest_gone()]
         was = before.status if before else None
         self.living += rumour.status.living - bool(before and before.status.living)
-        since = before.since_us if before and was == rumour.status else now
-        self.members[rumour.name] = Member(rumour, since)
+        self.members[rumour.name] = Member(rumour, now)
         if before and before.life != rumour.life:  # the earlier run is over, whatever the later one does
             ended = [Changed(before.life, Status.DEAD, was)] if was is not None and was.living else []
             return [*ended, Changed(rumour.life, rumour.status, None)]
--- a/tests/council/membership/test_parts.py
+++ b/tests/council/membership/test_parts.py
@@ -1,6 +1,7 @@
 """The parts of membership one by one: which rumour wins, budgets, the falling time of a suspicion."""
 
 import math
+import random
 from itertools import permutations
 
 import msgspec
@@ -10,12 +11,14 @@
 from molereach.council.membership.doubt import Doubt
 from molereach.council.membership.events import Changed
 from molereach.council.membership.gossip import Gossip, most_told
+from molereach.council.membership.probes import Rounds
 from molereach.council.membership.settings import MembershipSettings
 from molereach.council.membership.suspicion import Suspicion
 from molereach.council.membership.table import Table
 from molereach.council.membership.words import (
     MOST_MESSAGE_BYTES,
     MOST_RUMOURS,
+    MOST_SEQ,
     Ack,
     Ping,
     PingReq,
@@ -24,6 +27,7 @@
     Sync,
     decode,
     encode,
+    fit,
     pieces,
 )
 
@@ -170,6 +174,14 @@
         assert decode(encode(message)) == message
 
 
+def test_the_budget_holds_for_names_of_any_length() -> None:
+    for chars in range(1, MOST_NAME_CHARS + 1):
+        name = "n" * chars
+        chosen = tuple(fit(Rumour(name, (1 << 50) + number, 0, SUSPECT, name) for number in range(200)))
+        size = len(encode(PingReq(MOST_SEQ, "n" * MOST_NAME_CHARS, 1 << 62, chosen)))
+        assert MOST_MESSAGE_BYTES // 2 < size <= MOST_MESSAGE_BYTES
+
+
 def test_a_list_goes_in_pieces_and_none_is_lost() -> None:
     parts = pieces(LONGEST)
     assert sorted(rumour for part in parts for rumour in [rumour.name for rumour in part]) == sorted(
@@ -233,3 +245,33 @@
     assert set(gossip.pick(9, 24)) == {one, two}
     gossip.spread(told(1, 1, ALIVE))
     assert gossip.pick(9, 24) == (told(1, 1, ALIVE),)
+
+
+# --- rounds ---
+
+
+def rounds_of(names: list[str]) -> Rounds:
+    rounds = Rounds(random.Random(1).random)
+    for name in names:
+        rounds.add(name)
+    return rounds
+
+
+def test_each_round_has_an_order_of_its_own() -> None:
+    names = [f"d{number}" for number in range(8)]
+    rounds = rounds_of(names)
+    orders = [tuple(rounds.next() for _ in names) for _ in range(5)]
+    assert len(set(orders)) == 5 and all(sorted(order) == names for order in orders)
+
+
+@pytest.mark.parametrize("taken", range(1, 20))
+def test_who_comes_or_goes_within_a_round_costs_nobody_its_turn(taken: int) -> None:
+    names = [f"d{number}" for number in range(20)]
+    rounds = rounds_of(names)
+    asked = [rounds.next() for _ in range(taken)]
+    rounds.add("new")
+    rounds.remove("d0")
+    rounds.remove("d1")
+    while rounds.at < len(rounds.names):
+        asked.append(rounds.next())
+    assert len(asked) == len(set(asked)) and set(asked) >= set(names[2:])
