Membership: pings for others end in one place; an earlier run under the own name is not believed

Two places dropped old pings for others, so neither was needed by a test; one is left, tested by the bound that frees itself. The word of an earlier run of the own name was tested by a Ping only, whose answer would have told it anyway.

--- a/molereach/council/membership/probes.py
+++ b/molereach/council/membership/probes.py
@@ -98,18 +98,14 @@
         self.out: dict[int, Relay] = {}
 
     def begin(self, now: int, seq: int, asker: Life, asker_seq: int, target: str, direct_us: int) -> bool:
-        """Whether there is room for one more."""
-        self.end(now)
+        """Whether there is room for one more, without those that nobody waits for any longer."""
+        self.out = {seq: relay for seq, relay in self.out.items() if now < relay.end_us}
         if len(self.out) >= MOST_RELAYS:
             return False
         nack_us = now + direct_us * NACK_PARTS // 5
         self.out[seq] = Relay(asker, asker_seq, target, nack_us, now + 4 * direct_us)
         return True
 
-    def end(self, now: int) -> None:
-        for seq in [seq for seq, relay in self.out.items() if relay.end_us <= now]:
-            del self.out[seq]
-
     def answered(self, name: str, seq: int) -> Relay | None:
         relay = self.out.get(seq)
         return self.out.pop(seq) if relay and relay.target == name else None
--- a/molereach/council/membership/probing.py
+++ b/molereach/council/membership/probing.py
@@ -37,7 +37,6 @@
 
     def begin(self, now: int) -> None:
         """Ask the next one."""
-        self.relays.end(now)
         name = self.outbox.rounds.next()
         if name is None:
             return
--- a/tests/council/membership/test_core.py
+++ b/tests/council/membership/test_core.py
@@ -125,6 +125,7 @@
     (ping,) = says(one.hear("a", PingReq(77, "b", 1)))
     to, nack = one.until(Nack)
     assert (to, nack.seq) == ("a", 77) and one.now - asked < SETTINGS.direct_us
+    assert one.core.wake_us > one.now  # it is said once
     one.now += S // 50
     assert any(isinstance(say.message, Ack) for say in says(one.hear("b", Ack(ping.message.seq))))
 
@@ -133,6 +134,8 @@
     one = One("a")
     pings = [say for number in range(1_000) for say in says(one.hear("a", PingReq(number, "x", 1)))]
     assert len(pings) == MOST_RELAYS
+    one.run(2 * BEAT, acks)
+    assert any(say.to == "x" for say in says(one.hear("a", PingReq(0, "x", 1))))
 
 
 # --- doubt ---
@@ -315,8 +318,9 @@
 
 def test_a_lower_run_under_the_own_name_is_told_to_end() -> None:
     one = One("a")
-    (say,) = says(one.do(Heard(Life("me", 4), Ping(1))))
+    (say,) = says(one.do(Heard(Life("me", 4), Sync((Rumour("z", 1, 0, ALIVE),)))))
     assert (say.to, say.life) == ("me", 4) and Rumour("me", 5, 0, ALIVE) in say.message.rumours
+    assert one.core.status("z") is None
     assert not one.do(Heard(ME, Ping(1)))  # an own word that came back
 
 
