Spread: a parent too many steps from the leader is left; a ring is seen to need its guard

Twenty doors in a ring that came apart from one place hung in a chain of twenty, in which asks took a beat a step. More than three steps over a full tree count as no parent.

--- a/molereach/council/spread/parent.py
+++ b/molereach/council/spread/parent.py
@@ -2,7 +2,8 @@
 
 A parent counts only while it brings pulses with a higher mark (ballot, number) than any heard before, and
 only the leader makes new ones. So doors that listen to one another in a ring hear nothing new, and each
-leaves after about two beats, whatever made the ring: no table of paths is needed.
+leaves after about two beats, whatever made the ring: no table of paths is needed. One that is too many steps
+from the leader is left likewise.
 
 Next is asked: the parent by rank, the grandparent, the leader, one of the panel, and living ones by chance.
 Who is served by another than its parent by rank asks for that now and then, without leaving what serves.
@@ -13,7 +14,6 @@
 from molereach.council.interface import NEVER_US
 from molereach.council.spread.ranks import Ranks
 from molereach.council.spread.settings import Settings
-from molereach.council.spread.words import MOST_DEPTH
 
 Mark = tuple[int, int]  # ballot and number of a pulse
 ROUND = 6  # candidates before the first is asked again
@@ -26,6 +26,7 @@
 
     def __init__(self, settings: Settings, draw: Callable[[], float]) -> None:
         self.settings, self.draw = settings, draw
+        self.most_depth = settings.most_depth
         self.name: str | None = None
         self.mark: Mark = (0, 0)  # the highest heard from any parent
         self.depth = 0  # steps down from the leader
@@ -45,9 +46,9 @@
 
     def heard(self, now: int, mark: Mark, depth: int) -> bool:
         """A word of the parent came, which is at that depth; whether it was a new pulse."""
-        if mark <= self.mark:
+        if mark <= self.mark or depth >= self.most_depth:
             return False
-        self.mark, self.fresh, self.depth = mark, True, min(depth + 1, MOST_DEPTH)
+        self.mark, self.fresh, self.depth = mark, True, depth + 1
         self.tries = self.hops = 0
         self.until_us = now + self.settings.doubt_us(self.depth)
         return True
--- a/molereach/council/spread/settings.py
+++ b/molereach/council/spread/settings.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass
 
-from molereach.council.interface import S
+from molereach.council.interface import MOST_DOORS, S
 
 MOST_CHILDREN = 64  # whatever the settings say
 
@@ -34,6 +34,14 @@
         """With those who came for want of a better parent."""
         return 2 * self.fan
 
+    @property
+    def most_depth(self) -> int:
+        """Steps from the leader, three more than a full tree needs. In a long chain asks would take beats."""
+        depth, doors = 0, 1
+        while doors < MOST_DOORS:
+            depth, doors = depth + 1, doors * self.fan + 1
+        return depth + 3
+
     @property
     def hold_us(self) -> int:
         """From the pulse to the first words up."""
--- a/molereach/council/spread/words.py
+++ b/molereach/council/spread/words.py
@@ -152,5 +152,4 @@
     name: str | None
 
 
-Event = View | Grown | Mine | Give
 Action = Learn | Fetch | Gathered | Granted | Parent
--- a/tests/council/spread/test_faults.py
+++ b/tests/council/spread/test_faults.py
@@ -2,8 +2,10 @@
 
 import pytest
 
+from molereach.council.interface import Heard
 from molereach.council.spread.core import Spread
 from molereach.council.spread.settings import Settings
+from molereach.council.spread.words import Down
 from tests.council.spread.world import BEAT, World
 
 FAN = Settings().fan
@@ -76,15 +78,25 @@
 
 
 def test_a_ring_of_doors_falls_apart() -> None:
-    """Each listens to the next; nobody's view says that they should not."""
-    world = World(9)
+    """Each listens to the next and cannot reach its parent by rank. A word needs more than half a beat to go
+    round, so nothing but its mark keeps it from going round for ever."""
+    world = World(50)
     world.start()
-    ring = world.living[4:8]
+    ring = world.living[20:40]
+    homes = {(name, world.parents()[name] or "") for name in ring}
+    world.cut = homes | {(home, name) for name, home in homes}
     for at, name in enumerate(ring):
         core: Spread = world.nodes[name].core
         core.above.name = ring[at - 1]  # still fresh, as far as it knows
         world.feed(name, None)
-    all_reach_all(world, 5)
+    world.run(1.1)
+    core = world.nodes[ring[0]].core
+    ballot, number = core.above.mark
+    assert core.above.name == ring[-1]
+    pulse = Down(ballot, number + 1, world.leader, 3, 0)  # a late one
+    world.feed(ring[0], Heard(world.nodes[ring[-1]].core.me, pulse))
+    world.run(1)
+    all_reach_all(world)
 
 
 def test_a_link_that_is_cut_for_long_is_gone_around_and_taken_again() -> None:
--- a/tests/council/spread/test_parent.py
+++ b/tests/council/spread/test_parent.py
@@ -43,7 +43,7 @@
 
 def test_the_grandparent_is_asked_before_the_leader() -> None:
     lives = tuple(Life(f"e{at:03}", 1) for at in range(100))
-    core = Spread(lives[99], Settings(fan=2), lambda: 0.0)
+    core = Spread(lives[99], Settings(fan=2), lambda: 0.5)
     assert set(said(core.handle(0, View(lives, "e000", 1)), Up)) == {"e049"}
     assert [name for _, name in asked(core, 4 * BEAT)] == ["e024", "e000"]
 
@@ -55,6 +55,14 @@
     assert core.above.name != "d00"
 
 
+def test_one_too_many_steps_from_the_leader_is_left() -> None:
+    for steps, kept in ((2, True), (5, True), (6, False)):  # a full tree of 256 has three
+        core = inner()
+        for beat in range(1, 4):
+            tell(core, beat * BEAT, "d00", Down(3, 1 + beat, "d00", steps, 0))
+        assert (core.above.name == "d00") is kept
+
+
 def test_a_new_ballot_must_be_heard_from_the_parent_itself() -> None:
     core = inner()
     tell(core, 2, "d09", Up(0, 1))
