Readings: the test of the segment's bound fills it

Cause: with 60 readings the bound of those used again was not reached, so the test failed as it stood. Seen: it fails without the bound, and passes with it (25 tests).

--- a/tests/cache/readings/test_store.py
+++ b/tests/cache/readings/test_store.py
@@ -103,13 +103,13 @@
 
 def test_where_all_is_used_again_the_part_of_it_that_was_used_longest_ago_gives_way() -> None:
     store = Store(SETTINGS)
-    for number in range(60):
+    for number in range(70):
         store.put(0, reading(f"{number:016x}", "x"))
         assert store.get(0, f"{number:016x}", "load", b"x")
         sound(store)
-    for number in range(60, 90):
+    for number in range(70, 100):
         store.put(0, reading(f"{number:016x}", "x"))
-    assert not store.get(0, f"{0:016x}", "load", b"x") and store.get(0, f"{59:016x}", "load", b"x")
+    assert not store.get(0, f"{0:016x}", "load", b"x") and store.get(0, f"{69:016x}", "load", b"x")
 
 
 def test_one_large_reading_makes_a_bounded_number_give_way() -> None:
