--- a/molereach/upkeep/rules/__init__.py
+++ b/molereach/upkeep/rules/__init__.py
@@ -2,6 +2,6 @@
 stops it.
 
 Read `facts`, `settings` and `scene` (what is judged by), then the rules: `window`, `seasons`, `orders`,
-`first`, `apart`, `limits`, `floor`, `room`, `sets`, `panel`, `standing`; last `judge` (all of them in one
-order).
+`first`, `apart`, `limits`, `left` with `floor` and `room`, `sets`, `panel`, `standing`; last `judge`, which
+asks them in one order.
 """
--- a/molereach/upkeep/rules/floor.py
+++ b/molereach/upkeep/rules/floor.py
@@ -5,18 +5,16 @@
 
 from molereach.upkeep.requests.work import Kind, Work
 from molereach.upkeep.rules.facts import groups
+from molereach.upkeep.rules.left import least, left
 from molereach.upkeep.rules.scene import Scene, Stop
 
 
 def floor(scene: Scene, work: Work) -> Stop | None:
     server = scene.fleet.servers.get(work.machine)
-    if work.kind is not Kind.SERVER or server is None:
+    if work.kind is not Kind.SERVER or server is None or not server.ready:
         return None
-    leasts = scene.settings.least_ready_cell, scene.settings.least_ready_zone
-    for group, least in zip(groups(server), leasts, strict=True):
-        away = [name for name in scene.taken if scene.bears_nothing(name) and name != server.name
-                and (other := scene.fleet.servers.get(name)) and other.ready and group in groups(other)]
-        left = scene.fleet.sums[group].ready - len(away) - server.ready
-        if left < least:
-            return Stop("floor", tuple(sorted(away)), f"{left} servers of {least} in {group[0]} {group[1]}")
+    for group in groups(server):
+        then, most = left(scene, group, server.name), least(scene, group)
+        if then.ready < most:
+            return Stop("floor", then.away, f"{then.ready} of {most} servers in {group[0]} {group[1]}")
     return None
--- a/molereach/upkeep/rules/limits.py
+++ b/molereach/upkeep/rules/limits.py
@@ -1,21 +1,20 @@
 """At most so many machines on their way at once: in all, of one cell, of one zone. One work takes one place,
-also where its machine has come back under a second name."""
+also where its machine has come back under a second name, or is not listed while it is out."""
 
 from molereach.upkeep.requests.work import Work
 from molereach.upkeep.rules.facts import groups
-from molereach.upkeep.rules.scene import Off, Scene, Stop
+from molereach.upkeep.rules.scene import Scene, Stop
 
 
 def limits(scene: Scene, work: Work) -> Stop | None:
-    settings = scene.settings
-    away = {each.work.machine for each in scene.taken.values() if each.off is not Off.LOST}
-    if len(away) >= settings.most_out:
-        return Stop("limits", tuple(sorted(away)), f"{settings.most_out} at once")
+    settings, places = scene.settings, scene.places()
+    if len(places) >= settings.most_out:
+        return Stop("limits", tuple(sorted(places)), f"{settings.most_out} at once")
     machine = scene.fleet.get(work.machine)
     if machine is None:
         return Stop("limits", (work.machine,), "it is not listed any more")
     for group, most in zip(groups(machine), (settings.most_out_cell, settings.most_out_zone), strict=True):
-        beside = [name for name in away if (other := scene.fleet.get(name)) and group in groups(other)]
+        beside = [name for name, each in places.items() if group in each.groups]
         if len(beside) >= most:
             return Stop("limits", tuple(sorted(beside)), f"{most} at once in {group[0]} {group[1]}")
     return None
--- a/molereach/upkeep/rules/room.py
+++ b/molereach/upkeep/rules/room.py
@@ -7,20 +7,18 @@
 
 from molereach.upkeep.requests.work import Kind, Work
 from molereach.upkeep.rules.facts import WHOLE, groups
+from molereach.upkeep.rules.left import left
 from molereach.upkeep.rules.scene import Scene, Stop
 
 
 def room(scene: Scene, work: Work) -> Stop | None:
     server = scene.fleet.servers.get(work.machine)
-    if work.kind is not Kind.SERVER or server is None:
+    if work.kind is not Kind.SERVER or server is None or not server.ready:
         return None
     for group in groups(server):
-        total = scene.fleet.sums[group]
-        away = [other for name in scene.taken if scene.bears_nothing(name) and name != server.name
-                and (other := scene.fleet.servers.get(name)) and other.ready and group in groups(other)]
-        left = total.capacity - sum(other.warmth for other in away) - server.warmth * server.ready
-        if total.demand > left * scene.settings.target:
-            names = tuple(sorted(other.name for other in away))
-            load = total.demand // WHOLE
-            return Stop("room", names, f"load {load} on capacity {left} in {group[0]} {group[1]}")
+        then = left(scene, group, server.name)
+        if then.demand > then.capacity * scene.settings.target:
+            load = then.demand // WHOLE
+            why = f"load {load} on capacity {then.capacity} in {group[0]} {group[1]}"
+            return Stop("room", then.away, why)
     return None
--- a/molereach/upkeep/rules/scene.py
+++ b/molereach/upkeep/rules/scene.py
@@ -23,6 +23,8 @@
 
     work: Work
     off: Off
+    groups: tuple[tuple[str, str], ...] = ()  # its cell and zone when it began: it may not be listed any more
+    begun_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +43,10 @@
         taken = self.taken.get(name)
         return taken is not None and taken.off is not Off.WARMING
 
+    def places(self) -> dict[str, Taken]:
+        """Who takes a place, once for each work, by the machine that the work was asked for."""
+        return {each.work.machine: each for each in self.taken.values() if each.off is not Off.LOST}
+
     def without(self, work: Work) -> "Scene":
         """The same, as if this work had not begun."""
         others = {name: each for name, each in self.taken.items() if each.work.id != work.id}
--- a/molereach/upkeep/rules/seasons.py
+++ b/molereach/upkeep/rules/seasons.py
@@ -25,6 +25,14 @@
     return day >= season.first or day <= season.last
 
 
+def open_ms(at_ms: int, kept: tuple[Season, ...]) -> int:
+    """When it is next no day of a season; at the latest after a year, where every day is one."""
+    for number in range(at_ms // DAY_MS, at_ms // DAY_MS + 367):
+        if not any(within(month_day(number * DAY_MS), season) for season in kept):
+            break
+    return max(at_ms, number * DAY_MS)
+
+
 def seasons(scene: Scene, work: Work) -> Stop | None:
     last = (scene.at_ms + work.took_ms) // DAY_MS  # a work takes days at most, so few are looked at
     for number in range(scene.at_ms // DAY_MS, last + 1) if scene.settings.seasons else ():
--- a/tests/upkeep/made.py
+++ b/tests/upkeep/made.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from molereach.upkeep.requests.work import MINUTE_MS, Kind, Work
-from molereach.upkeep.rules.facts import Door, Facts, Fleet, Server
+from molereach.upkeep.rules.facts import Door, Facts, Fleet, Server, groups
 from molereach.upkeep.rules.scene import Off, Scene, Taken
 from molereach.upkeep.rules.settings import UpkeepSettings
 
@@ -40,5 +40,7 @@
 
 def scene(facts: Facts, settings: UpkeepSettings = LOOSE, off: Mapping[str, Off] | None = None,
           **more: Any) -> Scene:  # noqa: ANN401
-    taken = {name: Taken(work(f"of-{name}", name), how) for name, how in (off or {}).items()}
-    return Scene(Fleet(facts), settings, **{"at_ms": NOON_MS, "taken": taken, **more})
+    fleet = Fleet(facts)
+    taken = {name: Taken(work(f"of-{name}", name), how, groups(known) if (known := fleet.get(name)) else ())
+             for name, how in (off or {}).items()}
+    return Scene(fleet, settings, **{"at_ms": NOON_MS, "taken": taken, **more})
--- a/tests/upkeep/test_rules.py
+++ b/tests/upkeep/test_rules.py
@@ -90,7 +90,8 @@
     assert named(judge(scene(facts, kept, {"s1": Off.AWAY, "s8": Off.AWAY, "s2": Off.LOST}),
                        work("w"))) == ("floor", ("s1", "s2"))
     assert judge(scene(facts, kept, {"s1": Off.WARMING}), work("w")) is None
-    assert judge(scene(facts, kept, {"s1": Off.AWAY}), work("w", "s8")) is None, "it is not ready anyway"
+    least = scene(facts, replace(kept, least_ready_cell=4), {"s1": Off.AWAY})
+    assert judge(least, work("w", "s8")) is None, "it is not ready anyway"
     zoned = Facts(servers=(server("s0", "c1"), server("s1", "c2", "z2"), server("s2", "c2", "z2")))
     assert named(judge(scene(zoned, replace(LOOSE, least_ready_zone=1)), work("w"))) == ("floor", ())
 
