Sessions: a front door that often opened anew since an entry stays in its account

Cause: four ended sessions of a name are kept; one that restarted five times while another was waited for fell out of the proof.

Weighed: more kept sessions (a bound all the same, and 120 bytes each). The fence of the first session that is not kept says that the name may have been open at the entry; the oldest that is kept then stands for it, as opened anew.

--- a/molereach/council/leases/accounts.py
+++ b/molereach/council/leases/accounts.py
@@ -4,7 +4,7 @@
 open at P is accounted for: its front door said that it applied P, or an entry after P says that the session
 was replaced by a new life, over, or left. Who opened a session after P had P before. An account is a view: it
 follows from the log (`Sessions`) and from what open sessions have said, so that another leader comes to the
-same one.
+same one. Of a front door that opened anew more often since P than is kept, a later life stands in the proof.
 
 It takes it that a name is run once at a time: an earlier process of the same name is dead when a new life
 opens. Source: Burrows, "The Chubby lock service" (OSDI 2006), section 2.7: a change goes ahead once each
--- a/molereach/council/leases/sessions.py
+++ b/molereach/council/leases/sessions.py
@@ -36,6 +36,7 @@
     name: Name
     open: Opened | None = None
     past: Annotated[tuple[Past, ...], Meta(max_length=MOST_PAST)] = ()  # the latest last
+    dropped: Position = 0  # the fence of the first one that is not kept any more; 0 for none
 
     @property
     def life(self) -> Life | None:
@@ -79,12 +80,18 @@
         return [door.open for door in self._doors.values() if door.open]
 
     def at(self, position: int) -> Iterator[Opened | Past]:
-        """The sessions that were open when this position, which must have been applied, was applied; as they
-        stand now. A name that has ended more than `MOST_PAST` since then is left out: that one has ended."""
+        """The sessions that were open when this position was applied, as they stand now.
+
+        Of a name that has ended more often since than is kept, the oldest that is kept stands for it: it was
+        opened anew. A name that made room for others is left out.
+        """
         for door in self._doors.values():
             if door.open and door.open.fence < position:
                 yield door.open
             yield from (past for past in door.past if past.fence < position < past.position)
+            if door.dropped and door.dropped < position < door.past[0].fence:
+                first = door.past[0]
+                yield Past(first.life, first.fence, Known.ANEW, first.fence)
 
     # --- entries ---
 
@@ -122,11 +129,10 @@
             return Outcome(value=msgspec.json.encode(door.open))
         if refused := self._too_late(door, life):
             return Outcome(refused)
-        past = door.past
         if door.open:
-            past = _with(past, Past(door.open.life, door.open.fence, Known.ANEW, entry.position))
+            door = _ended(door, Past(door.open.life, door.open.fence, Known.ANEW, entry.position))
         opened = Opened(life, entry.position)
-        self._doors[life.name] = _Door(life.name, opened, past)
+        self._doors[life.name] = msgspec.structs.replace(door, open=opened)
         return Outcome(value=msgspec.json.encode(opened))
 
     @staticmethod
@@ -142,8 +148,7 @@
         door = self._doors.get(life.name)
         if door is None or door.open != Opened(life, fence):
             return Outcome("no such session is open")
-        past = _with(door.past, Past(life, fence, known, entry.position))
-        self._doors[life.name] = _Door(life.name, None, past)
+        self._doors[life.name] = _ended(door, Past(life, fence, known, entry.position))
         return Outcome()
 
     def _forget(self) -> bool:
@@ -171,13 +176,18 @@
         self.ballot, self._doors = state.ballot, {door.name: door for door in state.doors}
 
 
-def _with(past: tuple[Past, ...], last: Past) -> tuple[Past, ...]:
-    return (*past, last)[-MOST_PAST:]
+def _ended(door: _Door, last: Past) -> _Door:
+    past, dropped = (*door.past, last), door.dropped
+    if len(past) > MOST_PAST:
+        past, dropped = past[1:], dropped or past[0].fence
+    return _Door(door.name, None, past, dropped)
 
 
 def _sound(door: _Door) -> bool:
     """Whether a name's sessions follow one another."""
-    marks = [mark for past in door.past for mark in (past.fence, past.position)]
+    if door.dropped and len(door.past) < MOST_PAST:
+        return False
+    marks = [door.dropped, *(mark for past in door.past for mark in (past.fence, past.position))]
     if door.open:
         marks.append(door.open.fence)
     # A session that was replaced ends where the next one is opened.
--- a/tests/council/leases/test_sessions.py
+++ b/tests/council/leases/test_sessions.py
@@ -88,6 +88,21 @@
     assert list(sessions.at(1)) == [] and list(sessions.at(7)) == [Opened(A2, 5)]
 
 
+def test_of_one_that_ended_more_often_than_is_kept_it_is_known_that_it_opened_anew() -> None:
+    sessions = Sessions()
+    for number in range(1, MOST_PAST + 3):
+        opened(sessions, 10 * number, Life("a", number))
+    last = Life("a", MOST_PAST + 2)
+    assert list(sessions.at(10)) == [] and list(sessions.at(70)) == [Opened(last, 60)]
+    kept = Past(Life("a", 2), 20, Known.ANEW, 30)
+    assert list(sessions.at(25)) == [kept] and list(sessions.at(21)) == [kept]
+    assert list(sessions.at(15)) == [Past(Life("a", 2), 20, Known.ANEW, 20)]
+    again = Sessions()
+    again.restore(sessions.snapshot())
+    opened(again, 70, Life("a", 7))
+    assert list(again.at(15)) == list(again.at(25)) == [Past(Life("a", 3), 30, Known.ANEW, 30)]
+
+
 def history(seed: int) -> Sessions:
     chance, sessions = random.Random(seed), Sessions()
     for position in range(1, 120):
@@ -119,6 +134,7 @@
     b'{"ballot":0,"doors":[{"name":"a","open":{"life":{"name":"b","number":1},"fence":1}}]}',
     b'{"ballot":0,"doors":[{"name":"a","open":{"life":{"name":"a","number":1},"fence":1},"past":['
     b'{"life":{"name":"a","number":1},"fence":2,"known":"over","position":3}]}]}',
+    b'{"ballot":0,"doors":[{"name":"a","open":{"life":{"name":"a","number":1},"fence":4},"dropped":2}]}',
     b'{"ballot":0,"doors":[{"name":"a","open":{"life":{"name":"a","number":1},"fence":4},"past":['
     b'{"life":{"name":"a","number":2},"fence":2,"known":"over","position":3}]}]}',
 ])
