--- a/tests/docs/page.py
+++ b/tests/docs/page.py
@@ -44,6 +44,8 @@
         elif block.marks.not_run:
             if call := options.trivial(block.text):
                 yield f"marked as not run, and `{call}` runs in an instant"
+            if block.kind is b.Kind.TOML or (block.kind is b.Kind.OTHER and files.is_toml(block.text)):
+                yield "marked as not run, and TOML can be checked: say which file it is"
         elif block.kind is b.Kind.SHELL:
             yield from self.commands(block)
         elif block.kind is b.Kind.TOML:
