Membership: a first list is asked for soon after the start, as a seed's own is short then

Where all doors start at once the seeds know few when they are asked, and the rest came by rumours that wait for room: after ten beats each of 200 doors lacked four others in the mean. A longer list of rumours in a message was ruled out: the budget is 1,200 bytes.

--- a/molereach/council/membership/core.py
+++ b/molereach/council/membership/core.py
@@ -22,6 +22,7 @@
 
 MOST_SEEDS_ASKED = 3  # at once
 MOST_TOLD_AT_ONCE = 3  # of a refutation, beside those that it rides to on the next messages
+FIRST_SYNC_BEATS = 3  # after the start: where all start at once, a seed's first list is short
 
 Event = Join | Leave | Tick | Heard
 
@@ -85,7 +86,7 @@
     def _join(self, now: int, seeds: tuple[str, ...]) -> None:
         self._seeds = tuple(dict.fromkeys(seed for seed in seeds if seed != self.me.name))[:MOST_DOORS]
         self._beat_us = now + int(self._draw() * self._settings.beat_us)
-        self._sync_us = now + self._around(self._settings.sync_beats)
+        self._sync_us = now + self._around(FIRST_SYNC_BEATS)
         self._retry_us = now + self._around(self._settings.retry_beats)
         self._seek(self._seeds, MOST_SEEDS_ASKED)
 
--- a/tests/council/membership/test_world.py
+++ b/tests/council/membership/test_world.py
@@ -108,6 +108,14 @@
         assert not any(node.ever(DEAD) for node in nodes)
 
 
+def test_many_that_start_at_once_soon_know_one_another() -> None:
+    world = World(1)
+    names = [f"d{number:03}" for number in range(50)]
+    for name in names:
+        world.start(name, tuple(names[:3]))
+    assert world.settle(6)
+
+
 def test_a_seed_that_starts_later_is_found() -> None:
     world = World(1)
     world.start("a", ("b",))
