--- a/tests/council/membership/test_core.py
+++ b/tests/council/membership/test_core.py
@@ -42,7 +42,9 @@
     def tick(self) -> Sequence[Any]:
         """Let the time pass to where it wants a Tick, and give it on time."""
         self.now = max(self.now, self.core.wake_us)
-        return self.do(Tick())
+        actions = self.do(Tick())
+        assert self.core.wake_us > self.now, "it wants the same Tick for ever"
+        return actions
 
     def until(self, kind: type, most: int = 1_000) -> tuple[str, Any]:
         """Tick until it says such a message: to whom, and that."""
