--- /dev/null
+++ b/molereach/shards/map/cutting.py
@@ -0,0 +1,32 @@
+"""The next version of a map: one shard cut in two, the upper part to another cell of its building."""
+
+from molereach.shards.map.pieces import MOST_SHARDS, Home, Piece, ShardMap
+
+
+def wrong(found: ShardMap, shard: int, cut: int, to: Home) -> str:
+    """Why this cut cannot be, in one line; empty where it can."""
+    index = found.find(shard)
+    if index is None:
+        return f"shard: no shard {shard}"
+    piece = found.pieces[index]
+    if not piece.first < cut < found.end(index):
+        return f"cut: {cut} leaves a part of {shard} empty"
+    if len(found.pieces) >= MOST_SHARDS:
+        return f"pieces: more than {MOST_SHARDS}"
+    if to.building != piece.home.building:
+        return f"to: not in {piece.home.building}"
+    if to == piece.home:
+        return f"to: {to.cell} has the shard already"
+    return ""
+
+
+def after(found: ShardMap, shard: int, cut: int, to: Home) -> ShardMap:
+    """The version after the cut; ValueError where it cannot be."""
+    if said := wrong(found, shard, cut, to):
+        raise ValueError(said)
+    index = found.find(shard)
+    assert index is not None
+    piece, last = found.pieces[index], found.last_shard
+    halves = (Piece(piece.first, last + 1, piece.home), Piece(cut, last + 2, to))
+    pieces = (*found.pieces[:index], *halves, *found.pieces[index + 1:])
+    return ShardMap(found.version + 1, pieces, last + 2)
