Upkeep: a machine's way, its permit with the proof, the leader's and the front door's side

Need: a machine is out only once nobody sends there, whoever dies.

A front door without a session serves on by itself and never hears of a later draining: it keeps to what it had for a time and then to servers that stood when it had a session; those are taken out only once it has a session, a new life, or has left. Ruled out: that it stops (requests would wait for the council), and that all wait for it (one dead front door would stop all works).

--- /dev/null
+++ b/molereach/upkeep/driver.py
@@ -0,0 +1,230 @@
+"""What the leader proposes, so that works go on: facts, steps, beginnings by the plan, permits with their
+proof.
+
+It may be wrong, late, doubled or dead at any step: the state machine asks for everything again, and another
+leader's driver goes on from what the machine says. Times of entries are taken on by its own clock from the
+last entry that was applied here. Nothing it keeps is needed by the next.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from molereach.council.interface import (
+    NEVER_US,
+    Applied,
+    Leads,
+    Life,
+    ProposalOver,
+    Propose,
+    Restored,
+    S,
+    Tick,
+)
+from molereach.upkeep.order.plan import Plan
+from molereach.upkeep.order.stands import stands
+from molereach.upkeep.permits.accounting import MS_US, Accounting, Clears, Missed
+from molereach.upkeep.permits.bodies import MACHINE, Back, Body, Move, Out, Stand
+from molereach.upkeep.permits.machine import Upkeep
+from molereach.upkeep.permits.nexts import back_as, hurried, next_step, recalled
+from molereach.upkeep.permits.planning import Planning
+from molereach.upkeep.permits.proposals import Proposals
+from molereach.upkeep.permits.record import Record
+from molereach.upkeep.permits.telling import Measured, Telling
+from molereach.upkeep.permits.way import GONE, LEAVING, UNSENDABLE, State, Step
+from molereach.upkeep.rules.panel import SEAT
+from molereach.upkeep.rules.scene import Stop
+from molereach.upkeep.rules.standing import STANDING
+
+BEAT_US = S // 2
+SLICE_US = S // 200  # between two slices of a plan
+SEEN = "seen"
+SEAT_US = 10 * S  # before a seat is asked for again
+
+
+@dataclass(frozen=True, slots=True)
+class ReplaceSeat:
+    """Action: give this front door's seat of the panel to another, so that its machine may drain."""
+
+    door: str
+
+
+Event = Tick | Leads | Applied | Restored | ProposalOver | Measured
+Action = Propose | ReplaceSeat
+
+
+class Driver:
+    """At every front door; it acts only while this one leads."""
+
+    def __init__(self, me: Life, machine: Upkeep, clears: Clears) -> None:
+        self._me, self._machine, self._book = me, machine, machine.book
+        self._accounting = Accounting(machine.sessions, clears, machine.settings.over_wait_ms)
+        self._telling = Telling()
+        self._planning = Planning(self._book)
+        self._ballot: int | None = None
+        self._proposals = Proposals(me, 0)
+        self._at = 0, 0  # the time of the last entry, and when it was applied here
+        self._next_us = NEVER_US
+        self.stops: dict[str, Stop] = {}  # by work that waits: what stops it
+        self.missed: dict[str, tuple[Missed, ...]] = {}  # by work that drains: for whom it waits
+
+    @property
+    def plan(self) -> Plan | None:
+        return self._planning.plan
+
+    @property
+    def wake_us(self) -> int:
+        return self._next_us
+
+    def at_ms(self, now_us: int) -> int:
+        """What the time of an entry would be about now."""
+        at_ms, applied_us = self._at
+        return at_ms + (now_us - applied_us) // MS_US
+
+    def handle(self, now_us: int, event: Event) -> Sequence[Action]:
+        match event:
+            case Leads():
+                self._leads(now_us, event)
+            case Applied():
+                self._at = event.entry.at_ms, now_us
+                self._accounting.look(now_us)
+                if event.entry.machine == MACHINE and not event.outcome.error:
+                    self._planning.changed()
+            case Restored():
+                marks = self._book.marks
+                self._at = max(self.at_ms(now_us), marks[-1].at_ms if marks else 0), now_us
+                self._accounting.look(now_us)
+                self._planning.changed()
+            case ProposalOver():
+                self._over(now_us, event)
+            case Measured():
+                self._telling.measured(now_us, event.facts)
+            case Tick():
+                pass
+        return self._due(now_us) if now_us >= self._next_us else []
+
+    def _leads(self, now_us: int, event: Leads) -> None:
+        ballot = event.ballot if event.mine else None
+        if ballot != self._ballot:
+            self._ballot, self._proposals = ballot, Proposals(self._me, event.ballot)
+            self._planning.forget()
+            self._telling.failed()
+        self._next_us = NEVER_US if ballot is None else min(self._next_us, now_us)
+
+    def _over(self, now_us: int, event: ProposalOver) -> None:
+        found = self._proposals.over(now_us, event)
+        if found is None or self._ballot is None:
+            return
+        what, done = found
+        if what == SEEN:
+            self._telling.settled() if done else self._telling.failed()
+        self._next_us = min(self._next_us, now_us)
+
+    # --- what the time calls for ---
+
+    def _due(self, now_us: int) -> list[Action]:
+        if self._ballot is None:
+            self._next_us = NEVER_US
+            return []
+        self._proposals.forget(now_us)
+        at_ms = self.at_ms(now_us)
+        out = self._tell(now_us)
+        if self._book.records:
+            for step, records in ((Step.RECALL, recalled(self._book, at_ms)),
+                                  (Step.HURRY, hurried(self._book, at_ms))):
+                for record in records:
+                    out += self._move(now_us, record, step)
+            for record in list(self._book.records.values()):
+                out += self._go_on(now_us, at_ms, record)
+            out += self._begin(now_us, at_ms)
+        out += self._keep_standing(now_us)
+        self._next_us = now_us + (SLICE_US if self._planning.busy else BEAT_US)
+        return out
+
+    def _tell(self, now_us: int) -> list[Action]:
+        if self._proposals.open(SEEN):
+            return []
+        part = self._telling.part(now_us, bool(self._book.records))
+        return self._make(now_us, SEEN, part) if part else []
+
+    def _make(self, now_us: int, what: str, body: Body) -> list[Action]:
+        return [*self._proposals.make(now_us, what, body)]
+
+    def _move(self, now_us: int, record: Record, step: Step) -> list[Action]:
+        return self._make(now_us, f"work.{record.work.id}", Move(record.work.id, step, record.begun))
+
+    def _go_on(self, now_us: int, at_ms: int, record: Record) -> list[Action]:
+        if step := next_step(self._book, record, at_ms):
+            return self._move(now_us, record, step)
+        if record.state in LEAVING:
+            return self._clear_out(now_us, at_ms, record)
+        if record.state in GONE and (name := back_as(self._book, record, at_ms)):
+            return self._make(now_us, f"work.{record.work.id}", Back(record.work.id, record.permit, name))
+        return []
+
+    def _clear_out(self, now_us: int, at_ms: int, record: Record) -> list[Action]:
+        unstood = self._book.unstood.get(record.work.machine, -1)
+        words, missed = self._accounting.account(now_us, record.begun, unstood)
+        self.missed = {id: each for id, each in self.missed.items() if id in self._book.records}
+        self.missed[record.work.id] = missed
+        if missed or self._machine.fault(record, words, at_ms):
+            return []
+        if record.state is State.DRAINING:
+            return self._move(now_us, record, Step.EMPTY)
+        if stop := self._book.stop(record, at_ms):
+            self.stops[record.work.id] = stop
+            return []
+        return self._make(now_us, f"work.{record.work.id}", Out(record.work.id, record.begun, words))
+
+    # --- beginnings ---
+
+    def _begin(self, now_us: int, at_ms: int) -> list[Action]:
+        self._planning.go_on(at_ms)
+        self.stops = {id: stop for id, stop in self.stops.items() if id in self._book.records}
+        plan = self._planning.plan
+        if plan is None:
+            return []
+        self.stops.update(plan.stopped)
+        out: list[Action] = []
+        for planned in plan.planned:
+            record = self._book.records.get(planned.work.id)
+            if planned.begins_ms > at_ms or record is None or record.state is not State.QUEUED:
+                continue
+            stop = self._book.stop_begin(record, at_ms)
+            if stop is None:
+                self.stops.pop(record.work.id, None)
+                out += self._move(now_us, record, Step.DRAIN)
+                continue
+            self.stops[record.work.id] = stop
+            out += self._make_way(now_us, record, stop)
+        return out
+
+    def _make_way(self, now_us: int, record: Record, stop: Stop) -> list[Action]:
+        """What another has to take over before it may begin."""
+        machine = record.work.machine
+        if stop.rule == STANDING:
+            return self._stand(now_us, machine)
+        if stop.rule == SEAT and self._proposals.wait(now_us, f"seat.{machine}", SEAT_US):
+            return [ReplaceSeat(machine)]
+        return []
+
+    # --- servers that stand ---
+
+    def _keep_standing(self, now_us: int) -> list[Action]:
+        """Choose anew where one is not listed any more, or a cell has too few."""
+        if not self._book.fleet.servers:
+            return []
+        wanted, there = self._wanted(""), self._book.standing & self._book.fleet.servers.keys()
+        if there == self._book.standing and len(there) >= len(wanted):
+            return []
+        return self._make(now_us, "stand", Stand(wanted))
+
+    def _stand(self, now_us: int, besides: str) -> list[Action]:
+        wanted = self._wanted(besides)
+        return self._make(now_us, "stand", Stand(wanted)) if besides not in wanted else []
+
+    def _wanted(self, besides: str) -> tuple[str, ...]:
+        records = self._book.records.values()
+        busy = {each.work.machine for each in records}
+        away = {name for each in records if each.state in UNSENDABLE for name in each.names}
+        book = self._book
+        return stands(book.fleet, book.settings.standing, book.standing, busy, away, besides)
--- a/molereach/upkeep/order/ageing.py
+++ b/molereach/upkeep/order/ageing.py
@@ -76,12 +76,13 @@
     for one in first:
         if one.waiting.work.id == work.id:
             return None  # those after it are lower in rank
+        lost = {name: each for name, each in scene.taken.items() if each.off is Off.LOST}
+        if judge(replace(scene, taken=lost), one.waiting.work, rules) is not None:
+            continue  # for a reason of its own
         since = {name: each for name, each in scene.taken.items() if each.begun_ms >= one.since_ms}
-        before = replace(scene, taken=since)
-        if judge(before, one.waiting.work, rules) is not None:
-            continue
         machine = scene.fleet.get(work.machine)
         mine = Taken(work, Off.AWAY, groups(machine) if machine else ())
-        if judge(replace(scene, taken={**since, work.machine: mine}), one.waiting.work, rules) is not None:
+        then = replace(scene, taken={**lost, **since, work.machine: mine})
+        if judge(then, one.waiting.work, rules) is not None:
             return Stop(AGEING, (one.waiting.work.machine,), f"would hold up {one.waiting.work.id}")
     return None
--- /dev/null
+++ b/molereach/upkeep/permits/bodies.py
@@ -0,0 +1,94 @@
+"""The bodies of the entries about works, and their one decoder."""
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from molereach.council.interface import MOST_BODY_BYTES, MOST_DOORS, Id, Known, Name, Position, Wire
+from molereach.upkeep.permits.way import Step
+from molereach.upkeep.requests.work import MOST_MS, Work
+from molereach.upkeep.rules.facts import MOST_ORDERED, MOST_SEATS, MOST_SERVERS, Door, Server
+
+MACHINE = "upkeep"
+MOST_PARTS = 16  # of one set of facts
+MOST_WORDS = 2 * MOST_DOORS  # in a proof: of a name two sessions may count
+_FIRST = b'{"kind":"'  # so that nothing is skipped, however deep, before it is known what it is
+
+
+class Ask(Wire, frozen=True, tag_field="kind", tag="ask"):
+    """Take this machine out. The same again is answered with what became of it."""
+
+    work: Work
+
+
+class Seen(Wire, frozen=True, tag_field="kind", tag="seen"):
+    """A part of what was measured. Parts come in order, from one proposer; a first part begins anew."""
+
+    number: Position
+    part: Annotated[int, Meta(ge=0, lt=MOST_PARTS)]
+    parts: Annotated[int, Meta(ge=1, le=MOST_PARTS)]
+    age_ms: Annotated[int, Meta(ge=0, le=MOST_MS)]  # of the oldest of it, as it was proposed
+    servers: Annotated[tuple[Server, ...], Meta(max_length=MOST_SERVERS)] = ()
+    doors: Annotated[tuple[Door, ...], Meta(max_length=MOST_DOORS)] = ()
+    panel: Annotated[tuple[Name, ...], Meta(max_length=MOST_SEATS)] = ()
+    spares: Annotated[int, Meta(ge=0, le=MOST_DOORS)] = 0
+    ordered: Annotated[tuple[Name, ...], Meta(max_length=MOST_ORDERED)] = ()
+
+
+class Stand(Wire, frozen=True, tag_field="kind", tag="stand"):
+    """These servers, and no others, stand for front doors that are long without a session."""
+
+    servers: Annotated[tuple[Name, ...], Meta(max_length=MOST_SERVERS)]
+
+
+class Move(Wire, frozen=True, tag_field="kind", tag="move"):
+    """A step of a work. `begun` is the position of the entry by which it drains, 0 where it does not."""
+
+    id: Id
+    step: Step
+    begun: Position = 0
+
+
+class Word(Wire, frozen=True, array_like=True):
+    """Of one session, by its fence: what `Accounted` says, in the fewest bytes, as 256 must fit in an
+    entry."""
+
+    fence: Position
+    known: Known
+    position: Position
+
+
+class Out(Wire, frozen=True, tag_field="kind", tag="out"):
+    """The permit, with the proof for the draining that began at `begun`."""
+
+    id: Id
+    begun: Position
+    proof: Annotated[tuple[Word, ...], Meta(max_length=MOST_WORDS)]
+
+
+class Back(Wire, frozen=True, tag_field="kind", tag="back"):
+    """The machine that was out by this permit is there again, under this name."""
+
+    id: Id
+    permit: Annotated[int, Meta(ge=1, le=MOST_MS)]
+    name: Name
+
+
+Body = Ask | Seen | Stand | Move | Out | Back
+
+_DECODER: msgspec.json.Decoder[Body] = msgspec.json.Decoder(Body)
+
+
+def encode(body: Body) -> bytes:
+    return msgspec.json.encode(body)
+
+
+def decode(data: bytes) -> Body:
+    """ValueError where it is none of them."""
+    if len(data) > MOST_BODY_BYTES or not data.startswith(_FIRST):
+        raise ValueError("not understood")
+    try:
+        return _DECODER.decode(data)
+    except msgspec.DecodeError:  # its words are the library's, and may differ between its versions
+        raise ValueError("not understood") from None
--- /dev/null
+++ b/molereach/upkeep/permits/proof.py
@@ -0,0 +1,89 @@
+"""The proof that nobody sends to a machine any more: whom it must name, and what is wrong with one.
+
+An entry at `begun` forbids to send to the machine. It holds everywhere, and nothing is under way there, once
+
+- each session that was open at `begun`, and is open, has said `clear` of `begun` or beyond; - each that has
+ended since did say so before, or was replaced by a new life or closed in order: then its process sends no
+more; - each front door that is without a session, since before or after, is over for so long that it keeps
+by itself to the servers that stood when it had one, and this machine has not stood since then (`door.py`
+keeps to that); - each that was without a session and has one again, in the same life, has said `clear`
+under the new one: what it sent meanwhile may be under way.
+
+Source: Burrows, "The Chubby lock service" (OSDI 2006), section 2.7; Gray and Cheriton, "Leases" (SOSP 1989).
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+from typing import Protocol
+
+from molereach.council.interface import Accounted, Known
+from molereach.council.leases.sessions import Opened, Past
+from molereach.upkeep.permits.bodies import Word
+
+
+class SessionsAt(Protocol):
+    """Of the state machine "sessions", as the log has it at the same position."""
+
+    def open(self, name: str) -> Opened | None: ...
+
+    def past(self, name: str) -> Past | None:
+        """What ended last of a name."""
+
+    def all_open(self) -> list[Opened]: ...
+
+    def lone(self) -> list[Past]:
+        """Of each name without an open session, the last, if that is over: it may serve on by itself."""
+
+    def at(self, position: int) -> Iterable[Opened | Past]:
+        """Those that were open when this position was applied, as they stand now."""
+
+
+def needed(sessions: SessionsAt, begun: int) -> tuple[Opened | Past, ...]:
+    """The sessions that a proof must speak of, by fence."""
+    found = {each.fence: each for each in (*sessions.at(begun), *sessions.lone())}
+    for opened in sessions.all_open():
+        past = sessions.past(opened.life.name)
+        if opened.fence > begun and past is not None and past.life == opened.life:
+            found[opened.fence] = opened
+    return tuple(found[fence] for fence in sorted(found))
+
+
+def alone(sessions: SessionsAt, session: Opened | Past) -> bool:
+    """Whether this session's front door may be one that serves on without any."""
+    if isinstance(session, Opened) or session.known is not Known.OVER:
+        return False
+    last = sessions.past(session.life.name)
+    return sessions.open(session.life.name) is None and last is not None and last.known is Known.OVER
+
+
+def fault(
+    words: Sequence[Word], sessions: SessionsAt, begun: int, unstood: int, waited: Callable[[int], bool]
+) -> str:
+    """What is missing, in one line; empty for a full proof. `unstood` is where the machine ceased to stand,
+    -1 for never; `waited` says whether what was over at a position is so for long enough."""
+    by_fence = {word.fence: word for word in words}
+    for session in needed(sessions, begun):
+        word = by_fence.get(session.fence)
+        name = session.life.name
+        if word is None:
+            return f"no word of {name}"
+        if word.known is Known.SAID:
+            if word.position < begun:
+                return f"{name} has said {word.position} of {begun}"
+            if isinstance(session, Past) and session.position < begun:
+                return f"{name} had no session any more"
+            continue
+        if isinstance(session, Opened):
+            return f"{name} has a session and has not said so"
+        if (word.known, word.position) != (session.known, session.position):
+            return f"{name} is {session.known.value} by {session.position}"
+        if alone(sessions, session):
+            if unstood >= session.fence:
+                return f"{name} may still count on it"
+            if not waited(session.position):
+                return f"{name} is not over for long enough"
+    return ""
+
+
+def pack(accounted: Iterable[tuple[Opened | Past, Accounted]]) -> tuple[Word, ...]:
+    """As it goes into an entry."""
+    return tuple(Word(session.fence, each.known, each.position) for session, each in accounted)
