Membership: a suspect's end that falls to before now is no stall of this process

One more accuser shortens the time of a suspicion, also to before now. The next event then looked as if this process had stood still: it doubted itself, dropped its probe, and gave the suspect the time again. What counts is the Tick that was planned when the last event was over.

--- a/molereach/council/membership/core.py
+++ b/molereach/council/membership/core.py
@@ -37,6 +37,7 @@
         self._probing = Probing(self._beliefs, self._outbox, draw)
         self._seeds: tuple[str, ...] = ()
         self._beat_us = NEVER_US  # when the next one begins
+        self._planned_us = NEVER_US  # when the next Tick was due, as the last event left it
         self._sync_us = self._retry_us = NEVER_US  # by time, not by own beats, which doubt makes longer
 
     # --- what others ask ---
@@ -67,7 +68,7 @@
         """Take one event; what is to be done, in order."""
         if self._outbox.displaced:
             return ()
-        late = now_us - self.wake_us
+        late = now_us - self._planned_us
         if late > self._settings.stall_us:
             self._stood_still(now_us, late)
         match event:
@@ -81,6 +82,8 @@
                 self._heard(now_us, event.sender, event.message)
             case _:
                 pass
+        # One more accuser can bring a suspect's end to before now: that is no stall, but a Tick at once.
+        self._planned_us = max(now_us, self.wake_us)
         return self._outbox.drain()
 
     def _join(self, now: int, seeds: tuple[str, ...]) -> None:
