--- a/tests/council/log/histories.py
+++ b/tests/council/log/histories.py
@@ -174,7 +174,7 @@
         world.loss, world.slowest_us, world.sync_us = 0.0, 40 * MS, 10 * MS
         self.join()
         settled = world.run(HEAL_US, lambda: not self.broken and world.leader() is not None and world.level()
-                            and not any(node.stalled for node in world.nodes.values()))
+                            and not any(node.stalled or node.disk_fails for node in world.nodes.values()))
         assert settled, f"not level: {self.state()}"
         for name in world.nodes:
             world.propose(name, f"last-{name}")
