--- /dev/null
+++ b/molereach/shards/proof.py
@@ -0,0 +1,73 @@
+"""The proof that each front door has an entry: whom it must name, and what is wrong with one.
+
+Source: Burrows, "The Chubby lock service" (OSDI 2006), section 2.7: a change goes ahead once each cache has
+acknowledged it or its lease is over. A proof is words by the fences of sessions, the fewest bytes.
+"""
+
+from collections.abc import Iterable, Sequence
+from typing import Protocol
+
+from molereach.council.interface import Accounted, Known, Life, Position, Wire
+from molereach.council.leases.sessions import Opened, Past
+
+
+class Word(Wire, frozen=True, array_like=True):
+    """Of one session: what `Accounted` says."""
+
+    fence: Position
+    known: Known
+    position: Position
+
+
+class SessionsAt(Protocol):
+    """Of the state machine "sessions", as the log has it at the same position."""
+
+    def open(self, name: str) -> Opened | None: ...
+
+    def past(self, name: str) -> Past | None:
+        """What ended last of a name."""
+
+    def life(self, name: str) -> Life | None:
+        """The highest life of a name that had a session."""
+
+    def all_open(self) -> list[Opened]: ...
+
+    def at(self, position: int) -> Iterable[Opened | Past]:
+        """Those that were open when this position was applied, as they stand now."""
+
+
+def fault(words: Sequence[Word], sessions: SessionsAt, begun: int, may_be_over: bool = True) -> str:
+    """What is missing, in one line; empty for a full proof that the entry at `begun` is known everywhere.
+
+    A front door whose session is over takes no part, and is turned away by the servers; with `may_be_over`
+    false it must be accounted for by itself, or by a new life.
+    """
+    by_fence = {word.fence: word for word in words}
+    for session in sessions.at(begun):
+        word, name = by_fence.get(session.fence), session.life.name
+        if word is None:
+            return f"no word of {name}"
+        if word.known is Known.SAID:
+            if word.position < begun:
+                return f"{name} has said {word.position} of {begun}"
+            continue
+        if isinstance(session, Opened):
+            return f"{name} has a session and has not said so"
+        if (word.known, word.position) != (session.known, session.position):
+            return f"{name} is {session.known.value} by {session.position}"
+        if session.known is Known.OVER and not may_be_over:
+            later = sessions.life(name)
+            if later is None or later == session.life:
+                return f"{name} may come back"
+    return ""
+
+
+def pack(sessions: SessionsAt, begun: int, accounted: Iterable[Accounted]) -> tuple[Word, ...]:
+    """As it goes into an entry: the words of an account, with the fences of the sessions that they are of."""
+    by_life = {each.door: each for each in accounted}
+    found = []
+    for session in sessions.at(begun):
+        one = by_life.get(session.life)
+        if one is not None:
+            found.append(Word(session.fence, one.known, one.position))
+    return tuple(found)
