--- a/molereach/council/log/core.py
+++ b/molereach/council/log/core.py
@@ -220,7 +220,7 @@
             case Piece():
                 self.catching_up.on_piece(sender.name, message)
             case Ask():
-                if message.proposer == sender:
+                if message.proposer == sender or any(seat.name == sender.name for seat in self.panel):
                     self.leading.on_ask(sender.name, message)
             case Leader():
                 if self.leading.on_leader(message):
