A member's purge: asked for on the log, done by proof, receipts, the door's and leader's part

Need: a member asks that nothing older be shown, and is told with an id when that holds at every front door. Weighed: the leader proposes the whole proof (37 KB for 256 front doors, over an entry's bound, and to be believed), or names only the open sessions that said clear and the machine makes the proof from the sessions of the log; the second was taken. Ids carry the position at which they were drawn, so a forgotten one is told as too old and never pending anew.

--- a/molereach/cache/readings/store.py
+++ b/molereach/cache/readings/store.py
@@ -7,10 +7,10 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterator
+from collections.abc import Sequence
 
 from molereach.cache.readings.reading import Reading
-from molereach.cache.readings.settings import MOST_ASKED_BYTES, ReadingSettings
+from molereach.cache.readings.settings import MOST_ASKED_BYTES, MOST_READINGS, ReadingSettings
 
 PROVEN_PART = 0.8  # of all bytes, for readings that were used again
 Order = OrderedDict[Reading, None]  # the one used last at the end
@@ -46,9 +46,10 @@
         share = self._shares.get(member)
         return share.size if share else 0
 
-    def of(self, member: str) -> Iterator[Reading]:
+    def of(self, member: str) -> Sequence[Reading]:
+        """At most `MOST_READINGS`."""
         share = self._shares.get(member)
-        return iter(share.readings.values() if share else ())
+        return list(share.readings.values()) if share else ()
 
     # --- use ---
 
@@ -105,7 +106,8 @@
 
     def _make_room(self, reading: Reading) -> None:
         share = self._shares.get(reading.member)
-        while share and share.readings and share.size + reading.size > self.settings.member_bytes:
+        most = self.settings.member_bytes - reading.size
+        while share and share.readings and (share.size > most or len(share.readings) >= MOST_READINGS):
             self._push_out(next(iter(share.readings.values())))
         while self.size + reading.size > self.settings.total_bytes:
             self._push_out(next(iter(self._fresh or self._proven)))
--- /dev/null
+++ b/tests/cache/purge/entries.py
@@ -0,0 +1,57 @@
+"""Entries of both machines, made in a line."""
+
+from molereach.cache.purge.bodies import MACHINE, Ask, Body, Standing, encode, ended, standing
+from molereach.cache.purge.machine import Bounds, Purges
+from molereach.council.interface import Entry, Life, Outcome
+from molereach.council.leases import bodies as leases
+from molereach.council.leases.sessions import Sessions
+
+A, B, C = Life("a", 1), Life("b", 1), Life("c", 1)
+MEMBER, OTHER = "00000000000000aa", "00000000000000bb"
+SMALL = Bounds(most_pending=8, most_done=4, most_rows=40, most_past=6, keep_ms=1000)
+
+
+def purge_id(drawn: int, number: int = 0) -> str:
+    return f"{drawn:x}-{number:016x}"
+
+
+class Log:
+    """Both machines of one front door, and the position at which they are."""
+
+    def __init__(self, bounds: Bounds = SMALL) -> None:
+        self.sessions = Sessions()
+        self.purges = Purges(self.sessions, bounds)
+        self.position, self.at_ms = 0, 1000
+        self.entries: list[Entry] = []
+
+    def add(self, machine: str, body: bytes, proposer: Life = A, at_ms: int = 0) -> Outcome:
+        self.position, self.at_ms = self.position + 1, max(self.at_ms, at_ms)
+        entry = Entry(self.position, machine, f"id{self.position}", proposer, self.at_ms, body)
+        self.entries.append(entry)
+        return self.sessions.apply(entry) if machine == leases.MACHINE else self.purges.apply(entry)
+
+    def lease(self, body: leases.Body, proposer: Life = A) -> Outcome:
+        return self.add(leases.MACHINE, leases.encode(body), proposer)
+
+    def opens(self, *lives: Life) -> None:
+        for life in lives:
+            assert not self.lease(leases.Open(life), life).error
+
+    def fence(self, life: Life) -> int:
+        opened = self.sessions.open(life.name)
+        assert opened
+        return opened.fence
+
+    def purge(self, body: Body | bytes, at_ms: int = 0) -> Outcome:
+        return self.add(MACHINE, body if isinstance(body, bytes) else encode(body), A, at_ms)
+
+    def ask(self, number: int = 0, member: str = MEMBER, class_name: str = "", at_ms: int = 0) -> Standing:
+        """Ask with a new id; it must be taken."""
+        body = Ask(purge_id(self.position, number), member, class_name)
+        outcome = self.purge(body, at_ms)
+        assert not outcome.error
+        return standing(outcome.value)
+
+
+def ended_by(outcome: Outcome) -> tuple[int, ...]:
+    return () if outcome.error else ended(outcome.value)
