--- a/tests/council/log/test_histories.py
+++ b/tests/council/log/test_histories.py
@@ -1,20 +1,20 @@
-"""95 histories of faults: panels of 3, 5 and 7, with front doors that have no seat."""
+"""130 histories of faults: panels of 3, 5 and 7, with front doors that have no seat."""
 
 import pytest
 
 from tests.council.log.histories import History
 
 
-@pytest.mark.parametrize("seed", range(30))
+@pytest.mark.parametrize("seed", range(40))
 def test_three(seed: int) -> None:
     History(seed, 3, 3).play()
 
 
-@pytest.mark.parametrize("seed", range(50))
+@pytest.mark.parametrize("seed", range(70))
 def test_five(seed: int) -> None:
     History(1000 + seed, 5, 3).play()
 
 
-@pytest.mark.parametrize("seed", range(15))
+@pytest.mark.parametrize("seed", range(20))
 def test_seven(seed: int) -> None:
     History(2000 + seed, 7, 2).play()
--- a/tests/council/log/test_parts.py
+++ b/tests/council/log/test_parts.py
@@ -325,6 +325,17 @@
     assert catching_up.on_piece("d1", got[0])
 
 
+def test_a_snapshot_that_is_older_or_lacks_a_machine_is_of_no_use() -> None:
+    one, two, got = behind(10)
+    two.learn([entry(position) for position in range(1, 10)])
+    assert not CatchingUp(two).on_piece("d1", got[0]) and two.position == 9
+    assert not two.restore(one.learner.snapshot())
+    one.learner.failed.add("sum")
+    giving = CatchingUp(one)
+    giving.tell("d2", 0)
+    assert asked(one) == []
+
+
 def test_it_asks_again_and_gives_up() -> None:
     two = ledger()
     catching_up = CatchingUp(two)
