--- a/tests/council/log/test_scripted.py
+++ b/tests/council/log/test_scripted.py
@@ -164,7 +164,7 @@
 def test_answers_raise_what_was_promised_and_accepted() -> None:
     door = Door(answered=False)
     door.hear(1, Noted(RUNS[0], RUNS[1], 0, HIGH, LOW, (entry(1),)))
-    door.hear(2, Noted(RUNS[0], RUNS[2], 1, LOW, LOW, (entry(2, "q"),)))
+    door.hear(2, Noted(RUNS[0], RUNS[2], 1, LOW, Ballot(4, "d1", 1), (entry(2, "q"),)))
     assert not door.core.ledger.may_vote  # it lacks what the last had decided
     assert door.core.ledger.acceptor.accepted == (entry(1),)
     door.give(Learn((entry(1),)))
