The decisions become a package: the servers known and a request are parts of their own

`server` (a server's health and warmth), `fleet` (the list, and which server an attempt goes to), `store` (a customer's stores) and `job` (a request) take what they own; `Gateway` keeps the order of steps and asks them. Mixins were ruled out: they move methods and leave the fields where they were. The deploy file names each file, and the test of the module's size counts them all.

--- /dev/null
+++ b/fennelwinch/rules/__init__.py
@@ -0,0 +1,8 @@
+"""The decisions of one gateway, in reading order: `times`; `server` and `fleet`, the servers known; `store`,
+a customer's limits; `job`, a request; `gateway`, the order of steps.
+"""
+
+from fennelwinch.rules.gateway import TARGETS, Gateway, next_n
+from fennelwinch.rules.store import DEMAND_US
+
+__all__ = ["DEMAND_US", "TARGETS", "Gateway", "next_n"]
--- /dev/null
+++ b/fennelwinch/rules/job.py
@@ -0,0 +1,44 @@
+"""One request that a gateway owes a final answer: its times, its worth and its attempts."""
+
+from fennelwinch import interface as i
+from fennelwinch.rules.server import Server
+from fennelwinch.rules.store import Customer
+from fennelwinch.rules.times import NEVER
+
+
+class Job:
+    """A request from its event to its last attempt's end; times are those of the events."""
+
+    __slots__ = ("aim_us", "asked_us", "asks", "customer", "decide_us", "end_us", "half_us", "in_quota",
+                 "out", "over", "ran_on", "ran_us", "req", "rule", "servers", "unrun", "unsent", "worth")
+
+    def __init__(
+        self, req: i.Request, rule: i.RequestClass, customer: Customer, now: int, gone_us: int
+    ) -> None:
+        """`gone_us` is how long ago the client's first try was: a retry's aim counts from there."""
+        self.req, self.rule, self.customer = req, rule, customer
+        self.worth = rule.worth * customer.plan.worth_factor * req.units
+        self.end_us = now + req.left_us
+        self.aim_us = min(now + rule.aim_us - gone_us, self.end_us)
+        self.half_us = now + req.left_us // 2  # a refusal after that, with nothing sent whole, comes too late
+        self.servers: list[Server] = []  # of its attempts, in order
+        self.out: dict[int, int] = {}  # attempts out and when each was sent
+        self.ran_on: Server | None = None  # where it may first have run, and since when
+        self.over, self.in_quota, self.ran_us, self.unrun = False, False, 0, 0  # unrun: proven so
+        self.unsent = 0  # attempts that never came whole to a server
+        self.decide_us, self.asks = NEVER, 0  # until when it waits for word of its quota
+        self.asked_us = 0  # its last ask
+
+    def may_refuse(self) -> bool:
+        """Whether trying again is harmless, for all that is known of its attempts."""
+        keyed_ok = self.rule.effect is i.Effect.KEYED and self.rule.group is i.Group.ALL
+        return self.ran_on is None or self.rule.effect is i.Effect.SAFE or keyed_ok
+
+    def may_run_on(self, now: int, server: Server) -> bool:
+        """A keyed request that may have run stays where its repeats are dropped, while they are."""
+        rule, first = self.rule, self.ran_on
+        if first is None or rule.effect is i.Effect.SAFE:
+            return True
+        place = "zone" if rule.group is i.Group.ZONE else "cell"
+        same = rule.group is i.Group.ALL or getattr(server.entry, place) == getattr(first.entry, place)
+        return same and rule.effect is i.Effect.KEYED and now < self.ran_us + rule.window_us
--- /dev/null
+++ b/tests/fennelwinch/replay.py
@@ -0,0 +1,134 @@
+"""Events of days in virtual time, played to the gateway of this checkout and to that of another.
+
+    python -m tests.fennelwinch.replay record FILE [SEEDS]
+    python -m tests.fennelwinch.replay compare FILE RULES  # RULES: an older `rules.py`, or its folder
+    python -m tests.fennelwinch.replay time FILE RULES [ROUNDS]
+
+`record` plays days of the rig and histories of quotas, with limits and without. `compare` asks that both
+take the same actions in the same order at every event, and as many from the same chance. `time` reads the
+CPU of both in turns, by which of the two a stream starts with changing each round.
+"""
+
+import gc
+import importlib.util
+import pickle
+import statistics
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import molereach.door.frontdoor
+import sim.histories
+from fennelwinch import interface as i
+from fennelwinch.rules import Gateway
+from molereach.limits.core import Limits
+from molereach.limits.settings import LimitSettings
+from rig import scenario_files
+from sim.histories import MS, QuotaHistory, S
+from sim.world import play
+
+SHORT = {"doors": 20, "servers": 30, "load": {"rate": 120.0, "customers": 60, "set-doors": 20}}
+Stream = tuple[i.Settings, LimitSettings | None, list[tuple[int, i.Event]]]
+STREAMS: list[Stream] = []
+
+
+class Recorded(Gateway):
+    """A gateway whose events are kept."""
+
+    def __init__(self, settings: i.Settings, limits: Any = None) -> None:  # noqa: ANN401
+        super().__init__(settings, limits)
+        self.settings_given, self.heard = settings, []
+
+    def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
+        if not self.heard:  # limits may be handed in between the start and the first event
+            figures = self.limits.settings if self.limits else None
+            STREAMS.append((self.settings_given, figures, self.heard))
+        self.heard.append((now_us, event))
+        return super().handle(now_us, event)
+
+
+def record(file: str, seeds: int) -> None:
+    molereach.door.frontdoor.Gateway = sim.histories.Gateway = Recorded  # type: ignore[misc]
+    for seed in range(seeds):
+        for limits in (False, True):
+            history = QuotaHistory(seed, 5, limits)
+            history.mail.loss, history.mail.double, history.mail.old = 0.05, 0.05, 0.01
+            history.load(0, 30 * S, 60.0, [3, 2, 1, 1, 1])
+            history.at(10 * S, lambda history=history: history.kill(history.nodes[0], 500 * MS))
+            history.run(32 * S)
+            for name in (*scenario_files.LARGE, "crowd", "cold-deploy", "garbled-servers", "vanish"):
+                large = name in scenario_files.LARGE
+                play(scenario_files.load(name, SHORT if large else None, not large), seed, limits=limits)
+    Path(file).write_bytes(pickle.dumps(STREAMS))
+    print(f"{len(STREAMS)} gateways, {sum(len(events) for *_, events in STREAMS)} events")
+
+
+def other(place: str) -> Any:  # noqa: ANN401
+    """The gateway's class of another checkout, beside that of this one."""
+    path, parts = Path(place), {}
+    if path.is_dir():
+        path, parts = path / "__init__.py", {"submodule_search_locations": [place]}
+    spec = importlib.util.spec_from_file_location("other_rules", path, **parts)
+    assert spec and spec.loader
+    module = sys.modules["other_rules"] = importlib.util.module_from_spec(spec)
+    spec.loader.exec_module(module)
+    return module.Gateway
+
+
+def made(kind: Any, stream: Stream) -> Any:  # noqa: ANN401
+    settings, figures, _ = stream
+    return kind(settings, Limits(settings, figures) if figures else None)
+
+
+def compare(file: str, place: str) -> None:
+    kind, counts = other(place), {False: [0, 0, 0], True: [0, 0, 0]}
+    for stream in pickle.loads(Path(file).read_bytes()):
+        old, new, count = made(kind, stream), made(Gateway, stream), counts[stream[1] is not None]
+        count[0] += 1
+        for number, (now, event) in enumerate(stream[2]):
+            wanted, got = old.handle(now, event), new.handle(now, event)
+            if wanted != got or (number % 100 == 0 and old.random.getstate() != new.random.getstate()):
+                sys.exit(f"event {number}, {event}:\n{wanted}\n{got}")
+            count[1], count[2] = count[1] + 1, count[2] + len(got)
+        assert old.ended == new.ended
+    for limits, (gateways, events, actions) in counts.items():
+        print(f"limits {limits}: {gateways} gateways, {events} events, {actions} actions: all the same")
+
+
+def cpu_s(kind: Any, streams: list[Stream]) -> float:  # noqa: ANN401
+    gateways = [(made(kind, stream).handle, stream[2]) for stream in streams]
+    gc.collect()
+    start = time.process_time()
+    for handle, events in gateways:
+        for now, event in events:
+            handle(now, event)
+    return time.process_time() - start
+
+
+def compare_times(file: str, place: str, rounds: int) -> None:
+    kinds, streams = (other(place), Gateway), pickle.loads(Path(file).read_bytes())
+    ratios, least = [], [1e9, 1e9]
+    gc.disable()
+    for number in range(rounds):
+        took = [0.0, 0.0]
+        for side in (0, 1) if number % 2 else (1, 0):
+            took[side] = cpu_s(kinds[side], streams)
+            least[side] = min(least[side], took[side])
+        ratios.append(took[1] / took[0])
+    print(f"this over other: mean {statistics.mean(ratios):.4f}, median {statistics.median(ratios):.4f}, "
+          f"least CPU {least[1] / least[0]:.4f} of {least[1]:.3f} s")
+
+
+def main() -> None:
+    command, file, *more = sys.argv[1:]
+    if command == "record":
+        record(file, int(more[0]) if more else 2)
+    elif command == "compare":
+        compare(file, more[0])
+    else:
+        compare_times(file, more[0], int(more[1]) if len(more) > 1 else 12)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/fennelwinch/rules/test_fleet.py
@@ -0,0 +1,86 @@
+"""Which servers are known and which one an attempt goes to, without a gateway."""
+
+from dataclasses import replace
+from random import Random
+
+from fennelwinch import interface as i
+from fennelwinch.rules.fleet import CHOICES, KEPT_CHOICES, Fleet
+from fennelwinch.rules.job import Job
+from fennelwinch.rules.store import Customer
+from tests.helpers import PLAN, SAFE, SETTINGS, S, servers
+
+NOW = 100 * S
+KEYED = i.RequestClass(2 * S, 6 * S, effect=i.Effect.KEYED, group=i.Group.ZONE, window_us=3 * S)
+
+
+def fleet_of(entries: tuple[i.Server, ...], settings: i.Settings = SETTINGS) -> Fleet:
+    fleet = Fleet(settings, Random(1))
+    fleet.learn(NOW, i.ServerList(i.ListKind.FULL, 1, entries))
+    return fleet
+
+
+def job(rule: i.RequestClass = SAFE) -> Job:
+    customer = Customer(PLAN, (1, 0, 0, 1), SETTINGS, NOW, 0)
+    return Job(i.Request("a", 0, 0, "c", 6 * S), rule, customer, NOW, 0)
+
+
+def test_list_is_followed_by_its_kind() -> None:
+    first, second, third = servers(3)
+    fleet = fleet_of((first, second))
+    kept = fleet.servers["s0"]
+    fleet.learn(NOW, i.ServerList(i.ListKind.CHANGES, 2, (third, replace(second, state=i.ServerState.GONE))))
+    assert set(fleet.servers) == {"s0", "s2"} and fleet.servers["s0"] is kept
+    fleet.learn(NOW, i.ServerList(i.ListKind.FAILED, 0))
+    assert set(fleet.servers) == {"s0", "s2"}  # the old list holds
+    fleet.learn(NOW, i.ServerList(i.ListKind.FULL, 3, (replace(first, state=i.ServerState.DRAINING),)))
+    assert set(fleet.servers) == {"s0"} and not fleet.up and not fleet.warm
+
+
+def test_server_that_started_anew_is_cold_and_begins_at_a_time_of_its_own() -> None:
+    fleet = fleet_of(servers(2))
+    fleet.servers["s0"].fails = 1.0
+    fleet.learn(NOW, i.ServerList(i.ListKind.CHANGES, 2, (servers(1, started_us=NOW)[0],)))
+    known = fleet.servers["s0"]
+    assert known.fails == 0 and known.sent_us == NOW and 0 < known.credit < 1
+    assert fleet.warm == 1 + SETTINGS.cold_from
+
+
+def test_least_expected_wait_is_chosen_and_none_of_the_tried_or_avoided() -> None:
+    fleet, asked = fleet_of(servers(4)), job()
+    busy, slow, fast, full = fleet.up
+    busy.out[("x", 0)], slow.slowness, full.avoid_until = NOW, 1.5, NOW + 1
+    assert fleet.choose(NOW, asked) is fast
+    asked.servers.append(fast)
+    assert fleet.choose(NOW, asked) is slow
+    fleet.hear_load(NOW, slow, i.LoadReport(util=0.9))
+    fleet.hear_load(NOW, busy, i.LoadReport(util=0.01))
+    assert fleet.choose(NOW, asked) is busy
+    assert fleet.choose(NOW + 2 * S, asked) is full  # no more avoided, and reports that old say nothing
+    fleet.up.clear()
+    assert fleet.choose(NOW, asked) is None
+
+
+def test_request_that_may_have_run_stays_where_its_repeats_are_dropped() -> None:
+    fleet, keyed = fleet_of(servers(4)), job(KEYED)
+    keyed.ran_on, keyed.ran_us = fleet.servers["s1"], NOW
+    chosen = {fleet.choose(NOW, keyed) for _ in range(40)}
+    assert chosen <= {fleet.servers["s1"], fleet.servers["s3"]}
+    assert fleet.choose(NOW + 3 * S, keyed) is None
+    assert fleet.choose(NOW, job(replace(KEYED, effect=i.Effect.UNSAFE))) is not None
+
+
+def test_a_few_are_looked_at_and_most_have_a_connection_that_rests() -> None:
+    fleet = fleet_of(servers(100), replace(SETTINGS, handshake_price=0.1, keep_us=5 * S))
+    for server in fleet.up[:20]:
+        server.kept, server.kept_at = 1, NOW
+    few = fleet.candidates(NOW, fleet.up)
+    assert len(few) == CHOICES and sum(server.kept for server in few) == KEPT_CHOICES
+
+
+def test_slowness_fades_and_the_rate_follows_what_was_to_be_sent() -> None:
+    fleet = fleet_of(servers(1))
+    fleet.up[0].slowness = 2.0
+    fleet.end_period(NOW, 50, 2 * S)
+    assert fleet.up[0].slowness == 1.9 and fleet.rate == 25
+    fleet.end_period(NOW, 0, S)
+    assert fleet.rate == 17.5
--- a/tests/fennelwinch/test_rules.py
+++ b/tests/fennelwinch/test_rules.py
@@ -1,5 +1,6 @@
 """Scripted events in, actions out: the cap, the quota, the five rules and health."""
 
+import tomllib
 import zlib
 from dataclasses import replace
 from pathlib import Path
@@ -10,6 +11,7 @@
 from fennelwinch.rules import TARGETS, Gateway, next_n
 from tests.helpers import MS, PLAN, SAFE, SETTINGS, S, Set, World, of, servers
 
+ROOT = Path(__file__).parents[2]
 UTIL = TARGETS["util"]
 KEYED = i.RequestClass(2 * S, 6 * S, effect=i.Effect.KEYED, group=i.Group.ZONE, window_us=3 * S)
 UNSAFE = i.RequestClass(2 * S, 6 * S, effect=i.Effect.UNSAFE)
@@ -532,16 +534,16 @@
 
 def test_connection_that_was_lost_or_is_old_counts_for_nothing() -> None:
     world = World(replace(SETTINGS, plans=(i.Plan(),), handshake_price=0.1, keep_us=5 * S), servers(1))
-    (server,) = world.gateway.up
+    (server,) = world.gateway.fleet.up
     for result, kept in ((i.Result.OK, True), (i.Result.RESET, False), (i.Result.ERROR, True),
                          (i.Result.TIMEOUT, False), (i.Result.FULL, True)):
         world.gateway.retries = 0
         world.ask(result.value)
         world.answer(result.value, result=result)
-        assert world.gateway.is_kept(server) is kept
+        assert server.is_kept(world.now, world.gateway.set.keep_us) is kept
         world.run(S)
     world.run(5 * S)
-    assert not world.gateway.is_kept(server)
+    assert not server.is_kept(world.now, world.gateway.set.keep_us)
 
 
 def test_cold_server_is_not_flooded_by_a_hundred_gateways() -> None:
@@ -626,7 +628,7 @@
     world.run(10 * MS)
     for n in range(4):
         world.answer(f"r{n}", i.Result.TIMEOUT)
-    assert world.gateway.servers["s0"].on_trial is False
+    assert world.gateway.fleet.servers["s0"].on_trial is False
 
 
 def test_further_attempts_are_few() -> None:
@@ -670,8 +672,11 @@
 
 
 def test_module_size() -> None:
-    lines = (Path(__file__).parents[2] / "fennelwinch" / "rules.py").read_text().splitlines()
-    assert sum(bool(line.strip()) for line in lines) <= 1200
+    """All files of the decisions together, as the deploy file names them."""
+    files = [ROOT / name for name in tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]]
+    assert set(files) == set((ROOT / "fennelwinch" / "rules").rglob("*.py"))
+    lines = [line for file in files for line in file.read_text().splitlines()]
+    assert len(lines) <= 1200
     assert max(map(len, lines)) <= 110
 
 
@@ -682,7 +687,7 @@
         start = world.now
         world.ask("a", left_us=S)
         if fleet:  # a failed connect has sent nothing
-            world.gateway.up.clear()
+            world.gateway.fleet.up.clear()
             world.answer("a", i.Result.CONNECT_FAILED)
         world.run(S)
         refused = [at for at, action in world.log if isinstance(action, i.Refuse)]
@@ -711,18 +716,6 @@
         assert gateway.n_past == 19
 
 
-def test_spoilt_answers_and_resets_leave_a_server_in_that_answers_otherwise() -> None:
-    gateway = World(fleet=servers(1)).gateway
-    server = gateway.servers["s0"]
-    for _ in range(40):
-        gateway.note_broken(server)
-        gateway.note_result(server, True)
-    assert not server.on_trial and not server.avoid_until
-    for _ in range(4):
-        gateway.note_broken(server)
-    assert server.on_trial  # one that does nothing else is suspect
-
-
 def test_retry_that_comes_after_the_aim_of_its_first_try_is_refused_at_once() -> None:
     world = World()
     world.ask("first", left_us=6 * S)
@@ -821,7 +814,7 @@
         world.tell(i.ServerList(i.ListKind.CHANGES, number, (replace(gone, state=i.ServerState.GONE),)))
         world.ask(f"a{number}", customer=f"once{number}")
         world.answer(f"a{number}")
-    assert set(world.gateway.servers) == {"s0", "s1"}
+    assert set(world.gateway.fleet.servers) == {"s0", "s1"}
     assert len(world.gateway.customers) == 200
     world.run(12 * S)
     assert not world.gateway.customers and not world.gateway.sets and not world.gateway.jobs
@@ -868,9 +861,9 @@
 def test_fleet_that_is_all_cold_is_sent_what_comes() -> None:
     """Spaced by the rate of what was sent, it would never be sent more than it was."""
     world = World(replace(SETTINGS, plans=(i.Plan(rate=1e4, burst=1e4),), cold_from=0.9), servers(4))
-    for server in world.gateway.servers.values():
+    for server in world.gateway.fleet.servers.values():
         server.warm_from = world.now  # as after a suspicion
-    world.gateway.rate = 1.0
+    world.gateway.fleet.rate = 1.0
     for number in range(400):
         world.ask(f"a{number}", left_us=6 * S)
         world.run(20 * MS)
