The cap is a part of its own: N, its period and its signals, without a gateway

`cap` holds the paper's update, the period and what it allows; Gateway tells it what is out, how many servers are ready and, once a period, the ages of overdue attempts. Its table of N moves to the part's own test.

--- a/fennelwinch/rules/__init__.py
+++ b/fennelwinch/rules/__init__.py
@@ -1,8 +1,10 @@
 """The decisions of one gateway, in reading order: `times`; `server` and `fleet`, the servers known; `store`,
-a customer's limits; `job`, a request; `gateway`, the order of steps.
+a customer's limits; `job`, a request; `cap`, what may
+be sent on; `gateway`, the order of steps.
 """
 
-from fennelwinch.rules.gateway import TARGETS, Gateway, next_n
+from fennelwinch.rules.cap import TARGETS, next_n
+from fennelwinch.rules.gateway import Gateway
 from fennelwinch.rules.store import DEMAND_US
 
 __all__ = ["DEMAND_US", "TARGETS", "Gateway", "next_n"]
--- a/fennelwinch/rules/gateway.py
+++ b/fennelwinch/rules/gateway.py
@@ -1,27 +1,19 @@
 """The decisions of one gateway; its events, actions and settings are in fennelwinch/interface.py."""
 
 import itertools
-import math
 import random
 import zlib
 from bisect import insort
 from collections.abc import Callable
 
 from fennelwinch import interface as i
+from fennelwinch.rules.cap import Cap
 from fennelwinch.rules.fleet import Fleet
 from fennelwinch.rules.job import Job
 from fennelwinch.rules.server import Server
 from fennelwinch.rules.store import DEMAND_US, GRANT_US, SMALL_PART, WORD_FRESH_US, Customer, full_again_us
 from fennelwinch.rules.times import NEVER, TICK_US, S
 
-FAIR_N, MOST_PERIODS = 10, 2  # control period and OPPUI: 1 or 2 s, for a fair-sized N
-MAX_INCREASE, MAX_DECREASE = 0.2, 0.1  # the largest step of N in a second, against noise
-ADDL_DECREMENT, MIN_FRACTION_CALLS = 0.1, 0.75  # extra step at occ_too_high; part of N that counts as low
-# max_occup, occ_too_high, min_occup: reports of busy cores are late; a mean at half the aim has a tail.
-TARGETS = {"util": (0.92, 0.97, 0.75), "latency": (0.5, 0.7, 0.35)}
-# For each ready server, by all gateways: attempts a second when the cap engages, and out at once ever.
-START_PER_SERVER, LEAST_OUT = 8, 2  # the second: for one gateway in any case
-USUAL_AIM_US = 1.5 * S  # what the figures for a second are meant for: where aims are shorter, all goes faster
 # The wait for word from home, its part of the aim, and how often it is asked.
 ASK_US, ASK_PART, ASKS = 160_000, 3, 3
 SILENT_US, ASK_AGAIN_US = 500_000, 300_000  # a peer is silent that answers no ask for so long; asked again
@@ -45,7 +37,7 @@
         self.sets: dict[tuple[int, int], tuple[int, int, int, int]] = {}  # under which a customer came first
         self.jobs: dict[str, Job] = {}
         self.held: list[tuple[float, int, Job]] = []  # highest worth first, then by arrival
-        self.now, self.period_us, self.alarm_us, self.serial = 0, -1, NEVER, itertools.count()
+        self.now, self.alarm_us, self.serial = 0, NEVER, itertools.count()
         self.since_us, self.forget_us = 0, max(LEAST_KEPT_US, *map(full_again_us, settings.plans))
         self.unanswered: dict[int, int] = {}  # by peer: the first ask without a word since
         self.asked_us: dict[int, int] = {}  # by peer: the last ask
@@ -57,14 +49,9 @@
         self.words: dict[int, list[i.Word | i.LimitWord]] = {}  # for each peer
         self.told_us: dict[int, int] = {}  # when words last left for it
         self.mean_us = [rule.aim_us / 4 for rule in settings.classes]
-        aims = [rule.aim_us for rule in settings.classes]
-        self.second = round(S * min(1.0, sum(aims) / max(1, len(aims)) / USUAL_AIM_US))  # of this deployment
         self.patience_us = [0] * len(settings.classes)  # how long clients wait for their first tries
         self.retries = RETRY_STORE / 2
-        self.n_past: int | None = None  # no N: the cap is lifted
-        self.overhead, self.accepted, self.out, self.cc_us = 1.0, 0, 0, self.second  # accepted: this period
-        self.signals: dict[str, list[float]] = {"util": [], "latency": []}
-        self.wanted = 0  # requests let through by their quotas in this period
+        self.cap, self.out = Cap(settings), 0  # attempts out
         self.ended = dict.fromkeys(ENDS, 0)  # requests given up on, by why
         self.actions: list[i.Action] = []
         self.on: dict[type, Callable[..., object]] = {
@@ -75,15 +62,15 @@
 
     def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
         self.now, self.actions = now_us, []
-        if self.period_us < 0:
-            self.period_us = self.since_us = now_us
+        if self.cap.period_us < 0:
+            self.cap.period_us = self.since_us = now_us
             if self.limits:
                 self.limits.start(now_us)
         if act := self.on.get(type(event)):
             act(event)
         self.send_words()
         busy = self.held or self.words or self.jobs  # an idle gateway wakes up only to end its periods
-        due = max(now_us + TICK_US, 0 if busy else self.period_us + self.cc_us)
+        due = max(now_us + TICK_US, 0 if busy else self.cap.period_us + self.cap.cc_us)
         if self.limits:
             due = min(due, max(now_us + TICK_US, self.limits.wake_us))
         if due < self.alarm_us:
@@ -95,7 +82,7 @@
         if self.now < self.alarm_us:
             return
         self.alarm_us = NEVER
-        while self.now - self.period_us >= self.cc_us:
+        while self.now - self.cap.period_us >= self.cap.cc_us:
             self.end_period()
         self.end_waits()
         self.held = [entry for entry in self.held if not self.expire(entry[2], NEEDED_HELD)]
@@ -129,21 +116,15 @@
             self.actions.append(i.Subscribe(True))
         self.fleet.learn(self.now, news)
 
-    # --- the cap: Dynamic Processor Overload Control, section 2 of the paper ---
-
     def end_period(self) -> None:
-        self.period_us += self.cc_us
-        # What was to be sent, not what was: a fleet of cold servers, each spaced by this rate, would never
-        # be sent more than before.
-        sent = max(self.accepted, self.wanted if self.n_past is None else min(self.wanted, self.n_past))
-        self.fleet.end_period(self.now, sent, self.cc_us)
-        self.wanted = 0
+        self.fleet.end_period(self.now, self.cap.to_send(), self.cap.cc_us)
         self.forget_customers()
-        self.update_cap(self.accepted)
-        was, most = self.cc_us, min(MOST_PERIODS, round(FAIR_N / max(1.0, self.fleet.rate * self.second / S)))
-        self.cc_us = self.second * max(1, most)
-        self.n_past = None if self.n_past is None else max(1, self.n_past * self.cc_us // was)
-        self.accepted = 0
+        self.cap.end_period(self.fleet.rate, len(self.fleet.up), self.overdue)
+
+    def overdue(self) -> list[float]:
+        """The ages of attempts that are out for longer than usual, as parts of their aims."""
+        return [min(1.0, (self.now - sent) / job.rule.aim_us) for job in self.jobs.values()
+                for sent in job.out.values() if self.now - sent > self.mean_us[job.req.class_index]]
 
     def forget_customers(self) -> None:
         """One whose stores are full again is as good as new; those that came only once would never end."""
@@ -155,34 +136,9 @@
             if self.sets.get(key[:2]) == key:
                 del self.sets[key[:2]]
 
-    def update_cap(self, na_past: float) -> None:
-        """The paper's update. A cap in full use is not lifted: that floods servers that have just drained."""
-        kind = "util" if self.signals["util"] else "latency"
-        samples, targets = self.signals[kind], TARGETS[kind]
-        self.signals = {"util": [], "latency": []}
-        if kind == "latency":  # a jam answers nobody: what is out and overdue counts with its age so far
-            samples += [min(1.0, (self.now - sent) / job.rule.aim_us) for job in self.jobs.values()
-                        for sent in job.out.values() if self.now - sent > self.mean_us[job.req.class_index]]
-        if not samples:
-            return
-        occup, was = min(1.0, sum(samples) / len(samples)), self.n_past
-        if occup < targets[2] and (was is None or na_past < MIN_FRACTION_CALLS * was):
-            self.overhead, self.n_past = min(self.overhead, occup), None
-        elif was is None:
-            start = START_PER_SERVER * len(self.fleet.up) * self.cc_us // self.second
-            self.n_past = max(1, start // self.set.gateways)
-        else:
-            seconds, overhead = self.cc_us / self.second, min(self.overhead, targets[2] / 2)
-            self.n_past = next_n(was, na_past, occup, overhead, targets, seconds)
-
-    def allowance(self) -> bool:
-        part = min(1.0, (self.now - self.period_us + TICK_US) / self.cc_us)
-        # Servers that hold too much may not come back for long: what is out is bounded, cap or no cap.
-        free = self.out < max(LEAST_OUT, START_PER_SERVER * len(self.fleet.up) // self.set.gateways)
-        return free and (self.n_past is None or self.accepted < math.ceil(self.n_past * part))
-
     def release(self) -> None:
-        blocked, held = not self.allowance(), self.held
+        cap, ready = self.cap, len(self.fleet.up)
+        blocked, held = not cap.allows(self.now, self.out, ready), self.held
         if blocked or not held:
             return
         self.held = []
@@ -193,7 +149,7 @@
                 self.send(job, server)
             elif not job.over:
                 self.held.append(entry)  # where no server takes anything there is no need to look on
-            blocked = blocked or not self.allowance() or not (waits or server)
+            blocked = blocked or not cap.allows(self.now, self.out, ready) or not (waits or server)
 
     def below_ceiling(self, job: Job) -> bool:
         customer, units = job.customer, job.req.units
@@ -215,7 +171,9 @@
 
     def why_held(self, job: Job) -> str:
         """What a request that was held until it was given up on waited for."""
-        return "ceiling" if not self.below_ceiling(job) else "server" if self.allowance() else "cap"
+        if not self.below_ceiling(job):
+            return "ceiling"
+        return "server" if self.cap.allows(self.now, self.out, len(self.fleet.up)) else "cap"
 
     def customer(self, key: tuple[int, int, int, int]) -> Customer:
         known = self.customers.pop(key, None)
@@ -318,10 +276,10 @@
         job.in_quota, plan = self.random.random() < chance, job.customer.plan
         if job.in_quota:
             self.spend(job.customer, job.req.units)
-        elif plan.over_worth <= plan.over_cost or self.n_past is not None:
+        elif plan.over_worth <= plan.over_cost or self.cap.n_past is not None:
             self.end(job, "quota")
             return
-        self.wanted += 1
+        self.cap.wanted += 1
         if self.limits and plan.ceiling_rate:
             self.limits.want(self.now, job.customer.key, job.req.units)
         insort(self.held, (-job.worth, next(self.serial), job))
@@ -433,7 +391,8 @@
 
     def send(self, job: Job, server: Server) -> None:
         if not (number := len(job.servers)):
-            self.accepted, self.retries = self.accepted + 1, min(RETRY_STORE, self.retries + RETRY_SHARE)
+            self.cap.accepted += 1
+            self.retries = min(RETRY_STORE, self.retries + RETRY_SHARE)
             job.customer.pass_ceiling(self.now, job.req.units)
             if self.limits and job.customer.plan.ceiling_rate:
                 self.limits.take(self.now, job.customer.key, job.req.units)
@@ -486,7 +445,7 @@
     def learn(self, job: Job, server: Server, event: i.Outcome) -> None:
         index, result, took = job.req.class_index, event.result, event.latency_us
         if event.report is not None:
-            self.signals["util"] += [event.report.util] if event.report.util is not None else []
+            self.cap.signals["util"] += [event.report.util] if event.report.util is not None else []
             self.fleet.hear_load(self.now, server, event.report)
         if result is i.Result.OK:
             server.heard_us = self.now
@@ -496,7 +455,7 @@
             if self.set.trued_up and event.true_units and job.in_quota:
                 job.customer.spend(event.true_units - job.req.units)
         if result in (i.Result.OK, i.Result.TIMEOUT):
-            self.signals["latency"].append(min(1.0, took / job.rule.aim_us))
+            self.cap.signals["latency"].append(min(1.0, took / job.rule.aim_us))
         server.note_end(self.now, result, took, self.set.warm_within_us)
 
     def end(self, job: Job, why: str) -> None:
@@ -516,20 +475,3 @@
         self.actions += [i.Cancel(job.req.id, number) for number in job.out if calls_off]
         if not job.out:
             self.jobs.pop(job.req.id, None)
-
-
-def next_n(n_past: int, na_past: float, occup: float, overhead: float, targets: tuple[float, ...],
-           seconds: float = 1.0) -> int:
-    """The paper's update of N, rounded down; `targets` are max_occup, occ_too_high and min_occup."""
-    max_occup, occ_too_high, min_occup = targets
-    if occup < min_occup and na_past < MIN_FRACTION_CALLS * n_past:
-        return n_past
-    lowest: float = n_past * (1 - MAX_DECREASE) ** seconds
-    highest: float = n_past * (1 + MAX_INCREASE) ** seconds
-    n_prelim = highest if occup <= overhead else (max_occup - overhead) / (occup - overhead) * na_past
-    n_next = min(max(n_prelim, lowest), highest)
-    if occup >= occ_too_high:
-        n_next = max(n_prelim, lowest) * (1 - ADDL_DECREMENT) ** seconds
-    elif n_prelim - n_past >= 1 and highest - n_past < 1:
-        n_next = n_past + 1
-    return max(1, math.floor(n_next + 1e-9))
--- /dev/null
+++ b/tests/fennelwinch/rules/test_cap.py
@@ -0,0 +1,94 @@
+"""The cap without a gateway: it engages, moves, is lifted, and spreads what it allows over its period."""
+
+from dataclasses import replace
+
+import pytest
+
+from fennelwinch import interface as i
+from fennelwinch.rules.cap import LEAST_OUT, START_PER_SERVER, TARGETS, Cap, next_n
+from fennelwinch.rules.times import TICK_US
+from tests.helpers import SETTINGS, S
+
+UTIL = TARGETS["util"]
+
+
+def cap_of(util: float | None = None, gateways: int = 2) -> Cap:
+    cap = Cap(replace(SETTINGS, gateways=gateways))
+    cap.period_us = 0
+    if util is not None:
+        cap.signals["util"].append(util)
+        cap.update(100, 4, list)
+    return cap
+
+
+@pytest.mark.parametrize(
+    ("n_past", "na_past", "occup", "overhead", "expected"),
+    [
+        (100, 100, 0.90, 0.10, 102),  # (0.92 - 0.1) / (0.9 - 0.1) * 100 = 102.5, rounded down
+        (100, 80, 0.80, 0.10, 93),  # (0.82 / 0.7) * 80 = 93.7: accepted calls count, not N
+        (100, 200, 0.80, 0.10, 120),  # the largest step up
+        (100, 20, 0.90, 0.10, 90),  # the largest step down
+        (100, 100, 0.98, 0.10, 83),  # 0.82 / 0.88 * 100 = 93.18, times 0.9 at occ_too_high = 83.86
+        (100, 20, 0.98, 0.10, 81),  # both steps down
+        (3, 4, 0.80, 0.10, 4),  # 4.69 is 1 more than 3 and the step under 1: up by one
+        (100, 70, 0.50, 0.10, 100),  # low occupancy and few calls: held
+        (100, 90, 0.50, 0.60, 120),  # at or below overhead: the largest step
+        (1, 0, 0.99, 0.10, 1),  # never under one
+    ],
+)
+def test_next_n_by_hand(n_past: int, na_past: float, occup: float, overhead: float, expected: int) -> None:
+    assert next_n(n_past, na_past, occup, overhead, UTIL) == expected
+
+
+def test_engages_by_the_ready_servers_and_is_lifted_when_little_of_it_is_used() -> None:
+    cap = cap_of(0.9)
+    assert cap.n_past == START_PER_SERVER * 4 // 2
+    cap.signals["util"].append(0.3)
+    cap.update(0, 4, list)
+    assert cap.n_past is None and cap.overhead == pytest.approx(0.3)
+
+
+def test_in_full_use_it_rises_and_is_not_lifted() -> None:
+    cap = cap_of(0.9)
+    cap.signals["util"].append(0.3)
+    cap.update(16, 4, list)
+    assert cap.n_past == 19  # the largest step from 16
+
+
+def test_jam_in_which_nobody_answers_counts_by_the_ages_of_attempts() -> None:
+    cap = cap_of()
+    cap.update(0, 4, list)
+    assert cap.n_past is None  # no sample says anything
+    cap.update(0, 4, lambda: [0.8])
+    assert cap.n_past == 16
+    cores = cap_of()
+    cores.signals["util"].append(0.3)
+    cores.update(0, 4, lambda: [0.8])  # where servers report busy cores, ages say nothing
+    assert cores.n_past is None
+
+
+def test_what_it_allows_is_spread_over_the_period_and_what_is_out_is_bounded() -> None:
+    cap = cap_of(0.9)
+    cap.accepted = 8
+    assert not cap.allows(S // 4, 0, 4) and cap.allows(S // 2, 0, 4)
+    cap.accepted = 16
+    assert not cap.allows(S - TICK_US, 0, 4)
+    lifted = cap_of()
+    assert lifted.allows(0, 15, 4) and not lifted.allows(0, 16, 4)
+    assert lifted.allows(0, LEAST_OUT - 1, 0) and not lifted.allows(0, LEAST_OUT, 0)
+
+
+def test_period_is_long_where_few_are_sent_and_n_goes_with_it() -> None:
+    cap = cap_of(0.9)
+    cap.accepted, cap.wanted = 3, 40
+    assert cap.to_send() == 16  # no more than the cap
+    cap.end_period(5.0, 4, list)
+    assert (cap.cc_us, cap.n_past, cap.period_us) == (2 * S, 32, S) and cap.to_send() == 0
+    cap.end_period(50.0, 4, list)
+    assert (cap.cc_us, cap.n_past, cap.period_us) == (S, 16, 3 * S)
+
+
+def test_second_follows_the_aims_of_the_deployment() -> None:
+    for aim_us, second in ((3 * S, S), (3 * S // 4, S // 2)):
+        cap = Cap(replace(SETTINGS, classes=(i.RequestClass(aim_us, 6 * S),)))
+        assert cap.second == cap.cc_us == second
--- a/tests/fennelwinch/test_rules.py
+++ b/tests/fennelwinch/test_rules.py
@@ -24,25 +24,6 @@
 # --- the cap ---
 
 
-@pytest.mark.parametrize(
-    ("n_past", "na_past", "occup", "overhead", "expected"),
-    [
-        (100, 100, 0.90, 0.10, 102),  # (0.92 - 0.1) / (0.9 - 0.1) * 100 = 102.5, rounded down
-        (100, 80, 0.80, 0.10, 93),  # (0.82 / 0.7) * 80 = 93.7: accepted calls count, not N
-        (100, 200, 0.80, 0.10, 120),  # the largest step up
-        (100, 20, 0.90, 0.10, 90),  # the largest step down
-        (100, 100, 0.98, 0.10, 83),  # 0.82 / 0.88 * 100 = 93.18, times 0.9 at occ_too_high = 83.86
-        (100, 20, 0.98, 0.10, 81),  # both steps down
-        (3, 4, 0.80, 0.10, 4),  # 4.69 is 1 more than 3 and the step under 1: up by one
-        (100, 70, 0.50, 0.10, 100),  # low occupancy and few calls: held
-        (100, 90, 0.50, 0.60, 120),  # at or below overhead: the largest step
-        (1, 0, 0.99, 0.10, 1),  # never under one
-    ],
-)
-def test_next_n_by_hand(n_past: int, na_past: float, occup: float, overhead: float, expected: int) -> None:
-    assert next_n(n_past, na_past, occup, overhead, UTIL) == expected
-
-
 def loaded_world(util: float, plans: tuple[i.Plan, ...] = (i.Plan(),)) -> World:
     patient = (i.RequestClass(aim_us=6 * S, deadline_us=6 * S),)
     world = World(replace(SETTINGS, plans=plans, gateways=2, classes=patient))
@@ -56,11 +37,11 @@
 
 def test_cap_engages_spreads_and_is_lifted() -> None:
     world = loaded_world(0.9)
-    assert world.gateway.n_past == 16  # 8 for each of 4 ready servers, halved over two gateways
+    assert world.gateway.cap.n_past == 16  # 8 for each of 4 ready servers, halved over two gateways
     for n in range(150):
         world.ask(f"r{n}", customer=f"c{n}")
-    world.run(world.gateway.period_us + S - world.now)
-    start, allowed = world.now, world.gateway.n_past
+    world.run(world.gateway.cap.period_us + S - world.now)
+    start, allowed = world.now, world.gateway.cap.n_past
     for _ in range(99):
         for name, attempt in list(world.out):
             world.answer(name, attempt=attempt)
@@ -69,8 +50,8 @@
     assert len(sends) == allowed
     assert sends[-1] - sends[0] > 0.8 * S
     idle = loaded_world(0.3)
-    assert idle.gateway.n_past is None
-    assert idle.gateway.overhead == pytest.approx(0.3)
+    assert idle.gateway.cap.n_past is None
+    assert idle.gateway.cap.overhead == pytest.approx(0.3)
 
 
 def test_period_follows_the_rate() -> None:
@@ -81,8 +62,8 @@
         world.run(500 * MS)
         for name, attempt in list(world.out):
             world.answer(name, attempt=attempt, report=i.LoadReport(util=0.9))
-    assert world.gateway.cc_us == 2 * S
-    assert 4 <= world.gateway.n_past <= 12
+    assert world.gateway.cap.cc_us == 2 * S
+    assert 4 <= world.gateway.cap.n_past <= 12
     assert next_n(10, 1, 0.99, 0.1, UTIL, 4.0) == 4  # steps by the second: 10 * 0.9 ** 8
     assert next_n(10, 10, 0.2, 0.3, UTIL, 4.0) == 20
 
@@ -95,7 +76,7 @@
         world.run(10 * MS)
         for name, attempt in list(world.out):
             world.answer(name, attempt=attempt, report=i.LoadReport(util=0.3))
-    assert world.gateway.n_past == 19  # the largest step from 16
+    assert world.gateway.cap.n_past == 19  # the largest step from 16
 
 
 def test_held_leave_by_worth_then_arrival() -> None:
@@ -126,7 +107,7 @@
     for world in worlds:
         for n in range(200):
             world.ask(f"r{n}")
-        assert world.gateway.n_past is None
+        assert world.gateway.cap.n_past is None
     assert sum(len(world.out) for world in worlds) == 80  # 8 for each of 10
     worlds[0].answer("r0")
     worlds[0].run(20 * MS)
@@ -139,7 +120,7 @@
     for n in range(20):
         world.ask(f"r{n}")
     world.run(1100 * MS)
-    assert world.gateway.n_past is not None
+    assert world.gateway.cap.n_past is not None
 
 
 # --- quota ---
@@ -707,13 +688,13 @@
     for scale in (1, 3):
         rule = replace(SAFE, aim_us=round(1.5 * S) // scale)
         gateway = World(replace(SETTINGS, classes=(rule,), gateways=2)).gateway
-        assert gateway.cc_us == S // scale
-        gateway.signals["util"] = [0.9]
-        gateway.update_cap(100)
-        assert gateway.n_past == 16  # 8 for each of 4 ready servers, halved over two gateways
-        gateway.signals["util"] = [0.1]
-        gateway.update_cap(16)
-        assert gateway.n_past == 19
+        assert gateway.cap.cc_us == S // scale
+        gateway.cap.signals["util"] = [0.9]
+        gateway.cap.update(100, 4, list)
+        assert gateway.cap.n_past == 16  # 8 for each of 4 ready servers, halved over two gateways
+        gateway.cap.signals["util"] = [0.1]
+        gateway.cap.update(16, 4, list)
+        assert gateway.cap.n_past == 19
 
 
 def test_retry_that_comes_after_the_aim_of_its_first_try_is_refused_at_once() -> None:
