Customers' stores are a part of their own, with what limits are asked and told

`customers` holds the customers known, refills and forgets them, and is the one place that consults `Limits` on a customer; `store` is one customer's. `Gateway.limits` stays as a property, as the front door hands limits in after the start.

--- a/fennelwinch/rules/__init__.py
+++ b/fennelwinch/rules/__init__.py
@@ -1,6 +1,6 @@
-"""The decisions of one gateway, in reading order: `times`; `server` and `fleet`, the servers known; `store`,
-a customer's limits; `job`, a request; `cap`, what may
-be sent on; `gateway`, the order of steps.
+"""The decisions of one gateway, in reading order: `times`; `server` and `fleet`, the servers known; `store`
+and `customers`, the stores of each; `job`, a request; `cap`, what may be sent on; `gateway`, the order of
+steps.
 """
 
 from fennelwinch.rules.cap import TARGETS, next_n
--- a/fennelwinch/rules/gateway.py
+++ b/fennelwinch/rules/gateway.py
@@ -8,17 +8,17 @@
 
 from fennelwinch import interface as i
 from fennelwinch.rules.cap import Cap
+from fennelwinch.rules.customers import SILENT_US, Customers
 from fennelwinch.rules.fleet import Fleet
 from fennelwinch.rules.job import Job
 from fennelwinch.rules.server import Server
-from fennelwinch.rules.store import DEMAND_US, GRANT_US, SMALL_PART, WORD_FRESH_US, Customer, full_again_us
+from fennelwinch.rules.store import DEMAND_US, GRANT_US, WORD_FRESH_US, Customer
 from fennelwinch.rules.times import NEVER, TICK_US, S
 
 # The wait for word from home, its part of the aim, and how often it is asked.
 ASK_US, ASK_PART, ASKS = 160_000, 3, 3
-SILENT_US, ASK_AGAIN_US = 500_000, 300_000  # a peer is silent that answers no ask for so long; asked again
+ASK_AGAIN_US = 300_000  # a peer that is silent is asked again
 MARK_US, MARKED_US = 3 * S, 10 * S  # how often a peer is told that this is kept to; older ones speak without
-LEAST_KEPT_US = 10 * S  # for which a customer is remembered in any case
 SPACE_US = 80_000  # between words to one peer, at most
 ASK_SHARE = 0.5  # part of a gateway's intake that the asks for one customer may take
 PATIENCE_STEPS = 200  # first tries by which the known patience of clients can rise by about its double
@@ -30,18 +30,15 @@
 
 class Gateway:
     def __init__(self, settings: i.Settings, limits: i.Limits | None = None) -> None:
-        self.set, self.limits = settings, limits
+        self.set = settings
         self.random = random.Random(settings.seed)
         self.fleet = Fleet(settings, self.random)
-        self.customers: dict[tuple[int, int, int, int], Customer] = {}  # the one seen last at the end
-        self.sets: dict[tuple[int, int], tuple[int, int, int, int]] = {}  # under which a customer came first
+        self.customers = Customers(settings, limits)
         self.jobs: dict[str, Job] = {}
         self.held: list[tuple[float, int, Job]] = []  # highest worth first, then by arrival
         self.now, self.alarm_us, self.serial = 0, NEVER, itertools.count()
-        self.since_us, self.forget_us = 0, max(LEAST_KEPT_US, *map(full_again_us, settings.plans))
         self.unanswered: dict[int, int] = {}  # by peer: the first ask without a word since
         self.asked_us: dict[int, int] = {}  # by peer: the last ask
-        self.ceilings = any(plan.ceiling_rate for plan in settings.plans)
         self.marked_us: dict[int, int] = {}  # when each peer was told that ceilings are split here,
         self.marks_us: dict[int, int] = {}  # when it last said so,
         self.heard_us: dict[int, int] = {}  # and when it last said anything
@@ -63,7 +60,7 @@
     def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
         self.now, self.actions = now_us, []
         if self.cap.period_us < 0:
-            self.cap.period_us = self.since_us = now_us
+            self.cap.period_us = self.customers.since_us = now_us
             if self.limits:
                 self.limits.start(now_us)
         if act := self.on.get(type(event)):
@@ -90,7 +87,7 @@
 
     def on_request(self, req: i.Request) -> None:
         key = (zlib.crc32(req.customer.encode()), req.plan_index, req.set_first, req.set_size)
-        customer = self.customer(key)
+        customer = self.customers.get(self.now, key)
         rule = self.set.classes[req.class_index]
         job = self.jobs[req.id] = Job(req, rule, customer, self.now, self.gone_us(req))
         if not self.expire(job, NEEDED_NEW):  # some come with no time left: they cost no quota
@@ -118,7 +115,7 @@
 
     def end_period(self) -> None:
         self.fleet.end_period(self.now, self.cap.to_send(), self.cap.cc_us)
-        self.forget_customers()
+        self.customers.forget(self.now)
         self.cap.end_period(self.fleet.rate, len(self.fleet.up), self.overdue)
 
     def overdue(self) -> list[float]:
@@ -126,16 +123,6 @@
         return [min(1.0, (self.now - sent) / job.rule.aim_us) for job in self.jobs.values()
                 for sent in job.out.values() if self.now - sent > self.mean_us[job.req.class_index]]
 
-    def forget_customers(self) -> None:
-        """One whose stores are full again is as good as new; those that came only once would never end."""
-        while self.customers:
-            key, oldest = next(iter(self.customers.items()))
-            if oldest.out or self.now - oldest.at <= self.forget_us:
-                return
-            del self.customers[key]
-            if self.sets.get(key[:2]) == key:
-                del self.sets[key[:2]]
-
     def release(self) -> None:
         cap, ready = self.cap, len(self.fleet.up)
         blocked, held = not cap.allows(self.now, self.out, ready), self.held
@@ -144,20 +131,15 @@
         self.held = []
         for entry in held:
             job = entry[2]
-            waits = job.over or (not job.servers and (blocked or not self.below_ceiling(job)))
+            waits = job.over or (not job.servers and (blocked or not self.may_pass(job)))
             if server := None if waits else self.fleet.choose(self.now, job):
                 self.send(job, server)
             elif not job.over:
                 self.held.append(entry)  # where no server takes anything there is no need to look on
             blocked = blocked or not cap.allows(self.now, self.out, ready) or not (waits or server)
 
-    def below_ceiling(self, job: Job) -> bool:
-        customer, units = job.customer, job.req.units
-        if self.limits and customer.plan.ceiling_rate:
-            return self.limits.room(self.now, customer.key, units)
-        if not customer.plan.ceiling_rate or customer.has_given(self.now, units):
-            return True
-        return customer.refill(self.now).ceiling >= units
+    def may_pass(self, job: Job) -> bool:
+        return self.customers.below_ceiling(self.now, job.customer, job.req.units)
 
     def expire(self, job: Job, means: float) -> bool:
         """A held request is ended in time: refused when its aim is out of reach, where that is allowed, and
@@ -171,39 +153,24 @@
 
     def why_held(self, job: Job) -> str:
         """What a request that was held until it was given up on waited for."""
-        if not self.below_ceiling(job):
+        if not self.may_pass(job):
             return "ceiling"
         return "server" if self.cap.allows(self.now, self.out, len(self.fleet.up)) else "cap"
 
-    def customer(self, key: tuple[int, int, int, int]) -> Customer:
-        known = self.customers.pop(key, None)
-        if known is None:
-            split = self.splits() and self.set.plans[key[1]].ceiling_burst < SMALL_PART * key[3]
-            known = Customer(self.set.plans[key[1]], key, self.set, self.now, self.since_us, split)
-            if self.sets.setdefault(key[:2], key) != key:  # a name of another set must not open a fresh burst
-                known.part = known.level = known.ceiling = known.pool = 0.0
-        self.customers[key] = known
-        if self.limits:
-            home, known.reach, joined = self.limits.reach(self.now, key)
-            known.level += joined
-            if home != known.home:
-                known.home, known.asked_us = home, NEVER
-            if self.now - known.asked_us > SILENT_US:  # nobody says what the others spend: its part is all
-                known.reach = 1 / known.size
-        return known.refill(self.now)
+    @property
+    def limits(self) -> i.Limits | None:
+        """What is consulted on limits; it may be handed in after the start, before the first event."""
+        return self.customers.limits
+
+    @limits.setter
+    def limits(self, limits: i.Limits | None) -> None:
+        self.customers.limits = limits
 
     def standing(
         self, customer: str, now_us: int
     ) -> list[tuple[int, float, float, float, float, float | None]]:
-        """What is known here of a customer: plan, level, parts of quota and ceiling, demand (units), and how
-        many seconds ago its home's word came. It only reads."""
-        found = []
-        for plan in range(len(self.set.plans)):
-            key = self.sets.get((zlib.crc32(customer.encode()), plan))
-            if key and (known := self.customers.get(key)):
-                heard = round((now_us - known.heard_us) / S, 3) if known.heard_us >= 0 else None
-                found.append((plan, known.level, known.part, known.ceiling, known.demand, heard))
-        return found
+        """As `Customers.standing`."""
+        return self.customers.standing(customer, now_us)
 
     def shares_held(self, customer: str, now_us: int) -> list[i.Held]:
         """Shares of the customer's ceilings here, where shares move."""
@@ -215,24 +182,16 @@
         customer.own, customer.untold = customer.own + units, customer.untold + units
         most = ASK_SHARE * self.set.peer_messages_per_s * DEMAND_US / S  # past this the last word must do
         heard = self.now - customer.heard_us < WORD_FRESH_US and self.random.random() * customer.demand > most
-        if not customer.plan.max_out and customer.part >= units and not self.is_short(customer, units):
+        if not customer.plan.max_out and customer.part >= units and not customer.is_short(units):
             self.decide(job, 1.0)
             self.tell(home, customer, 0.0)
         elif home == self.set.me or heard or self.is_silent(home) or not customer.plan.rate:
-            if home == self.set.me and self.is_short(customer, units) and self.give(customer, units):
+            if home == self.set.me and customer.is_short(units) and self.give(customer, units):
                 customer.take_given(self.now, self.now + GRANT_US, units)
             self.decide(job, customer.chance(units))
         else:
             self.ask(job)
 
-    def splits(self) -> bool:
-        """Whether a part of each ceiling is left to the customer's home; not where limits move the shares."""
-        return self.ceilings and self.set.may_tell and not self.limits
-
-    def is_short(self, customer: Customer, units: float) -> bool:
-        """The share of the ceiling here does not hold so much: some of the home's is wanted."""
-        return customer.split < 1 and customer.plan.ceiling_rate > 0 and customer.ceiling < units
-
     def give(self, customer: Customer, units: float) -> bool:
         """At the home: give out units of the ceiling that are its own. Those that are not used are lost.
 
@@ -275,13 +234,12 @@
     def decide(self, job: Job, chance: float) -> None:
         job.in_quota, plan = self.random.random() < chance, job.customer.plan
         if job.in_quota:
-            self.spend(job.customer, job.req.units)
+            self.customers.spend(self.now, job.customer, job.req.units)
         elif plan.over_worth <= plan.over_cost or self.cap.n_past is not None:
             self.end(job, "quota")
             return
         self.cap.wanted += 1
-        if self.limits and plan.ceiling_rate:
-            self.limits.want(self.now, job.customer.key, job.req.units)
+        self.customers.want(self.now, job.customer, job.req.units)
         insort(self.held, (-job.worth, next(self.serial), job))
         self.release()
 
@@ -307,12 +265,6 @@
             job.customer.spent -= 0 if self.limits else job.req.units * counted
             self.decide(job, chance)
 
-    def spend(self, customer: Customer, units: float) -> None:
-        customer.spend(units)
-        customer.part, customer.spent = max(0.0, customer.part - units), customer.spent + units
-        if self.limits:
-            self.limits.spend(self.now, customer.key, units, customer.part)
-
     def tell(
         self, peer: int, customer: Customer, asked: float, inside: bool | None = None
     ) -> None:
@@ -333,7 +285,7 @@
         space = min(SPACE_US, 2 * S * (self.set.gateways - 1) / max(1, self.set.peer_messages_per_s))
         for peer in [peer for peer in self.words if self.now - self.told_us.get(peer, -S) >= space]:
             self.told_us[peer] = self.now
-            if self.splits() and self.now - self.marked_us.get(peer, -MARK_US) >= MARK_US:
+            if self.customers.splits() and self.now - self.marked_us.get(peer, -MARK_US) >= MARK_US:
                 self.marked_us[peer] = self.now
                 self.words[peer].append(i.Word(0, i.SPLIT_MARK, 0, 0))
             self.actions.append(i.Tell(peer, tuple(self.words.pop(peer))))
@@ -349,14 +301,14 @@
         for word in message.words:
             if not isinstance(word, i.Word):
                 if self.limits and isinstance(word, i.Total) and self.in_my_set(word.key):
-                    self.take_total(message.sender, word)
+                    self.customers.take_total(self.now, message.sender, word)
                 continue
             if word.plan_index == i.SPLIT_MARK:
                 self.marks_us[message.sender] = self.now
             key = (word.customer, word.plan_index, word.set_first, word.set_size)
             if not self.in_my_set(key):
                 continue
-            new, customer = key not in self.customers, self.customer(key)
+            new, customer = key not in self.customers.known, self.customers.get(self.now, key)
             if word.is_answer:
                 customer.heard_us, customer.level, customer.asked_us = self.now, word.level, NEVER
                 customer.others = max(0.0, word.demand - customer.own)
@@ -379,23 +331,11 @@
         known = plan < len(self.set.plans) and first < self.set.gateways and 0 < size <= self.set.gateways
         return known and (self.set.me - first) % self.set.gateways < size
 
-    def take_total(self, sender: int, total: i.Total) -> None:
-        """What a peer spent since its last word; what joins of a part that was apart lifts the store."""
-        assert self.limits
-        customer, units = self.customer(total.key), self.limits.spent(self.now, sender, total)
-        if units >= 0:
-            customer.spend(units)
-        else:
-            customer.reach = self.limits.reach(self.now, total.key)[1]
-            customer.level = min(customer.plan.burst * customer.reach, customer.level - units)
-
     def send(self, job: Job, server: Server) -> None:
         if not (number := len(job.servers)):
             self.cap.accepted += 1
             self.retries = min(RETRY_STORE, self.retries + RETRY_SHARE)
-            job.customer.pass_ceiling(self.now, job.req.units)
-            if self.limits and job.customer.plan.ceiling_rate:
-                self.limits.take(self.now, job.customer.key, job.req.units)
+            self.customers.pass_ceiling(self.now, job.customer, job.req.units)
         job.servers.append(server)
         server.kept = server.kept - 1 if server.is_kept(self.now, self.set.keep_us) else 0
         job.out[number] = server.out[(job.req.id, number)] = self.now
@@ -470,7 +410,7 @@
 
     def drop(self, job: Job) -> None:
         if job.in_quota and not job.servers and not job.over:
-            self.spend(job.customer, -job.req.units)
+            self.customers.spend(self.now, job.customer, -job.req.units)
         calls_off, job.over = self.set.may_cancel and not job.over and not job.rule.streamed, True
         self.actions += [i.Cancel(job.req.id, number) for number in job.out if calls_off]
         if not job.out:
--- a/fennelwinch/rules/store.py
+++ b/fennelwinch/rules/store.py
@@ -24,7 +24,7 @@
                  "own", "part", "plan", "pool", "pooled", "reach", "size", "spent", "split", "untold")
 
     def __init__(
-        self, plan: i.Plan, key: tuple[int, int, int, int], set_: i.Settings, now: int, since: int,
+        self, plan: i.Plan, key: i.Key, set_: i.Settings, now: int, since: int,
         split: bool = False,
     ) -> None:
         self.plan, self.key, self.size, self.at = plan, key, key[3], now
@@ -79,6 +79,10 @@
             quota = self.level if self.level >= units else 0.0
         return max(0.0, min(1.0, quota / max(units, self.demand))) if self.plan.rate else 1.0
 
+    def is_short(self, units: float) -> bool:
+        """The share of the ceiling here does not hold so much: some of the home's is wanted."""
+        return self.split < 1 and self.plan.ceiling_rate > 0 and self.ceiling < units
+
     def has_given(self, now: int, units: float) -> bool:
         self.given = [(until, left) for until, left in self.given if now <= until]
         return any(left >= units for _, left in self.given)
--- a/tests/fennelwinch/test_adapter.py
+++ b/tests/fennelwinch/test_adapter.py
@@ -174,4 +174,4 @@
     assert len(data) == 3 * WORD.size and data[8] != 0  # any flag is an answer to an older version: so it is
     world = World(replace(SETTINGS, gateways=2))
     world.tell(i.PeerMessage(1, (i.Word(7, i.SPLIT_MARK, 0, 2, asked=1.0),)))
-    assert not world.gateway.customers
+    assert not world.gateway.customers.known
--- a/tests/fennelwinch/test_rules.py
+++ b/tests/fennelwinch/test_rules.py
@@ -149,9 +149,10 @@
     for n in range(300):
         gates.ask(n * 7 % 20, f"r{n}")
         gates.run(110 * MS)
-        homes = [world.gateway for world in gates.worlds for customer in world.gateway.customers.values()
+        homes = [world.gateway for world in gates.worlds
+                 for customer in world.gateway.customers.known.values()
                  if customer.home == world.gateway.set.me]
-    level = next(iter(homes[0].customers.values())).level
+    level = next(iter(homes[0].customers.known.values())).level
     assert level > 6  # of 10, at nine tenths of the rate
 
 
@@ -163,7 +164,7 @@
         for n in range(20):
             gates.ask(n, f"r{gates.worlds[n].now}")
         gates.run(4 * S)
-    levels = [customer.level for world in gates.worlds for customer in world.gateway.customers.values()
+    levels = [customer.level for world in gates.worlds for customer in world.gateway.customers.known.values()
               if customer.home == world.gateway.set.me]
     assert levels == [pytest.approx(20, abs=0.5)]
 
@@ -198,7 +199,7 @@
     huge = i.Word(1, 0, 0, 2, demand=1e9, asked=1e9, level=-1e9)
     for word in (i.Word(1, 9, 0, 2), i.Word(1, 0, 5, 1), i.Word(1, 0, 0, 0), huge):
         world.tell(i.PeerMessage(1, (word,)))
-    assert len(world.gateway.customers) == 1
+    assert len(world.gateway.customers.known) == 1
 
 
 def test_idle_gateway_wakes_up_once_a_period() -> None:
@@ -213,14 +214,14 @@
         world.ask(f"r{n}", customer=f"c{n}")
         world.answer(f"r{n}")
     world.run(90 * S)
-    assert not world.gateway.customers
+    assert not world.gateway.customers.known
 
 
 def test_no_time_left_costs_no_quota() -> None:
     world = World()
     for n in range(30):
         world.ask(f"r{n}", left_us=100 * MS)
-    assert next(iter(world.gateway.customers.values())).level == 20
+    assert next(iter(world.gateway.customers.known.values())).level == 20
 
 
 def test_max_out_plan() -> None:
@@ -236,7 +237,7 @@
     world.ask("a")
     server, sent, _ = world.out.pop(("a", 0))
     world.tell(i.Outcome("a", True, 0, server, i.Result.OK, world.now - sent, true_units=4.0))
-    assert next(iter(world.gateway.customers.values())).level == pytest.approx(16)
+    assert next(iter(world.gateway.customers.known.values())).level == pytest.approx(16)
 
 
 # --- the five rules ---
@@ -285,7 +286,7 @@
 
     def ask(self, me: int, name: str, **values: object) -> None:
         for world in self.worlds[:5]:  # also those that have started again
-            world.gateway.splits = lambda: False  # type: ignore[method-assign]
+            world.gateway.customers.ceilings = False
         super().ask(me, name, **values)
 
 
@@ -297,7 +298,7 @@
     home = gates.worlds[7].gateway
     gates.ask(7, "first", customer=name)
     gates.run(200 * MS)
-    (customer,) = home.customers.values()
+    (customer,) = home.customers.known.values()
     home.give(customer, 1.0)
     assert customer.pooled == pytest.approx(0.5)
     for n in range(20):
@@ -308,7 +309,7 @@
     gates.run(11 * S)  # one that says nothing at all also spends nothing
     home.give(customer, 1.0)
     assert customer.pooled == pytest.approx(0.5 * 5 / 10)
-    gates.worlds[9].gateway.splits = lambda: False  # type: ignore[method-assign]
+    gates.worlds[9].gateway.customers.ceilings = False
     gates.ask(9, "older", customer=name)  # an older version took its place
     gates.run(200 * MS)
     customer.pool = 5.0  # filled while more left their share: what that one keeps must not be given out too
@@ -330,7 +331,7 @@
     world.gateway = Gateway(world.gateway.set)
     world.tell(i.ServerList(i.ListKind.SAVED, 1, servers(4)))
     world.ask("now", customer=name, set_size=10)
-    (customer,) = world.gateway.customers.values()
+    (customer,) = world.gateway.customers.known.values()
     assert customer.pool == 0
     gates.run(500 * MS)
     before = gates.sent()
@@ -349,7 +350,7 @@
     for n in range(4):
         gates.ask(n % 2, f"w{n}", customer=name)
         gates.run(500 * MS)
-    customer = world.gateway.customers[next(iter(world.gateway.customers))]
+    customer = world.gateway.customers.known[next(iter(world.gateway.customers.known))]
     customer.ceiling = 0.0
     customer.given = [(world.now + 300 * MS, 1.0)]
     assert customer.has_given(world.now + 300 * MS, 1.0)
@@ -725,7 +726,7 @@
     words = [word for _, action in world.log if isinstance(action, i.Tell) for word in action.words]
     asked = [word for word in words if word.asked]
     assert len(asked) == 3
-    (customer,) = world.gateway.customers.values()
+    (customer,) = world.gateway.customers.known.values()
     told = sum(word.spent for word in words) + customer.spent
     assert told == pytest.approx(11 - 3 * 10 / 11)  # three times the chance: 10 are left of 11 asked
 
@@ -750,8 +751,8 @@
         gates.ask(number, f"r{number}", customer="c9")
         gates.run(20 * MS)
     gates.run(S)
-    (home,) = {customer.home for world in gates.worlds for customer in world.gateway.customers.values()}
-    (customer,) = gates.worlds[home].gateway.customers.values()
+    (home,) = {customer.home for world in gates.worlds for customer in world.gateway.customers.known.values()}
+    (customer,) = gates.worlds[home].gateway.customers.known.values()
     assert 9 <= gates.sent() <= 12
     assert customer.level == pytest.approx(12 - gates.sent(), abs=0.05)
 
@@ -762,7 +763,7 @@
     name = next(f"c{n}" for n in range(9) if zlib.crc32(f"c{n}".encode()) % 2)
     for number in range(11):  # the eleventh is past this one's part of the burst
         world.ask(f"a{number}", customer=name, set_size=2)
-    key = next(iter(world.gateway.customers))
+    key = next(iter(world.gateway.customers.known))
     level = 0.5 if inside else 20.0  # by which the asker itself would draw the other way
     actions = world.tell(i.PeerMessage(1, (i.Word(*key, True, 1.0, 0.0, 1.0, level, inside=inside),)))
     assert bool(of(i.Send, actions)) is inside
@@ -796,9 +797,9 @@
         world.ask(f"a{number}", customer=f"once{number}")
         world.answer(f"a{number}")
     assert set(world.gateway.fleet.servers) == {"s0", "s1"}
-    assert len(world.gateway.customers) == 200
+    assert len(world.gateway.customers.known) == 200
     world.run(12 * S)
-    assert not world.gateway.customers and not world.gateway.sets and not world.gateway.jobs
+    assert not world.gateway.customers.known and not world.gateway.customers.sets and not world.gateway.jobs
 
 
 def test_customer_is_kept_until_its_stores_are_full() -> None:
@@ -807,10 +808,10 @@
         world.ask(f"a{number}")
         world.answer(f"a{number}")
     world.run(29 * S)
-    (customer,) = world.gateway.customers.values()
+    (customer,) = world.gateway.customers.known.values()
     assert customer.part == 0.0  # as it was when it was last looked at
     world.run(4 * S)
-    assert not world.gateway.customers
+    assert not world.gateway.customers.known
 
 
 def test_ceiling_starts_empty_with_the_gateway_only() -> None:
@@ -834,9 +835,9 @@
 def test_words_of_a_set_that_cannot_be_are_passed_over(first: int, size: int) -> None:
     world = World(replace(SETTINGS, gateways=2))
     world.tell(i.PeerMessage(1, (i.Word(7, 0, first, size, demand=1.0, spent=1.0, asked=1.0),)))
-    assert not world.gateway.customers
+    assert not world.gateway.customers.known
     world.tell(i.PeerMessage(1, (i.Word(7, 0, 0, 2, demand=1.0),)))
-    assert len(world.gateway.customers) == 1
+    assert len(world.gateway.customers.known) == 1
 
 
 def test_fleet_that_is_all_cold_is_sent_what_comes() -> None:
@@ -880,7 +881,7 @@
     name = peer_customer(world)
     key = zlib.crc32(name.encode()), 0, 0, 2
     world.tell(i.PeerMessage(1, (i.Word(*key, True, demand=40.0, level=-5.0),)))
-    customer = world.gateway.customers[key]
+    customer = world.gateway.customers.known[key]
     for number in range(30):
         world.ask(f"a{number}", customer=name, set_size=2, left_us=S)
         world.run(100 * MS)
