What homes are asked and say is in parts of its own: peers, words and admission

`admission` holds the requests that wait for word and decides whether each is inside its quota; `words` what waits to leave for each peer, and what the home gives of its ceiling; `peers` who answers and who splits ceilings. Admission hands each request with its chance to `Gateway.decide` at once, as its decision changes the next one's.

--- /dev/null
+++ b/fennelwinch/rules/admission.py
@@ -0,0 +1,127 @@
+"""Whether a request is inside its customer's quota: by the part here, the home's last word, or a new one.
+
+The chance rule: where more is asked than there is, each request is inside by quota over summed demand. The
+home adds up what the set asks and spends, and draws where it counts. Words may be lost: an ask is repeated,
+and after a few what is known here must do.
+"""
+
+from collections.abc import Callable
+from random import Random
+
+from fennelwinch import interface as i
+from fennelwinch.rules.customers import Customers
+from fennelwinch.rules.job import Job
+from fennelwinch.rules.peers import Peers
+from fennelwinch.rules.store import DEMAND_US, GRANT_US, WORD_FRESH_US, Customer
+from fennelwinch.rules.times import NEVER, TICK_US, S
+from fennelwinch.rules.words import Words
+
+# The wait for word from home, its part of the aim, and how often it is asked.
+ASK_US, ASK_PART, ASKS = 160_000, 3, 3
+ASK_SHARE = 0.5  # part of a gateway's intake that the asks for one customer may take
+
+
+class Admission:
+    """Those that wait for word; `decide` is told of each request once its chance is known, in turn."""
+
+    __slots__ = ("customers", "decide", "peers", "random", "set", "waits", "words")
+
+    def __init__(
+        self, settings: i.Settings, random: Random, customers: Customers,
+        decide: Callable[[Job, float], None],
+    ) -> None:
+        self.set, self.random, self.customers, self.decide = settings, random, customers, decide
+        self.peers = Peers()
+        self.words = Words(settings, customers, self.peers)
+        self.waits: list[Job] = []
+
+    def admit(self, now: int, job: Job) -> None:
+        """The part while it lasts; else the chance rule, with word from the home where that is elsewhere."""
+        customer, units, home = job.customer, job.req.units, job.customer.home
+        customer.own, customer.untold = customer.own + units, customer.untold + units
+        most = ASK_SHARE * self.set.peer_messages_per_s * DEMAND_US / S  # past this the last word must do
+        heard = now - customer.heard_us < WORD_FRESH_US and self.random.random() * customer.demand > most
+        if not customer.plan.max_out and customer.part >= units and not customer.is_short(units):
+            self.decide(job, 1.0)
+            self.words.tell(home, customer, 0.0)
+        elif home == self.set.me or heard or self.peers.is_silent(now, home) or not customer.plan.rate:
+            if home == self.set.me and customer.is_short(units) and self.words.give(customer, units):
+                customer.take_given(now, now + GRANT_US, units)
+            self.decide(job, customer.chance(units))
+        else:
+            self.ask(now, job)
+
+    def ask(self, now: int, job: Job) -> None:
+        """Ask the customer's home, and let the request wait for its word."""
+        job.asked_us = now
+        self.peers.ask(now, job.customer.home)
+        job.customer.asked_us = min(job.customer.asked_us, now)
+        wait, job.asks = min(ASK_US, job.rule.aim_us // ASK_PART), job.asks + 1
+        job.decide_us = min(now + wait, job.end_us - 4 * TICK_US, job.half_us - 2 * TICK_US)
+        self.waits.append(job)
+        self.words.tell(job.customer.home, job.customer, job.req.units)
+
+    def end_waits(
+        self, now: int, told: Customer | None = None, granted: bool = False, inside: bool | None = None
+    ) -> None:
+        """Decide on those that wait for word: theirs has come, or what is known here must do."""
+        ready = [job for job in self.waits if job.customer is told][:1]
+        ready += [job for job in self.waits if job.decide_us <= now and job not in ready]
+        self.waits = [job for job in self.waits if job not in ready]
+        for job in [job for job in ready if not job.over]:
+            last = min(job.end_us - 4 * TICK_US, job.half_us - 2 * TICK_US)
+            if told is None and job.asks < ASKS and now + ASK_US < last:
+                self.ask(now, job)  # words may be lost
+                continue
+            if granted and job.customer is told:
+                job.customer.take_given(now, job.asked_us + GRANT_US, job.req.units)
+            chance = job.customer.chance(job.req.units)
+            # As much the home has counted already, each time that it was asked; not where it has totals.
+            counted = chance * job.asks
+            if inside is not None and job.customer is told:
+                counted, chance = inside + chance * (job.asks - 1), float(inside)
+            job.customer.spent -= 0 if self.customers.limits else job.req.units * counted
+            self.decide(job, chance)
+
+    def hear(self, now: int, message: i.PeerMessage) -> None:
+        """A message of a peer."""
+        self.peers.hear(now, message.sender)
+        limits = self.customers.limits
+        if limits:
+            limits.hear(now, message)
+        for word in message.words:
+            if not isinstance(word, i.Word):
+                if limits and isinstance(word, i.Total) and self.in_my_set(word.key):
+                    self.customers.take_total(now, message.sender, word)
+                continue
+            if word.plan_index == i.SPLIT_MARK:
+                self.peers.marks_us[message.sender] = now
+            key = (word.customer, word.plan_index, word.set_first, word.set_size)
+            if self.in_my_set(key):
+                self.hear_word(now, message.sender, key, word)
+
+    def hear_word(self, now: int, sender: int, key: i.Key, word: i.Word) -> None:
+        """The home adds up what its set asks and spends, or takes over at its start, and answers."""
+        new, customer = key not in self.customers.known, self.customers.get(now, key)
+        if word.is_answer:
+            customer.heard_us, customer.level, customer.asked_us = now, word.level, NEVER
+            customer.others = max(0.0, word.demand - customer.own)
+            customer.part = min(customer.part, max(0.0, word.level / customer.size))
+            self.end_waits(now, customer if word.asked else None, word.granted, word.inside)
+        elif customer.home == self.set.me:
+            customer.level = min(customer.level, word.level) if new else customer.level
+            customer.others += word.demand
+            limits = self.customers.limits
+            counted = limits is not None and limits.counts(sender)
+            customer.spend(0.0 if counted else word.spent)
+            # The chance is drawn here, where it is counted: were its mean counted, and what came of it
+            # told with the asker's next word, the store would be wrong until then.
+            inside = self.random.random() < customer.chance(word.asked) if word.asked else None
+            if word.asked or customer.level < customer.plan.burst / 2:
+                self.words.tell(sender, customer, word.asked, inside)
+            customer.spend(0.0 if counted or not inside else word.asked)
+
+    def in_my_set(self, key: i.Key) -> bool:
+        _, plan, first, size = key
+        known = plan < len(self.set.plans) and first < self.set.gateways and 0 < size <= self.set.gateways
+        return known and (self.set.me - first) % self.set.gateways < size
--- a/fennelwinch/rules/gateway.py
+++ b/fennelwinch/rules/gateway.py
@@ -7,20 +7,14 @@
 from collections.abc import Callable
 
 from fennelwinch import interface as i
+from fennelwinch.rules.admission import Admission
 from fennelwinch.rules.cap import Cap
-from fennelwinch.rules.customers import SILENT_US, Customers
+from fennelwinch.rules.customers import Customers
 from fennelwinch.rules.fleet import Fleet
 from fennelwinch.rules.job import Job
 from fennelwinch.rules.server import Server
-from fennelwinch.rules.store import DEMAND_US, GRANT_US, WORD_FRESH_US, Customer
-from fennelwinch.rules.times import NEVER, TICK_US, S
+from fennelwinch.rules.times import NEVER, TICK_US
 
-# The wait for word from home, its part of the aim, and how often it is asked.
-ASK_US, ASK_PART, ASKS = 160_000, 3, 3
-ASK_AGAIN_US = 300_000  # a peer that is silent is asked again
-MARK_US, MARKED_US = 3 * S, 10 * S  # how often a peer is told that this is kept to; older ones speak without
-SPACE_US = 80_000  # between words to one peer, at most
-ASK_SHARE = 0.5  # part of a gateway's intake that the asks for one customer may take
 PATIENCE_STEPS = 200  # first tries by which the known patience of clients can rise by about its double
 SMOOTH = 0.1  # weight of a new latency in a running mean
 NEEDED_NEW, NEEDED_HELD = 0.5, 2.0  # mean latencies left: else all that is held would leave just too late
@@ -37,14 +31,8 @@
         self.jobs: dict[str, Job] = {}
         self.held: list[tuple[float, int, Job]] = []  # highest worth first, then by arrival
         self.now, self.alarm_us, self.serial = 0, NEVER, itertools.count()
-        self.unanswered: dict[int, int] = {}  # by peer: the first ask without a word since
-        self.asked_us: dict[int, int] = {}  # by peer: the last ask
-        self.marked_us: dict[int, int] = {}  # when each peer was told that ceilings are split here,
-        self.marks_us: dict[int, int] = {}  # when it last said so,
-        self.heard_us: dict[int, int] = {}  # and when it last said anything
-        self.waits: list[Job] = []  # those that wait for word
-        self.words: dict[int, list[i.Word | i.LimitWord]] = {}  # for each peer
-        self.told_us: dict[int, int] = {}  # when words last left for it
+        self.admission = Admission(settings, self.random, self.customers, self.decide)
+        self.words = self.admission.words
         self.mean_us = [rule.aim_us / 4 for rule in settings.classes]
         self.patience_us = [0] * len(settings.classes)  # how long clients wait for their first tries
         self.retries = RETRY_STORE / 2
@@ -59,17 +47,19 @@
 
     def handle(self, now_us: int, event: i.Event) -> list[i.Action]:
         self.now, self.actions = now_us, []
-        if self.cap.period_us < 0:
-            self.cap.period_us = self.customers.since_us = now_us
-            if self.limits:
-                self.limits.start(now_us)
+        limits, cap = self.customers.limits, self.cap
+        if cap.period_us < 0:
+            cap.period_us = self.customers.since_us = now_us
+            if limits:
+                limits.start(now_us)
         if act := self.on.get(type(event)):
             act(event)
-        self.send_words()
-        busy = self.held or self.words or self.jobs  # an idle gateway wakes up only to end its periods
-        due = max(now_us + TICK_US, 0 if busy else self.cap.period_us + self.cap.cc_us)
-        if self.limits:
-            due = min(due, max(now_us + TICK_US, self.limits.wake_us))
+        self.actions += self.words.leave(now_us)
+        # An idle gateway wakes up only to end its periods.
+        busy = self.held or self.words.waiting or self.jobs
+        due = max(now_us + TICK_US, 0 if busy else cap.period_us + cap.cc_us)
+        if limits:
+            due = min(due, max(now_us + TICK_US, limits.wake_us))
         if due < self.alarm_us:
             self.alarm_us = due
             self.actions.append(i.SetTimer(due - now_us, 0))
@@ -81,7 +71,7 @@
         self.alarm_us = NEVER
         while self.now - self.cap.period_us >= self.cap.cc_us:
             self.end_period()
-        self.end_waits()
+        self.admission.end_waits(self.now)
         self.held = [entry for entry in self.held if not self.expire(entry[2], NEEDED_HELD)]
         self.release()
 
@@ -91,7 +81,7 @@
         rule = self.set.classes[req.class_index]
         job = self.jobs[req.id] = Job(req, rule, customer, self.now, self.gone_us(req))
         if not self.expire(job, NEEDED_NEW):  # some come with no time left: they cost no quota
-            self.admit(job)
+            self.admission.admit(self.now, job)
 
     def gone_us(self, req: i.Request) -> int:
         """How long ago the client first asked, at least: a retry has that much less of its time left.
@@ -176,62 +166,8 @@
         """Shares of the customer's ceilings here, where shares move."""
         return self.limits.held(zlib.crc32(customer.encode()), now_us) if self.limits else []
 
-    def admit(self, job: Job) -> None:
-        """The part while it lasts; else the chance rule, with word from the home where that is elsewhere."""
-        customer, units, home = job.customer, job.req.units, job.customer.home
-        customer.own, customer.untold = customer.own + units, customer.untold + units
-        most = ASK_SHARE * self.set.peer_messages_per_s * DEMAND_US / S  # past this the last word must do
-        heard = self.now - customer.heard_us < WORD_FRESH_US and self.random.random() * customer.demand > most
-        if not customer.plan.max_out and customer.part >= units and not customer.is_short(units):
-            self.decide(job, 1.0)
-            self.tell(home, customer, 0.0)
-        elif home == self.set.me or heard or self.is_silent(home) or not customer.plan.rate:
-            if home == self.set.me and customer.is_short(units) and self.give(customer, units):
-                customer.take_given(self.now, self.now + GRANT_US, units)
-            self.decide(job, customer.chance(units))
-        else:
-            self.ask(job)
-
-    def give(self, customer: Customer, units: float) -> bool:
-        """At the home: give out units of the ceiling that are its own. Those that are not used are lost.
-
-        Its share is what the gateways of the set leave: all but those that speak and do not say so. One that
-        has not been heard since this start has spent nothing that it had to tell.
-        """
-        _, _, first, size = customer.key
-        members = ((first + n) % self.set.gateways for n in range(size))
-        leave = sum(map(self.leaves, members))
-        customer.pooled = (1 - customer.split) * leave / size
-        customer.pool = min(customer.pool, customer.most_pooled)
-        if customer.pool < units or customer.level < units:  # what the quota refuses would be lost
-            return False
-        customer.pool -= units
-        return True
-
-    def leaves(self, member: int) -> bool:
-        """Whether it keeps to the smaller share of ceilings, as far as is known: an older version speaks, and
-        does not say so."""
-        heard, said = self.heard_us.get(member), self.marks_us.get(member)
-        return heard is None or (said is not None and heard - said < MARKED_US)
-
-    def is_silent(self, peer: int) -> bool:
-        """It has answered no ask for long, as one that restarts: waiting for it would cost the aim. Now and
-        then it is asked all the same."""
-        if self.now - self.unanswered.get(peer, self.now) <= SILENT_US:
-            return False
-        return self.now - self.asked_us.get(peer, 0) < ASK_AGAIN_US
-
-    def ask(self, job: Job) -> None:
-        job.asked_us = self.now
-        self.unanswered.setdefault(job.customer.home, self.now)
-        self.asked_us[job.customer.home] = self.now
-        job.customer.asked_us = min(job.customer.asked_us, self.now)
-        wait, job.asks = min(ASK_US, job.rule.aim_us // ASK_PART), job.asks + 1
-        job.decide_us = min(self.now + wait, job.end_us - 4 * TICK_US, job.half_us - 2 * TICK_US)
-        self.waits.append(job)
-        self.tell(job.customer.home, job.customer, job.req.units)
-
     def decide(self, job: Job, chance: float) -> None:
+        """Draw whether a request is inside its quota; where it is, or is worth it, it may leave."""
         job.in_quota, plan = self.random.random() < chance, job.customer.plan
         if job.in_quota:
             self.customers.spend(self.now, job.customer, job.req.units)
@@ -243,93 +179,8 @@
         insort(self.held, (-job.worth, next(self.serial), job))
         self.release()
 
-    def end_waits(
-        self, told: Customer | None = None, granted: bool = False, inside: bool | None = None
-    ) -> None:
-        """Decide on those that wait for word: theirs has come, or what is known here must do."""
-        ready = [job for job in self.waits if job.customer is told][:1]
-        ready += [job for job in self.waits if job.decide_us <= self.now and job not in ready]
-        self.waits = [job for job in self.waits if job not in ready]
-        for job in [job for job in ready if not job.over]:
-            last = min(job.end_us - 4 * TICK_US, job.half_us - 2 * TICK_US)
-            if told is None and job.asks < ASKS and self.now + ASK_US < last:
-                self.ask(job)  # words may be lost
-                continue
-            if granted and job.customer is told:
-                job.customer.take_given(self.now, job.asked_us + GRANT_US, job.req.units)
-            chance = job.customer.chance(job.req.units)
-            # As much the home has counted already, each time that it was asked; not where it has totals.
-            counted = chance * job.asks
-            if inside is not None and job.customer is told:
-                counted, chance = inside + chance * (job.asks - 1), float(inside)
-            job.customer.spent -= 0 if self.limits else job.req.units * counted
-            self.decide(job, chance)
-
-    def tell(
-        self, peer: int, customer: Customer, asked: float, inside: bool | None = None
-    ) -> None:
-        """A word to the home of what was asked and spent, or the home's answer with what it knows."""
-        answer = customer.home == self.set.me
-        demand = customer.demand if answer else customer.untold
-        wanted = answer and asked > 0 and inside is not False and customer.plan.ceiling_rate > 0
-        granted = wanted and self.give(customer, asked)
-        word = i.Word(*customer.key, answer, demand, customer.spent, asked, customer.level, granted, inside)
-        if peer != self.set.me:
-            self.words.setdefault(peer, []).append(word)
-        customer.untold = customer.spent = 0.0
-
-    def send_words(self) -> None:
-        """Words leave at once, but in a small set spaced so that all peers together take half an intake."""
-        for peer, word in self.limits.due(self.now) if self.limits else ():
-            self.words.setdefault(peer, []).extend([word] if word else [])
-        space = min(SPACE_US, 2 * S * (self.set.gateways - 1) / max(1, self.set.peer_messages_per_s))
-        for peer in [peer for peer in self.words if self.now - self.told_us.get(peer, -S) >= space]:
-            self.told_us[peer] = self.now
-            if self.customers.splits() and self.now - self.marked_us.get(peer, -MARK_US) >= MARK_US:
-                self.marked_us[peer] = self.now
-                self.words[peer].append(i.Word(0, i.SPLIT_MARK, 0, 0))
-            self.actions.append(i.Tell(peer, tuple(self.words.pop(peer))))
-            if self.limits:
-                self.limits.told(self.now, peer)
-
     def on_peer(self, message: i.PeerMessage) -> None:
-        """The home adds up what its set asks and spends, or takes over at its start, and answers."""
-        self.unanswered.pop(message.sender, None)
-        self.heard_us[message.sender] = self.now
-        if self.limits:
-            self.limits.hear(self.now, message)
-        for word in message.words:
-            if not isinstance(word, i.Word):
-                if self.limits and isinstance(word, i.Total) and self.in_my_set(word.key):
-                    self.customers.take_total(self.now, message.sender, word)
-                continue
-            if word.plan_index == i.SPLIT_MARK:
-                self.marks_us[message.sender] = self.now
-            key = (word.customer, word.plan_index, word.set_first, word.set_size)
-            if not self.in_my_set(key):
-                continue
-            new, customer = key not in self.customers.known, self.customers.get(self.now, key)
-            if word.is_answer:
-                customer.heard_us, customer.level, customer.asked_us = self.now, word.level, NEVER
-                customer.others = max(0.0, word.demand - customer.own)
-                customer.part = min(customer.part, max(0.0, word.level / customer.size))
-                self.end_waits(customer if word.asked else None, word.granted, word.inside)
-            elif customer.home == self.set.me:
-                customer.level = min(customer.level, word.level) if new else customer.level
-                customer.others += word.demand
-                counted = self.limits is not None and self.limits.counts(message.sender)
-                customer.spend(0.0 if counted else word.spent)
-                # The chance is drawn here, where it is counted: were its mean counted, and what came of it
-                # told with the asker's next word, the store would be wrong until then.
-                inside = self.random.random() < customer.chance(word.asked) if word.asked else None
-                if word.asked or customer.level < customer.plan.burst / 2:
-                    self.tell(message.sender, customer, word.asked, inside)
-                customer.spend(0.0 if counted or not inside else word.asked)
-
-    def in_my_set(self, key: i.Key) -> bool:
-        _, plan, first, size = key
-        known = plan < len(self.set.plans) and first < self.set.gateways and 0 < size <= self.set.gateways
-        return known and (self.set.me - first) % self.set.gateways < size
+        self.admission.hear(self.now, message)
 
     def send(self, job: Job, server: Server) -> None:
         if not (number := len(job.servers)):
--- /dev/null
+++ b/fennelwinch/rules/words.py
@@ -0,0 +1,73 @@
+"""Words to homes and their answers, until they leave: at once, but spaced where the set is small.
+
+At the home, an answer may bring units of the ceiling that are the home's to give.
+"""
+
+from collections.abc import Sequence
+
+from fennelwinch import interface as i
+from fennelwinch.rules.customers import Customers
+from fennelwinch.rules.peers import Peers
+from fennelwinch.rules.store import Customer
+from fennelwinch.rules.times import S
+
+MARK_US = 3 * S  # how often a peer is told that this is kept to; older ones speak without
+SPACE_US = 80_000  # between words to one peer, at most
+
+
+class Words:
+    """The words that wait to leave, by peer."""
+
+    __slots__ = ("customers", "marked_us", "peers", "set", "told_us", "waiting")
+
+    def __init__(self, settings: i.Settings, customers: Customers, peers: Peers) -> None:
+        self.set, self.customers, self.peers = settings, customers, peers
+        self.waiting: dict[int, list[i.Word | i.LimitWord]] = {}
+        self.told_us: dict[int, int] = {}  # when words last left for it
+        self.marked_us: dict[int, int] = {}  # when each peer was told that ceilings are split here
+
+    def tell(self, peer: int, customer: Customer, asked: float, inside: bool | None = None) -> None:
+        """A word to the home of what was asked and spent, or the home's answer with what it knows."""
+        answer = customer.home == self.set.me
+        demand = customer.demand if answer else customer.untold
+        wanted = answer and asked > 0 and inside is not False and customer.plan.ceiling_rate > 0
+        granted = wanted and self.give(customer, asked)
+        word = i.Word(*customer.key, answer, demand, customer.spent, asked, customer.level, granted, inside)
+        if peer != self.set.me:
+            self.waiting.setdefault(peer, []).append(word)
+        customer.untold = customer.spent = 0.0
+
+    def give(self, customer: Customer, units: float) -> bool:
+        """At the home: give out units of the ceiling that are its own. Those that are not used are lost.
+
+        Its share is what the gateways of the set leave: all but those that speak and do not say so. One that
+        has not been heard since this start has spent nothing that it had to tell.
+        """
+        _, _, first, size = customer.key
+        members = ((first + n) % self.set.gateways for n in range(size))
+        leave = sum(map(self.peers.leaves, members))
+        customer.pooled = (1 - customer.split) * leave / size
+        customer.pool = min(customer.pool, customer.most_pooled)
+        if customer.pool < units or customer.level < units:  # what the quota refuses would be lost
+            return False
+        customer.pool -= units
+        return True
+
+    def leave(self, now: int) -> Sequence[i.Tell]:
+        """Words leave at once, but in a small set spaced so that all peers together take half an intake."""
+        limits, waiting = self.customers.limits, self.waiting
+        for peer, word in limits.due(now) if limits else ():
+            waiting.setdefault(peer, []).extend([word] if word else [])
+        if not waiting:
+            return ()
+        space = min(SPACE_US, 2 * S * (self.set.gateways - 1) / max(1, self.set.peer_messages_per_s))
+        leaving = []
+        for peer in [peer for peer in waiting if now - self.told_us.get(peer, -S) >= space]:
+            self.told_us[peer] = now
+            if self.customers.splits() and now - self.marked_us.get(peer, -MARK_US) >= MARK_US:
+                self.marked_us[peer] = now
+                waiting[peer].append(i.Word(0, i.SPLIT_MARK, 0, 0))
+            leaving.append(i.Tell(peer, tuple(waiting.pop(peer))))
+            if limits:
+                limits.told(now, peer)
+        return leaving
--- /dev/null
+++ b/tests/fennelwinch/rules/test_admission.py
@@ -0,0 +1,137 @@
+"""Whether a request is inside its quota, without a gateway: the part, the home's word, and the waits."""
+
+from dataclasses import replace
+from random import Random
+
+from fennelwinch import interface as i
+from fennelwinch.rules.admission import ASK_US, ASKS, Admission
+from fennelwinch.rules.customers import SILENT_US, Customers
+from fennelwinch.rules.job import Job
+from fennelwinch.rules.store import GRANT_US
+from tests.helpers import SAFE, SETTINGS, S
+
+NOW = 100 * S
+PLAN = i.Plan(rate=10.0, burst=20.0)
+CEILED = i.Plan(rate=10.0, burst=20.0, ceiling_rate=4.0, ceiling_burst=7.0)
+HERE: i.Key = (0, 0, 0, 2)  # its home is the first of the set
+THERE: i.Key = (1, 0, 0, 2)
+
+
+class Table:
+    """Requests, and what was decided on them."""
+
+    def __init__(self, plan: i.Plan = PLAN) -> None:
+        settings = replace(SETTINGS, plans=(plan,), gateways=3)
+        self.decided: list[tuple[str, float]] = []
+        self.customers = Customers(settings, None)
+        self.admission = Admission(settings, Random(1), self.customers, self.decide)
+
+    def decide(self, job: Job, chance: float) -> None:
+        self.decided.append((job.req.id, chance))
+
+    def ask(self, name: str, key: i.Key, now: int = NOW, part: float = 0.0) -> Job:
+        customer = self.customers.get(now, key)
+        customer.part = part
+        job = Job(i.Request(name, 0, 0, "", 6 * S), SAFE, customer, now, 0)
+        self.admission.admit(now, job)
+        return job
+
+    def words(self, now: int = NOW) -> tuple[object, ...]:
+        return tuple(word for tell in self.admission.words.leave(now) for word in tell.words)
+
+    def hear(self, *words: i.Word, now: int = NOW) -> None:
+        self.admission.hear(now, i.PeerMessage(1, words))
+
+
+def test_part_lets_in_and_the_home_is_told_afterwards() -> None:
+    table = Table()
+    table.ask("a", THERE, part=1.0)
+    assert table.decided == [("a", 1.0)] and not table.admission.waits
+    assert table.words() == (i.Word(*THERE, demand=1.0, level=20.0),)
+
+
+def test_at_the_home_the_chance_rule_decides_at_once() -> None:
+    table = Table()
+    customer = table.customers.get(NOW, HERE)
+    customer.level, customer.others = 2.0, 3.0
+    table.ask("a", HERE)
+    assert table.decided == [("a", 0.5)]
+
+
+def test_word_from_home_decides_those_that_wait_in_turn() -> None:
+    table = Table()
+    first, second = table.ask("a", THERE), table.ask("b", THERE)
+    assert table.decided == [] and table.admission.waits == [first, second]
+    assert [word.asked for word in table.words()] == [1.0, 1.0]
+    table.hear(i.Word(*THERE, is_answer=True, demand=8.0, asked=1.0, level=4.0, inside=False))
+    assert table.decided == [("a", 0.0)] and table.admission.waits == [second]
+    assert first.customer.level == 4.0 and first.customer.others == 6.0
+    table.hear(i.Word(*THERE, is_answer=True, demand=8.0, asked=1.0, level=4.0, inside=True))
+    assert table.decided[1:] == [("b", 1.0)] and not table.admission.waits
+    assert first.customer.spent == -1.0  # the home has counted it already
+
+
+def test_lost_words_are_asked_for_again_and_then_what_is_known_decides() -> None:
+    table = Table()
+    job = table.ask("a", THERE)
+    for number in range(1, ASKS):
+        table.admission.end_waits(NOW + number * ASK_US - 1)
+        assert job.asks == number
+        table.admission.end_waits(NOW + number * ASK_US)
+        assert job.asks == number + 1 and table.decided == []
+    table.admission.end_waits(NOW + ASKS * ASK_US)
+    assert table.decided == [("a", 1.0)] and job.customer.spent == -ASKS
+    table.admission.peers.hear(NOW, 1)
+    gone = table.ask("gone", THERE)
+    gone.over = True
+    table.admission.end_waits(NOW + S)
+    assert len(table.decided) == 1 and not table.admission.waits
+
+
+def test_home_that_is_silent_is_not_waited_for() -> None:
+    table = Table()
+    table.ask("a", THERE)
+    table.admission.ask(NOW + SILENT_US, table.ask("b", THERE, NOW + SILENT_US))
+    table.ask("c", THERE, NOW + SILENT_US + 1)
+    assert [name for name, _ in table.decided] == ["c"]
+
+
+def test_home_adds_up_draws_and_answers() -> None:
+    table = Table()
+    customer = table.customers.get(NOW, HERE)
+    table.hear(i.Word(*HERE, demand=2.0, spent=3.0, asked=1.0))
+    assert customer.others == 2.0 and customer.level == 20.0 - 3.0 - 1.0  # of all its demand it has enough
+    (answer,) = table.words()
+    assert isinstance(answer, i.Word) and answer.is_answer and answer.inside and answer.level == 17.0
+    table.hear(i.Word(*HERE, demand=1.0, spent=1.0))
+    assert not table.admission.words.waiting  # nobody waits, and there is plenty
+    customer.level = 0.5
+    table.hear(i.Word(*HERE, demand=1.0, asked=1.0))
+    assert customer.level == 0.5  # it drew no
+
+
+def test_home_that_starts_anew_takes_over_the_level_that_it_is_told() -> None:
+    table = Table()
+    table.hear(i.Word(*HERE, level=6.0))
+    table.hear(i.Word(*HERE, level=2.0))
+    assert table.customers.known[HERE].level == 6.0
+
+
+def test_units_that_the_home_grants_come_with_its_word_and_do_not_keep() -> None:
+    table = Table(CEILED)
+    job = table.ask("a", THERE)
+    word = i.Word(*THERE, is_answer=True, asked=1.0, level=4.0, granted=True, inside=True)
+    table.hear(word, now=NOW + S // 10)
+    assert job.customer.given == [(NOW + GRANT_US, 1.0)]
+    home = Table(CEILED)
+    home.customers.get(NOW, HERE).ceiling = 0.0
+    here = home.ask("a", HERE, part=5.0)
+    assert here.customer.given == [(NOW + GRANT_US, 1.0)]  # its own share is short: it gives itself some
+
+
+def test_words_of_sets_without_this_gateway_are_passed_over() -> None:
+    table = Table()
+    for key in ((1, 9, 0, 2), (1, 0, 9, 2), (1, 0, 1, 2), (1, 0, 0, 0), (1, 0, 0, 9)):
+        table.hear(i.Word(*key, level=1.0))
+    table.hear(i.Word(0, i.SPLIT_MARK, 0, 0))
+    assert not table.customers.known and table.admission.peers.leaves(1)
--- a/tests/fennelwinch/test_rules.py
+++ b/tests/fennelwinch/test_rules.py
@@ -299,21 +299,21 @@
     gates.ask(7, "first", customer=name)
     gates.run(200 * MS)
     (customer,) = home.customers.known.values()
-    home.give(customer, 1.0)
+    home.words.give(customer, 1.0)
     assert customer.pooled == pytest.approx(0.5)
     for n in range(20):
         gates.ask(n % 10, f"w{n}", customer=name)
         gates.run(200 * MS)
-    home.give(customer, 1.0)
+    home.words.give(customer, 1.0)
     assert customer.pooled == pytest.approx(0.5 * 5 / 10)  # the home and those from 5 on
     gates.run(11 * S)  # one that says nothing at all also spends nothing
-    home.give(customer, 1.0)
+    home.words.give(customer, 1.0)
     assert customer.pooled == pytest.approx(0.5 * 5 / 10)
     gates.worlds[9].gateway.customers.ceilings = False
     gates.ask(9, "older", customer=name)  # an older version took its place
     gates.run(200 * MS)
     customer.pool = 5.0  # filled while more left their share: what that one keeps must not be given out too
-    home.give(customer, 1.0)
+    home.words.give(customer, 1.0)
     assert customer.pooled == pytest.approx(0.5 * 4 / 10)
     assert customer.pool == pytest.approx(customer.most_pooled - 1.0)
 
