Requests at hand and their attempts are a part of their own; Gateway keeps the order of steps

`attempts` holds the requests, what is out, the means of latencies, clients' patience and the retry budget.

--- a/fennelwinch/rules/__init__.py
+++ b/fennelwinch/rules/__init__.py
@@ -1,6 +1,6 @@
 """The decisions of a gateway, in reading order: `times`; `server`, `fleet`, the servers known; `store`,
-`customers`, the stores of each; `peers`, `words`, `admission`, what their homes say; `job`, a request; `cap`,
-what may be sent on; `gateway`, the order of steps.
+`customers`, the stores of each; `peers`, `words`, `admission`, what their homes say; `job`, `attempts`, the
+requests at hand; `cap`, what may be sent on; `gateway`, the order of steps.
 """
 
 from fennelwinch.rules.cap import TARGETS, next_n
--- /dev/null
+++ b/tests/fennelwinch/rules/test_attempts.py
@@ -0,0 +1,118 @@
+"""Requests and their attempts without a gateway: time-outs, means, patience, the retry budget."""
+
+from dataclasses import replace
+
+import pytest
+
+from fennelwinch import interface as i
+from fennelwinch.rules.attempts import RETRY_SHARE, RETRY_STORE, Attempts
+from fennelwinch.rules.job import Job
+from fennelwinch.rules.server import Server
+from fennelwinch.rules.store import Customer
+from tests.helpers import MS, PLAN, SAFE, SETTINGS, S, servers
+
+NOW = 100 * S
+ONE, OTHER = map(Server, servers(2))
+
+
+def attempts_of(rule: i.RequestClass = SAFE, **changes: object) -> tuple[Attempts, Job]:
+    settings = replace(SETTINGS, classes=(rule,), **changes)
+    attempts = Attempts(settings)
+    customer = Customer(PLAN, (1, 0, 0, 1), settings, NOW, 0)
+    job = attempts.jobs["a"] = Job(i.Request("a", 0, 0, "c", 6 * S), rule, customer, NOW, 0)
+    return attempts, job
+
+
+def outcome(result: i.Result, attempt: int = 0, took: int = 10 * MS, **changes: object) -> i.Outcome:
+    return replace(i.Outcome("a", False, attempt, "", result, took), **changes)
+
+
+def test_attempt_is_out_until_it_ends_once() -> None:
+    attempts, job = attempts_of()
+    server = Server(servers(1)[0])
+    assert attempts.begin(NOW, job, server).server == "s0"
+    assert (attempts.out, job.customer.out, len(server.out), job.ran_on) == (1, 1, 1, server)
+    assert attempts.end(NOW, outcome(i.Result.OK, 1)) is None
+    assert attempts.end(NOW, outcome(i.Result.OK, id="b")) is None
+    assert attempts.end(NOW, outcome(i.Result.OK)) is job
+    assert (attempts.out, job.customer.out, len(server.out), server.kept) == (0, 0, 0, 1)
+    assert attempts.end(NOW, outcome(i.Result.OK)) is None
+    attempts.begin(NOW, job, server)
+    assert server.kept == 0  # the connection that rested is in use, if it did
+
+
+def test_request_that_ran_nowhere_may_go_anywhere() -> None:
+    keyed = i.RequestClass(2 * S, 6 * S, effect=i.Effect.KEYED, group=i.Group.CELL, window_us=S)
+    for result, ran in ((i.Result.FULL, False), (i.Result.CONNECT_FAILED, False), (i.Result.RESET, True)):
+        attempts, job = attempts_of(keyed)
+        attempts.begin(NOW, job, Server(servers(1)[0]))
+        assert not job.may_refuse() and not job.may_run_on(NOW, Server(servers(4)[3]))
+        attempts.end(NOW, outcome(result))
+        assert job.may_refuse() is not ran and job.may_run_on(NOW, Server(servers(4)[3])) is not ran
+        assert job.unsent == (result is i.Result.CONNECT_FAILED)
+
+
+def test_attempt_is_given_up_while_another_can_meet_the_aim() -> None:
+    attempts, job = attempts_of()
+    attempts.mean_us = [200.0 * MS]
+    assert attempts.begin(NOW, job, ONE).timeout_us == 2 * S - 400 * MS
+    assert attempts.begin(NOW + S, job, OTHER).timeout_us == 600 * MS
+    assert attempts.begin(NOW + S, job, ONE).timeout_us == 5 * S  # the last that it may have
+    attempts, job = attempts_of(replace(SAFE, effect=i.Effect.UNSAFE))
+    assert attempts.begin(NOW, job, ONE).timeout_us == 6 * S
+    assert attempts.time_out(NOW + 7 * S, job) == 1
+
+
+def test_latencies_move_the_means_and_an_outlier_counts_for_little() -> None:
+    attempts, job = attempts_of(trued_up=True)
+    server = Server(servers(1)[0])
+    assert attempts.mean_us == [500.0 * MS]
+    attempts.begin(NOW, job, server)
+    job.in_quota, level = True, job.customer.level
+    attempts.end(NOW, outcome(i.Result.OK, took=5 * S, true_units=3.0))
+    assert server.slowness == pytest.approx(1.3) and attempts.mean_us == [950.0 * MS]
+    assert server.heard_us == NOW and job.customer.level == level - 2.0
+    attempts.begin(NOW, job, server)
+    attempts.end(NOW, outcome(i.Result.ERROR, 1, took=5 * S))
+    assert attempts.mean_us == [950.0 * MS] and server.fails == 1
+
+
+def test_overdue_are_the_ages_of_what_is_out_for_longer_than_usual() -> None:
+    attempts, job = attempts_of()
+    attempts.begin(NOW, job, ONE)
+    assert attempts.overdue(NOW + 500 * MS) == []
+    assert attempts.overdue(NOW + S) == [0.5]
+    assert attempts.overdue(NOW + 4 * S) == [1.0]
+
+
+def test_further_attempts_live_on_a_share_of_first_ones() -> None:
+    attempts, job = attempts_of(max_attempts=99)
+    attempts.begin(NOW, job, ONE)
+    assert attempts.retries == RETRY_STORE / 2 + RETRY_SHARE
+    for _ in range(4):
+        assert attempts.has_another(NOW, job, i.Result.RESET)
+        attempts.pay(i.Result.RESET)
+    assert not attempts.has_another(NOW, job, i.Result.RESET)
+    assert attempts.has_another(NOW, job, i.Result.CONNECT_FAILED)
+    attempts.pay(i.Result.CONNECT_FAILED)
+    assert attempts.retries == pytest.approx(RETRY_SHARE)  # as nothing was sent
+    assert not attempts.has_another(NOW, job, i.Result.MOOT)
+    assert not attempts.has_another(NOW + 6 * S - 250 * MS, job, i.Result.CONNECT_FAILED)
+    attempts, job = attempts_of(max_attempts=1)
+    attempts.begin(NOW, job, ONE)
+    assert not attempts.has_another(NOW, job, i.Result.CONNECT_FAILED)
+
+
+def test_retry_has_that_much_less_of_its_time_left() -> None:
+    attempts, _ = attempts_of()
+    first = i.Request("f", 0, 0, "c", 6 * S)
+    assert attempts.gone_us(replace(first, is_repeat=True)) == 0  # nothing is known yet
+    assert attempts.gone_us(first) == 0
+    assert attempts.gone_us(replace(first, left_us=4 * S, is_repeat=True)) == 2 * S
+    assert attempts.gone_us(replace(first, left_us=3 * S)) == 0
+    assert attempts.gone_us(replace(first, left_us=3 * S, is_repeat=True)) == 0  # the least of late
+    attempts.gone_us(first)
+    assert attempts.patience_us == [3 * S + 3 * S // 200 + 1]
+    late, _ = attempts_of(replace(SAFE, late_worth=0.5))
+    late.gone_us(first)
+    assert late.gone_us(replace(first, left_us=S, is_repeat=True)) == 0
--- a/tests/fennelwinch/test_adapter.py
+++ b/tests/fennelwinch/test_adapter.py
@@ -99,7 +99,7 @@
         name, *parts = line.split(" ")
         if name != "M":
             host.event(name, parts, iter(SHEET.splitlines()[1:]))
-    server = host.gateways[0].jobs["rq_a"].servers[0].entry.name
+    server = host.gateways[0].attempts.jobs["rq_a"].servers[0].entry.name
     host.event("ATTEMPT_END", ["rq_a", "1", "0", server, "served", "9", "-", "-", "9,0.4"], iter(()))
     assert host.gateways[0].cap.signals["util"] == [0.4]
 
--- a/tests/fennelwinch/test_properties.py
+++ b/tests/fennelwinch/test_properties.py
@@ -135,4 +135,4 @@
 def test_rules_hold_whatever_comes(parallel: bool, steps: list[tuple[int, int, int]]) -> None:
     world = play(parallel, steps)
     assert set(world.requests) == world.over
-    assert not world.gateway.jobs and not world.gateway.held
+    assert not world.gateway.attempts.jobs and not world.gateway.held
--- a/tests/fennelwinch/test_rules.py
+++ b/tests/fennelwinch/test_rules.py
@@ -373,7 +373,7 @@
     for me, world in enumerate(gates.worlds):
         gates.down = me
         world.tell(i.ServerList(i.ListKind.FULL, 2, ()))
-        world.gateway.mean_us = [20 * MS]
+        world.gateway.attempts.mean_us = [20 * MS]
         world.ask("a", left_us=left * MS, set_size=20)
         start = world.now
         world.run(S)
@@ -519,7 +519,7 @@
     (server,) = world.gateway.fleet.up
     for result, kept in ((i.Result.OK, True), (i.Result.RESET, False), (i.Result.ERROR, True),
                          (i.Result.TIMEOUT, False), (i.Result.FULL, True)):
-        world.gateway.retries = 0
+        world.gateway.attempts.retries = 0
         world.ask(result.value)
         world.answer(result.value, result=result)
         assert server.is_kept(world.now, world.gateway.set.keep_us) is kept
@@ -534,7 +534,7 @@
     gates = Set(100, replace(SETTINGS, plans=(i.Plan(),), cold_from=0.2), fleet)
     cold = replace(fleet[0], started_us=gates.worlds[0].now)
     for world in gates.worlds:
-        world.gateway.mean_us = [10 * MS]
+        world.gateway.attempts.mean_us = [10 * MS]
         world.tell(i.ServerList(i.ListKind.CHANGES, 2, (cold,)))
     for n in range(1000):
         gates.ask(n * 7 % 100, f"r{n}", customer=f"c{n}")
@@ -665,7 +665,7 @@
 def test_request_of_which_nothing_was_sent_is_refused_before_half_of_its_time() -> None:
     for fleet in ((), servers(1)):
         world = World(fleet=fleet)
-        world.gateway.mean_us = [50.0 * MS]  # so that the aim alone would let it wait for longer
+        world.gateway.attempts.mean_us = [50.0 * MS]  # so that the aim alone would let it wait for longer
         start = world.now
         world.ask("a", left_us=S)
         if fleet:  # a failed connect has sent nothing
@@ -799,7 +799,8 @@
     assert set(world.gateway.fleet.servers) == {"s0", "s1"}
     assert len(world.gateway.customers.known) == 200
     world.run(12 * S)
-    assert not world.gateway.customers.known and not world.gateway.customers.sets and not world.gateway.jobs
+    assert not world.gateway.customers.known and not world.gateway.customers.sets
+    assert not world.gateway.attempts.jobs
 
 
 def test_customer_is_kept_until_its_stores_are_full() -> None:
@@ -857,7 +858,7 @@
 
 def test_wait_for_word_ends_before_half_of_the_time() -> None:
     world = World(replace(SETTINGS, gateways=2))
-    world.gateway.mean_us = [10.0 * MS]
+    world.gateway.attempts.mean_us = [10.0 * MS]
     name = next(f"c{n}" for n in range(9) if zlib.crc32(f"c{n}".encode()) % 2)  # the other one is its home
     for number in range(10):
         world.ask(f"a{number}", customer=name, set_size=2)
