--- /dev/null
+++ b/fennelwinch/interface/events.py
@@ -0,0 +1,165 @@
+"""What a gateway is told: each event is handed to `rules.Gateway.handle(now_us, event)`.
+
+All times are whole microseconds.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from fennelwinch.interface.words import LimitWord, Word
+
+
+class Result(Enum):
+    """How an attempt, a probe or a counter call ended."""
+
+    OK = "ok"
+    ERROR = "error"
+    FULL = "full"
+    TIMEOUT = "timeout"
+    CONNECT_FAILED = "connect_failed"
+    RESET = "reset"
+    SPOILT = "spoilt"  # an answer that cannot be read: it ran
+    CANCELLED = "cancelled"
+    MOOT = "moot"
+
+
+class ServerState(Enum):
+    """What the server list says of a server."""
+
+    UP = "up"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class ListKind(Enum):
+    """What a piece of news from the server list holds."""
+
+    FULL = "full"
+    SAVED = "saved"
+    CHANGES = "changes"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What a server says of itself; None where it says nothing of the kind."""
+
+    inflight: float | None = None
+    queue: float | None = None
+    util: float | None = None
+    service_ms: float | None = None
+    served_per_s: float | None = None
+    errors_per_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Server:
+    """An entry of the server list."""
+
+    name: str
+    zone: int
+    kind: int
+    cell: int
+    state: ServerState
+    size: float = 1.0
+    started_us: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ServerList:
+    """News of the servers: the whole list, changes to it, or word that a call failed."""
+
+    kind: ListKind
+    version: int
+    servers: tuple[Server, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """A client's request; the gateway now owes one final answer."""
+
+    id: str
+    class_index: int
+    plan_index: int
+    customer: str
+    left_us: int
+    units: float = 1.0
+    set_size: int = 1
+    set_first: int = 0
+    is_repeat: bool = False
+    is_write: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class StreamStarted:
+    """A streamed answer has begun: the attempt belongs to the client."""
+
+    id: str
+    attempt: int
+    server: str
+    latency_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """How an attempt ended; each Send gets one."""
+
+    id: str
+    over: bool
+    attempt: int
+    server: str
+    result: Result
+    latency_us: int
+    used_percent: int = 0
+    true_units: float = 0.0
+    report: LoadReport | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ClientGone:
+    """The client left; nothing is owed any more."""
+
+    id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Timer:
+    """A timer that the gateway set has come due."""
+
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeResult:
+    """The result of a Probe."""
+
+    server: str
+    result: Result
+    latency_us: int
+    report: LoadReport | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class PeerMessage:
+    """A message from another gateway. `generation` is new with each start of a sender that tells totals;
+    `hears` says whether it has heard this gateway of late."""
+
+    sender: int
+    words: tuple[Word | LimitWord, ...]
+    generation: int | None = None
+    hears: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Counted:
+    """The shared counter's reply to a Count."""
+
+    name: int
+    result: Result
+    total: float
+    latency_us: int
+
+
+Event = (
+    ServerList | Request | StreamStarted | Outcome | ClientGone | Timer | ProbeResult | PeerMessage | Counted
+)
--- /dev/null
+++ b/fennelwinch/interface/words.py
@@ -0,0 +1,87 @@
+"""What gateways tell each other: of customers to their homes, and of shares of ceilings, totals and lives."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Word:
+    """What one gateway tells another of a customer: to its home, or from there when it answers.
+
+    A customer goes by a checksum of its name. `demand` and `spent` are new to the home; in an answer,
+    `demand` is that of the whole set. `asked` waits for an answer; `level` is what the set has left or owes.
+    `inside`: whether the home lets in what was asked, as it drew. `granted`: units as asked come with the
+    answer from the home's share of the ceiling.
+    """
+
+    customer: int
+    plan_index: int
+    set_first: int
+    set_size: int
+    is_answer: bool = False
+    demand: float = 0.0
+    spent: float = 0.0
+    asked: float = 0.0
+    level: float = 0.0
+    granted: bool = False
+    inside: bool | None = None
+
+
+SPLIT_MARK = 255  # in place of a plan: the sender keeps no more of any ceiling than its split share
+Key = tuple[int, int, int, int]  # of a customer: the checksum of its name, plan, first of its set, size of it
+
+
+@dataclass(frozen=True, slots=True)
+class LoanAsk:
+    """A borrower's state with one lender of a ceiling's share, and what it would hold; shares in 1/10,000.
+
+    A higher number voids all grants to lower ones. `accepted` is the last ask whose grant took hold,
+    `returned` are units that go back with what is given up.
+    """
+
+    key: Key
+    number: int
+    accepted: int
+    held: int
+    wanted: int
+    returned: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class LoanGrant:
+    """A lender's answer to the ask of that number: the whole share lent, and units that come with it once."""
+
+    key: Key
+    number: int
+    share: int
+    units: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """A gateway has started: what it lent in an earlier life must not be used from now on."""
+
+
+@dataclass(frozen=True, slots=True)
+class Clear:
+    """The answer: nothing of the shares of the gateway with that generation's hello is held here, and totals
+    are told of so many customers whose home it is."""
+
+    generation: int
+    totals: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Total:
+    """All that a gateway has spent of a customer's quota since its start, and what is left of its part."""
+
+    key: Key
+    spent: float
+    left: float
+
+
+@dataclass(frozen=True, slots=True)
+class Bye:
+    """A gateway has ended in order: it spends nothing any more."""
+
+
+LimitWord = LoanAsk | LoanGrant | Hello | Clear | Total | Bye
--- a/fennelwinch/rules/gateway.py
+++ b/fennelwinch/rules/gateway.py
@@ -1,7 +1,7 @@
 """The order of steps: what a gateway does at each event, by what its parts say.
 
 A request is admitted by its customer's quota, held until the cap, its ceiling and a server allow it, sent on,
-and perhaps sent again; each gets one final answer. Events, actions and settings: fennelwinch/interface.py.
+and perhaps sent again; each gets one final answer. Events, actions and settings: fennelwinch/interface.
 """
 
 import itertools
--- a/molereach/limits/core.py
+++ b/molereach/limits/core.py
@@ -1,4 +1,4 @@
-"""What the decisions consult on limits, `Limits` in fennelwinch/interface.py. A core, over the two others.
+"""What the decisions consult on limits, `Limits` in fennelwinch/interface. A core, over the two others.
 
 `Escrow` has the ceilings, `Reach` the quotas. Words of both go out within a budget for each peer.
 """
