--- a/tests/limits/test_service.py
+++ b/tests/limits/test_service.py
@@ -8,13 +8,13 @@
 from msgspec.structs import replace
 
 from fennelwinch import interface as i
-from fennelwinch.adapter import Host, run_batch
 from molereach import operator
 from molereach.door.config import parse
 from molereach.door.frontdoor import FrontDoor
 from molereach.limits.core import Limits
 from molereach.limits.service import KeyFileError, attacher, read_key
 from molereach.limits.words import Codec
+from molereach.simulator.adapter import Host, run_batch
 from rig import scenario_files
 from rig.audit import Quota, quota_use
 from rig.facts import Asked, Effect
--- a/tests/fennelwinch/test_adapter.py
+++ b/tests/simulator/test_adapter.py
@@ -9,8 +9,8 @@
 import pytest
 
 from fennelwinch import interface as i
-from fennelwinch.adapter import Host, write_action
 from fennelwinch.codec import WORD, pack_words, read_report, unpack_words
+from molereach.simulator.adapter import Host, write_action
 from tests.helpers import SETTINGS, World
 
 ROOT = Path(__file__).parents[2]
@@ -41,8 +41,8 @@
 def run(text: str, hash_seed: str = "0") -> subprocess.CompletedProcess[str]:
     environment = {**os.environ, "PYTHONHASHSEED": hash_seed}
     return subprocess.run(
-        [sys.executable, "-m", "fennelwinch.adapter"], input=text, text=True, capture_output=True, cwd=ROOT,
-        env=environment, check=False, timeout=60,
+        [sys.executable, "-m", "molereach.simulator.adapter"], input=text, text=True, capture_output=True,
+        cwd=ROOT, env=environment, check=False, timeout=60,
     )
 
 
