--- a/tests/fennelwinch/rules/test_attempts.py
+++ b/tests/fennelwinch/rules/test_attempts.py
@@ -55,6 +55,7 @@
 def test_attempt_is_given_up_while_another_can_meet_the_aim() -> None:
     attempts, job = attempts_of()
     attempts.mean_us = [200.0 * MS]
+    assert attempts.time_out(NOW + 1500 * MS, job) == 4500 * MS  # too late for another to meet the aim
     assert attempts.begin(NOW, job, ONE).timeout_us == 2 * S - 400 * MS
     assert attempts.begin(NOW + S, job, OTHER).timeout_us == 600 * MS
     assert attempts.begin(NOW + S, job, ONE).timeout_us == 5 * S  # the last that it may have
@@ -89,6 +90,7 @@
     attempts, job = attempts_of(max_attempts=99)
     attempts.begin(NOW, job, ONE)
     assert attempts.retries == RETRY_STORE / 2 + RETRY_SHARE
+    assert not attempts.has_another(NOW, job, i.Result.MOOT)
     for _ in range(4):
         assert attempts.has_another(NOW, job, i.Result.RESET)
         attempts.pay(i.Result.RESET)
@@ -96,7 +98,6 @@
     assert attempts.has_another(NOW, job, i.Result.CONNECT_FAILED)
     attempts.pay(i.Result.CONNECT_FAILED)
     assert attempts.retries == pytest.approx(RETRY_SHARE)  # as nothing was sent
-    assert not attempts.has_another(NOW, job, i.Result.MOOT)
     assert not attempts.has_another(NOW + 6 * S - 250 * MS, job, i.Result.CONNECT_FAILED)
     attempts, job = attempts_of(max_attempts=1)
     attempts.begin(NOW, job, ONE)
