--- a/tests/limits/test_service.py
+++ b/tests/limits/test_service.py
@@ -8,7 +8,6 @@
 from msgspec.structs import replace
 
 from fennelwinch import interface as i
-from fennelwinch.adapter import Host, run_batch
 from molereach import operator
 from molereach.door.config import parse
 from molereach.door.frontdoor import FrontDoor
@@ -16,6 +15,7 @@
 from molereach.limits.core import Limits
 from molereach.limits.service import attacher
 from molereach.limits.words import Codec
+from molereach.simulator.adapter import Host, run_batch
 from rig import scenario_files
 from rig.audit import Quota, quota_use
 from rig.facts import Asked, Effect
