--- a/molereach/cache/door.py
+++ b/molereach/cache/door.py
@@ -54,8 +54,10 @@
 class Door:
     """Sans-I/O. `handle` takes what the log says; `look`, `begin` and `end` are asked by requests."""
 
-    def __init__(self, settings: ReadingSettings, purges: Purges, session: Session) -> None:
-        self.purges, self.session = purges, session
+    def __init__(
+        self, settings: ReadingSettings, purges: Purges, session: Session, steps: int = SLICE
+    ) -> None:
+        self.purges, self.session, self.steps = purges, session, steps
         self.store, self.marks = Store(settings), Marks(settings)
         self.fills = Fills(self.store, self.marks)
         self.applied = 0  # of the log, here
@@ -64,6 +66,7 @@
         self._emptying = False  # all is let go of, and nothing is kept until that is done
         self._sweeps = Sweeps(self.store)
         self._news: deque[Past] = deque()  # purges of a snapshot that are not marked yet
+        self._restored_to = 0  # the position of the last snapshot
         self._clear = 0
         self._look_us = 0
 
@@ -78,7 +81,7 @@
 
     def usable(self, now_us: int, reading: Reading) -> bool:
         marked = self.marks.newest(reading.member, reading.class_name)
-        return reading.mark >= marked and not self.store.dead(now_us, reading) and self._may(now_us)
+        return reading.applied >= marked and not self.store.dead(now_us, reading) and self._may(now_us)
 
     def _may(self, now_us: int) -> bool:
         here = self.applied >= self.told and not self._news and not self._emptying
@@ -86,10 +89,10 @@
 
     def begin(self, now_us: int, member: str, class_name: str, asked: bytes) -> Ticket | None:
         """Before a request is sent to a server; None if its answer will not be kept."""
-        # While a snapshot's purges are being marked, a mark of today would not tell them from later ones.
+        # While a snapshot's purges are being marked, not all up to `applied` are.
         if self._emptying or self._news:
             return None
-        return self.fills.begin(now_us, member, class_name, asked)
+        return self.fills.begin(now_us, member, class_name, asked, self.applied)
 
     def end(self, now_us: int, ticket: Ticket, value: bytes) -> Fate:
         """Its whole and good answer came."""
@@ -143,7 +146,7 @@
         self._sweeps.add(position, member, class_name)
 
     def _restored(self, position: int) -> None:
-        before, self.applied = self.applied, position
+        before, self.applied, self._restored_to = self.applied, position, position
         if before < self.purges.past.floor:  # whose purges are missing here is not known any more
             self.marks.set_everything(position)
             self._emptying = True
@@ -153,7 +156,7 @@
     # --- time ---
 
     def _turn(self, now_us: int) -> None:
-        steps = SLICE
+        steps = self.steps
         if self._emptying:
             for reading in self.store.some(steps):
                 self.store.drop(reading)
@@ -165,11 +168,14 @@
         self._sweeps.run(steps)
         if now_us >= self._look_us:
             self._look_us = now_us + LOOK_US
-            self.store.expire(now_us, SLICE)
+            self.store.expire(now_us, self.steps)
             self.marks.forget(now_us)
 
     def _now_clear(self) -> int:
         if self._news or (self._emptying and self.store.size):
             return self._clear
         first = self._sweeps.first
-        return self.applied if first is None else first - 1
+        if first is None:
+            return self.applied
+        # A snapshot names the newest purge of a scope alone, which stands for those before it.
+        return self._clear if first <= self._restored_to else first - 1
--- a/molereach/cache/fills/fills.py
+++ b/molereach/cache/fills/fills.py
@@ -31,11 +31,14 @@
         self.store, self.marks = store, marks
         self.fates = dict.fromkeys(Fate, 0)  # since the start
 
-    def begin(self, now_us: int, member: str, class_name: str, asked: bytes) -> Ticket | None:
-        """Before the request is sent; None where its answer is not to be kept."""
+    def begin(
+        self, now_us: int, member: str, class_name: str, asked: bytes, applied: int
+    ) -> Ticket | None:
+        """Before the request is sent, with the log applied up to `applied`; None where its answer is not to
+        be kept."""
         if class_name not in self.store.settings.ages_us or len(asked) > MOST_ASKED_BYTES:
             return None
-        return Ticket(member, class_name, asked, now_us, self.marks.newest(member, class_name))
+        return Ticket(member, class_name, asked, now_us, applied)
 
     def end(self, now_us: int, ticket: Ticket, value: bytes) -> Fate:
         """Its answer came: kept or not."""
@@ -44,8 +47,8 @@
         return fate
 
     def _judge(self, now_us: int, ticket: Ticket, value: bytes) -> Fate:
-        if ticket.mark < self.marks.newest(ticket.member, ticket.class_name):
+        if ticket.applied < self.marks.newest(ticket.member, ticket.class_name):
             return Fate.PURGED
         reading = Reading(
-            ticket.member, ticket.class_name, ticket.asked, value, ticket.sent_us, ticket.mark)
+            ticket.member, ticket.class_name, ticket.asked, value, ticket.sent_us, ticket.applied)
         return Fate.KEPT if self.store.put(now_us, reading) else Fate.NOT_KEPT
--- a/molereach/cache/fills/ticket.py
+++ b/molereach/cache/fills/ticket.py
@@ -11,4 +11,4 @@
     class_name: str
     asked: bytes
     sent_us: int  # read before the request is sent
-    mark: int  # the log's position of the newest purge of its scope that was applied here by then
+    applied: int  # the log's position up to which purges were applied here by then
--- a/molereach/cache/purge/holdings.py
+++ b/molereach/cache/purge/holdings.py
@@ -30,7 +30,7 @@
     stays: str
 
 
-RULES, DOOR, LIMITS = "fennelwinch.rules.Gateway", "molereach.door.frontdoor.FrontDoor", "molereach.limits"
+RULES, DOOR, LIMITS = "fennelwinch.rules", "molereach.door.frontdoor.FrontDoor", "molereach.limits"
 CACHE, CLIENT = "molereach.cache", "molereach.clients.resp.ClientConnection"
 REQUEST = "until its request is answered and its last attempt is over"
 FULL_AGAIN = "until its stores are full again: as good as new then"
@@ -55,8 +55,8 @@
     Holding(f"{CACHE}.purge.machine.Purges", "_pending", "purges asked for", Effect.PROOF, "until done"),
     Holding(f"{CACHE}.purge.machine.Purges", "_done", "receipts", Effect.PROOF, "until newer ones need room"),
     # Quota levels and ceilings
-    Holding(RULES, "customers", "levels of quota and ceiling", Effect.KEPT, FULL_AGAIN),
-    Holding(RULES, "sets", "the set under which it came", Effect.KEPT, FULL_AGAIN),
+    Holding(f"{RULES}.customers.Customers", "known", "levels of quota and ceiling", Effect.KEPT, FULL_AGAIN),
+    Holding(f"{RULES}.customers.Customers", "sets", "the set under which it came", Effect.KEPT, FULL_AGAIN),
     Holding(f"{LIMITS}.escrow.Escrow", "accounts", "shares of ceilings", Effect.KEPT, FULL_AGAIN),
     Holding(f"{LIMITS}.escrow.Escrow", "late", "when loans are looked at", Effect.KEPT, LOANS),
     Holding(f"{LIMITS}.escrow._Account", "loans", "what is lent of it", Effect.KEPT, LOANS),
@@ -64,16 +64,17 @@
     Holding(f"{LIMITS}.reach.Reach", "mine", "spending told home", Effect.KEPT, FULL_AGAIN),
     Holding(f"{LIMITS}.reach.Reach", "homes", "spending told here", Effect.KEPT, FULL_AGAIN),
     # Words to homes
-    Holding(RULES, "words", "words to homes", Effect.ENDS, "80 ms"),
+    Holding(f"{RULES}.words.Words", "waiting", "words to homes", Effect.ENDS, "80 ms"),
     Holding(f"{LIMITS}.escrow.Escrow", "out", "words of loans", Effect.ENDS, "the next look, 20 ms"),
     Holding(f"{LIMITS}.core.Limits", "answers", "words of limits", Effect.ENDS, "the next look, 20 ms"),
     Holding(f"{LIMITS}.reach.Reach", "fresh", "spending to be told", Effect.ENDS, "until it is told"),
     Holding(f"{LIMITS}.reach.Reach", "again", "spending to be told again", Effect.ENDS, "until it is told"),
     # Requests under way
-    Holding(RULES, "jobs", "requests", Effect.ENDS, REQUEST),
-    Holding(RULES, "held", "requests that wait for a server", Effect.ENDS, REQUEST),
-    Holding(RULES, "waits", "requests that wait for word", Effect.ENDS, REQUEST),
-    Holding(RULES, "actions", "what the last event brought about", Effect.ENDS, "until the next event"),
+    Holding(f"{RULES}.attempts.Attempts", "jobs", "requests", Effect.ENDS, REQUEST),
+    Holding(f"{RULES}.gateway.Gateway", "held", "requests that wait for a server", Effect.ENDS, REQUEST),
+    Holding(f"{RULES}.admission.Admission", "waits", "requests that wait for word", Effect.ENDS, REQUEST),
+    Holding(f"{RULES}.gateway.Gateway", "actions", "what the last event brought about", Effect.ENDS,
+            "until the next event"),
     Holding(DOOR, "inbox", "events of this turn", Effect.ENDS, "a turn of the loop"),
     Holding(DOOR, "open", "requests", Effect.ENDS, REQUEST),
     Holding(DOOR, "ended", "requests with attempts still out", Effect.ENDS, REQUEST),
@@ -81,6 +82,8 @@
             "until sent; one from memory is looked at again right before that"),
     # Beside the program's memory
     Holding(DOOR, "", "log lines on a fault, with the event", Effect.KEPT, "as long as the log's files"),
+    Holding("molereach.shards.counts", "", "how much of a shard's writes is whose", Effect.KEPT,
+            "a window of counts; sums, no readings"),
     Holding("molereach.plans", "", "plans of use: none are kept yet", Effect.KEPT, "declared where it comes"),
 )
 
--- a/molereach/cache/readings/marks.py
+++ b/molereach/cache/readings/marks.py
@@ -1,8 +1,9 @@
 """The newest purges that were applied at this front door, by what they cover, as positions of the log.
 
 A reading or an answer on its way counts only if the newest purge of its scope was applied here before its
-request was sent: positions say so without any clock. A mark is kept until all that it forbids is dead by age,
-which this front door's own clock says: what was sent before it is older than the mark itself.
+request was sent, so each has the position up to which that was so: no clock is asked. A mark is kept until
+all that it forbids is dead by age, which this front door's own clock says: what was sent before the mark was
+set is older than the mark itself.
 """
 
 from collections import OrderedDict
--- a/molereach/cache/readings/reading.py
+++ b/molereach/cache/readings/reading.py
@@ -6,15 +6,15 @@
 class Reading:
     """Never changed once it is made; compared by identity."""
 
-    __slots__ = ("asked", "class_name", "mark", "member", "sent_us", "size", "value")
+    __slots__ = ("applied", "asked", "class_name", "member", "sent_us", "size", "value")
 
     def __init__(
-        self, member: str, class_name: str, asked: bytes, value: bytes, sent_us: int, mark: int
+        self, member: str, class_name: str, asked: bytes, value: bytes, sent_us: int, applied: int
     ) -> None:
         self.member, self.class_name, self.asked, self.value = member, class_name, asked, value
         # Not when the answer came: the server may have read what it told at any time since the request left.
         self.sent_us = sent_us
-        self.mark = mark  # the log's position of the newest purge of its scope, applied before it was sent
+        self.applied = applied  # the log's position up to which purges were applied here by then
         self.size = len(value) + len(asked) + OVERHEAD_BYTES
 
     @property
--- a/tests/cache/purge/finding.py
+++ b/tests/cache/purge/finding.py
@@ -20,13 +20,16 @@
     """What the names at the top of a module stand for."""
 
     name: str
+    places: dict[str, str]  # of all modules: a name as it is imported, and where that comes from
     known: dict[str, str] = field(default_factory=dict)  # a name here, and in full
+    seen: dict[str, frozenset[str]] = field(default_factory=dict)  # annotations, and what is in them
 
     def read(self, tree: ast.Module) -> None:
         for node in ast.walk(tree):
             if isinstance(node, ast.ImportFrom) and node.module:
                 for each in node.names:
                     self.known[each.asname or each.name] = f"{node.module}.{each.name}"
+                    self.places[f"{self.name}.{each.asname or each.name}"] = f"{node.module}.{each.name}"
             elif isinstance(node, ast.Import):
                 for each in node.names:
                     self.known[each.asname or each.name] = each.name
@@ -36,7 +39,12 @@
             if isinstance(alias, ast.Assign) and isinstance(alias.targets[0], ast.Name):
                 self.known[alias.targets[0].id] = f"{self.name}.{alias.targets[0].id}"
 
-    def names(self, annotation: str) -> set[str]:
+    def names(self, annotation: str) -> frozenset[str]:
+        if annotation not in self.seen:
+            self.seen[annotation] = frozenset(self.look(annotation))
+        return self.seen[annotation]
+
+    def look(self, annotation: str) -> set[str]:
         """All types in an annotation, in full, but for those that a function takes or gives."""
         found, nodes = set(), [ast.parse(annotation, mode="eval").body]
         while nodes:
@@ -48,7 +56,13 @@
                 found.add(self.known.get(node.id, node.id))
             elif isinstance(node, ast.Attribute) and isinstance(node.value, ast.Name):
                 found.add(f"{self.known.get(node.value.id, node.value.id)}.{node.attr}")
-        return found
+        return {self.place(name) for name in found}
+
+    def place(self, name: str) -> str:
+        """Where a name that a package hands on comes from."""
+        while name in self.places and self.places[name] != name:
+            name = self.places[name]
+        return name
 
 
 @dataclass
@@ -92,9 +106,10 @@
     kinds: list[Kind] = field(default_factory=list)
     aliases: list[tuple[Module, str, str]] = field(default_factory=list)
     carrying: set[str] = field(default_factory=set)
+    places: dict[str, str] = field(default_factory=dict)
 
     def add(self, name: str, source: str) -> None:
-        tree, module = ast.parse(source), Module(name)
+        tree, module = ast.parse(source), Module(name.removesuffix(".__init__"), self.places)
         module.read(tree)
         self.kinds += [kind_of(module, node) for node in ast.walk(tree) if isinstance(node, ast.ClassDef)]
         for node in tree.body:
--- a/tests/cache/purge/test_machine.py
+++ b/tests/cache/purge/test_machine.py
@@ -6,7 +6,7 @@
 import pytest
 
 from molereach.cache.purge.answers import Behind, NotHere, Pending, TooOld, answer
-from molereach.cache.purge.bodies import Ask, Done, standing
+from molereach.cache.purge.bodies import Ask, Done, Standing, standing
 from molereach.cache.purge.ids import draw_id, drawn_at, is_id
 from molereach.cache.purge.machine import MOST_DONE_AT_ONCE, MOST_ROWS_AT_ONCE, Bounds, Purges
 from molereach.cache.purge.receipt import Receipt, canonical, intact
@@ -253,6 +253,24 @@
         answer(log.purges, 3, "x")
 
 
+def test_the_front_door_that_was_asked_dies_and_any_other_tells_the_same() -> None:
+    first, second = Log(), Log()
+    first.opens(A, B)
+    asked = first.ask()
+    for entry in first.entries:
+        second.add(entry.machine, entry.body, entry.proposer)
+    assert answer(second.purges, 3, asked.id) == answer(first.purges, 3, asked.id)
+    later = Life("a", 2)
+    second.opens(later)  # it was the first, and knows nothing of what it was asked
+    second.purge(Done(asked.asked, (2,)))
+    third = Log()
+    third.purges.restore(second.purges.snapshot())
+    told = receipt(second, asked.id)
+    assert answer(third.purges, 5, asked.id, least=5) == told and told.doors[0].known is Known.ANEW
+    assert standing(third.purge(Ask(asked.id, MEMBER)).value) == Standing(asked.id, 3, 5)
+    assert receipt(third, asked.id) == told
+
+
 def test_a_snapshot_restores_to_the_same_bytes_and_goes_on_the_same() -> None:
     log = Log()
     log.opens(C, A)
--- a/tests/cache/test_door.py
+++ b/tests/cache/test_door.py
@@ -191,6 +191,21 @@
     assert not place.door.store.size_of(MEMBER)
 
 
+def test_a_snapshot_s_purge_stands_for_those_of_its_scope_before_it() -> None:
+    place = Place()
+    place.door = Door(SETTINGS, place.log.purges, place.session, steps=1)
+    for asked in (b"a", b"b"):
+        place.fill(asked=asked)
+    first = place.log.ask(1)
+    second = place.log.ask(2)
+    assert [past.position for past in place.log.purges.past.all()] == [second.asked]
+    place.door.handle(place.now_us, Restored(second.asked))
+    while place.door.store.size:
+        assert place.door.clear < first.asked
+        place.turn()
+    assert place.door.clear == second.asked
+
+
 def test_one_that_was_away_for_longer_than_purges_are_kept_begins_anew() -> None:
     place = Place()
     for number in range(SLICE + 1):
