Purges end in the order in which they were asked for, and an outcome says so in two numbers

Cause: the outcome of Done listed up to 256 positions, which the log keeps for its newest 4,096 ids. Who keeps one purge pending was open for each later one and is, so all that ends is a run from the oldest: the machine stops at the first that is not proven.

--- a/molereach/cache/driver.py
+++ b/molereach/cache/driver.py
@@ -81,8 +81,8 @@
 
     def _applied(self, now_us: int, event: Applied) -> None:
         if not isinstance(decode(event.entry.body), Ask):
-            for position in ended(event.outcome.value):
-                self._since.pop(position, None)
+            last = ended(event.outcome.value).last
+            self._since = {position: since for position, since in self._since.items() if position > last}
             self._next_us = min(self._next_us, now_us)
         elif standing(event.outcome.value).asked == event.entry.position:
             self._since[event.entry.position] = now_us
--- a/molereach/cache/purge/bodies.py
+++ b/molereach/cache/purge/bodies.py
@@ -64,6 +64,13 @@
     return msgspec.json.decode(value, type=Standing)
 
 
-def ended(value: bytes) -> tuple[int, ...]:
-    """The positions of the purges that a `Done` ended, from its outcome."""
-    return msgspec.json.decode(value, type=tuple[int, ...])
+class Ended(Wire, frozen=True):
+    """What a `Done` came to, in its outcome: how many purges it ended, and the position of the last of them.
+    They end in the order in which they were asked for."""
+
+    count: int
+    last: Position
+
+
+def ended(value: bytes) -> Ended:
+    return msgspec.json.decode(value, type=Ended)
--- a/molereach/cache/purge/machine.py
+++ b/molereach/cache/purge/machine.py
@@ -12,7 +12,7 @@
 import msgspec
 from msgspec import Meta
 
-from molereach.cache.purge.bodies import MACHINE, Ask, Done, Standing, decode
+from molereach.cache.purge.bodies import MACHINE, Ask, Done, Ended, Standing, decode
 from molereach.cache.purge.ids import drawn_at
 from molereach.cache.purge.interned import Interned
 from molereach.cache.purge.past import Past, Purged
@@ -140,9 +140,11 @@
         return ""
 
     def _finish(self, entry: Entry, body: Done) -> Outcome:
+        """End those that are proven, the oldest first. Whose session keeps one pending was open for each that
+        was asked for since, and is: so all after the first that is not proven are not, either."""
         said = frozenset(body.said)
         rosters: dict[int, tuple[Accounted, ...]] = {}
-        missing, ended, rows = "", list[int](), 0
+        why, count, last, rows = "nothing is pending up to there", 0, 0, 0
         for asked in self.oldest(MOST_DONE_AT_ONCE):
             if asked.position > body.upto or rows > MOST_ROWS_AT_ONCE:
                 break
@@ -151,15 +153,12 @@
                 rows += len(opened) + 1
                 found = roster(opened, asked.position, said, self.sessions, entry.position)
                 if isinstance(found, Opened):
-                    missing = missing or found.life.name
-                    continue
+                    why = f"front door {found.life.name} is not accounted for"
+                    break
                 rosters[asked.cohort] = found
             self._done_with(entry, asked, rosters[asked.cohort])
-            ended.append(asked.position)
-        if ended:
-            return Outcome(value=msgspec.json.encode(ended))
-        why = f"front door {missing} is not accounted for" if missing else "nothing is pending up to there"
-        return Outcome(why)
+            count, last = count + 1, asked.position
+        return Outcome(value=msgspec.json.encode(Ended(count, last))) if count else Outcome(why)
 
     def _done_with(self, entry: Entry, asked: Asked, doors: tuple[Accounted, ...]) -> None:
         del self._pending[asked.id]
@@ -171,7 +170,7 @@
     def _forget(self, purge_id: str) -> None:
         finished = self._done.pop(purge_id)
         self.rosters.release(finished.roster)
-        self.forgotten = max(self.forgotten, finished.asked.position)
+        self.forgotten = finished.asked.position  # they go in the order of the log
 
     # --- snapshots ---
 
