--- a/molereach/upkeep/driver.py
+++ b/molereach/upkeep/driver.py
@@ -30,7 +30,7 @@
 from molereach.upkeep.permits.proposals import Proposals
 from molereach.upkeep.permits.record import Record
 from molereach.upkeep.permits.telling import Measured, Telling
-from molereach.upkeep.permits.way import GONE, LEAVING, UNSENDABLE, State, Step
+from molereach.upkeep.permits.way import GONE, LEAVING, UNSENDABLE, WAITING, State, Step
 from molereach.upkeep.rules.panel import SEAT
 from molereach.upkeep.rules.scene import Stop
 from molereach.upkeep.rules.standing import STANDING
@@ -80,6 +80,14 @@
         at_ms, applied_us = self._at
         return at_ms + (now_us - applied_us) // MS_US
 
+    def why(self, now_us: int, id: str) -> Stop | None:
+        """What stops a work that waits, with the machines; None where nothing does, or it waits for
+        nothing."""
+        record = self._book.records.get(id)
+        if record is None or record.state not in WAITING:
+            return None
+        return self._book.stop_begin(record, self.at_ms(now_us)) or self.stops.get(id)
+
     def handle(self, now_us: int, event: Event) -> Sequence[Action]:
         match event:
             case Leads():
@@ -117,7 +125,7 @@
         what, done = found
         if what == SEEN:
             self._telling.settled() if done else self._telling.failed()
-        self._next_us = min(self._next_us, now_us)
+        self._next_us = min(self._next_us, now_us + SLICE_US)  # a few answers that come at once are one
 
     # --- what the time calls for ---
 
@@ -134,6 +142,8 @@
                 for record in records:
                     out += self._move(now_us, record, step)
             for record in list(self._book.records.values()):
+                if self._proposals.full:
+                    break
                 out += self._go_on(now_us, at_ms, record)
             out += self._begin(now_us, at_ms)
         out += self._keep_standing(now_us)
@@ -185,11 +195,12 @@
             return []
         self.stops.update(plan.stopped)
         out: list[Action] = []
+        scene, press = self._book.scene(at_ms), self._book.pressing(at_ms)
         for planned in plan.planned:
             record = self._book.records.get(planned.work.id)
             if planned.begins_ms > at_ms or record is None or record.state is not State.QUEUED:
                 continue
-            stop = self._book.stop_begin(record, at_ms)
+            stop = self._book.stop_begin(record, at_ms, press, scene)
             if stop is None:
                 self.stops.pop(record.work.id, None)
                 out += self._move(now_us, record, Step.DRAIN)
--- a/molereach/upkeep/order/ageing.py
+++ b/molereach/upkeep/order/ageing.py
@@ -38,13 +38,20 @@
     rank: tuple[int, int]
 
 
+def presses_from(each: Waiting, settings: UpkeepSettings) -> int:
+    closing_ms = each.work.latest_ms - settings.closing_ms
+    return min(closing_ms, each.passed_ms) if each.passed_ms else closing_ms
+
+
 def pressing(waiting: Sequence[Waiting], at_ms: int, settings: UpkeepSettings) -> tuple[Pressing, ...]:
     """Those that press now, the first in rank first."""
     since: dict[str, tuple[int, tuple[int, int]]] = {}
     for each in waiting:
-        times = [each.work.latest_ms - settings.closing_ms] + [each.passed_ms] * bool(each.passed_ms)
-        if min(times) <= at_ms:
-            since[each.work.id] = min(times), (each.work.latest_ms, each.asked)
+        since_ms = presses_from(each, settings)
+        if since_ms <= at_ms:
+            since[each.work.id] = since_ms, (each.work.latest_ms, each.asked)
+    if not since:
+        return ()
     _inherit(waiting, since)
     found = [Pressing(each, *since[each.work.id]) for each in waiting if each.work.id in since]
     return tuple(sorted(found, key=lambda one: (one.rank, one.waiting.asked))[:MOST_PRESSING])
--- a/molereach/upkeep/order/passing.py
+++ b/molereach/upkeep/order/passing.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, replace
 
-from molereach.upkeep.order.ageing import Waiting, held_up, pressing
+from molereach.upkeep.order.ageing import Pressing, Waiting, held_up, presses_from, pressing
 from molereach.upkeep.requests.work import Work
 from molereach.upkeep.rules.facts import groups
 from molereach.upkeep.rules.judge import judge
@@ -37,6 +37,7 @@
         self._rules, self._at_ms = rules, scene.at_ms
         self._scene = scene
         self._waiting = list(listed)
+        self._presses_ms = min((presses_from(each, scene.settings) for each in listed), default=0)
         self._first: dict[str, int] = {}  # by machine: which of its works goes first
         for each in listed:
             name = each.work.machine
@@ -67,7 +68,11 @@
 
     def _moment(self) -> Iterator[bool]:
         """All that begins at this time. One yield is one step, or at most `MOST_PRESSING` pairs of them."""
-        press = pressing(self._waiting, self._at_ms, self._scene.settings)
+        if self._full():
+            return
+        press: tuple[Pressing, ...] = ()
+        if self._at_ms >= self._presses_ms:
+            press = pressing(self._waiting, self._at_ms, self._scene.settings)
         rank = {one.waiting.work.id: number for number, one in enumerate(press)}
         waiting = {each.work.machine for each in self._waiting}
         for each in sorted(self._waiting, key=lambda one: rank.get(one.work.id, len(rank))):
--- a/molereach/upkeep/order/plan.py
+++ b/molereach/upkeep/order/plan.py
@@ -15,7 +15,7 @@
 from molereach.upkeep.rules.scene import Off, Rule, Scene, Stop
 from molereach.upkeep.rules.standing import standing
 
-SLICE_STEPS = 256
+SLICE_STEPS = 48
 # Another server stands in its place, and a seat is moved, when the time comes.
 PLAN_RULES = tuple(rule for rule in RULES if rule is not standing)
 
--- a/molereach/upkeep/permits/book.py
+++ b/molereach/upkeep/permits/book.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from molereach.upkeep.order.ageing import Waiting, held_up, pressing
+from molereach.upkeep.order.ageing import Pressing, Waiting, held_up, pressing
 from molereach.upkeep.permits.gathering import Part
 from molereach.upkeep.permits.marks import Mark
 from molereach.upkeep.permits.record import Record
@@ -112,12 +112,19 @@
         """What keeps it from being away now, itself not counted among those that are."""
         return self.fresh(at_ms) or judge(self.scene(at_ms).without(record.work), record.work, self.rules)
 
-    def stop_begin(self, record: Record, at_ms: int) -> Stop | None:
-        """What keeps it from beginning: the rules, and those that it would hold up."""
-        if stop := self.stop(record, at_ms):
+    def pressing(self, at_ms: int) -> tuple[Pressing, ...]:
+        return pressing(self.waiting(), at_ms, self.settings)
+
+    def stop_begin(
+        self, record: Record, at_ms: int, press: tuple[Pressing, ...] | None = None,
+        scene: Scene | None = None,
+    ) -> Stop | None:
+        """What keeps it from beginning: the rules, and those that it would hold up. With what presses then
+        and how things stand, where many are asked for at once."""
+        scene = scene or self.scene(at_ms)
+        if stop := self.fresh(at_ms) or judge(scene, record.work, self.rules):
             return stop
-        press = pressing(self.waiting(), at_ms, self.settings)
-        return held_up(self.scene(at_ms), record.work, press, self.rules)
+        return held_up(scene, record.work, self.pressing(at_ms) if press is None else press, self.rules)
 
     def unsendable(self) -> dict[str, int]:
         """To whom nothing new is sent, and the position of the entry that says so."""
--- a/molereach/upkeep/permits/nexts.py
+++ b/molereach/upkeep/permits/nexts.py
@@ -66,8 +66,11 @@
 
 
 def back_as(book: Book, record: Record, at_ms: int) -> str | None:
-    """The name under which a machine that was seen away is ready again."""
-    if not record.gone or book.fresh(at_ms):
+    """The name under which a machine is ready again: one that was seen away since its permit, or whose
+    permit has ended, as it may have been away where nothing was measured. Before that it may not have gone
+    yet."""
+    ended = record.state is not State.OUT and book.fleet.facts.at_ms >= record.since_ms
+    if book.fresh(at_ms) or not (record.gone or ended):
         return None
     for name in book.successors(record):
         machine = book.fleet.get(name)
--- a/molereach/upkeep/permits/planning.py
+++ b/molereach/upkeep/permits/planning.py
@@ -30,8 +30,8 @@
             ends_ms = {name: self._ends_ms(each, at_ms) for each in self._book.records.values()
                        if each.state not in WAITING for name in each.names}
             self._planner = Planner(self._book.scene(at_ms), self._book.waiting(), ends_ms)
-            self._stale = False
-        if self._planner and self._planner.run():
+            self._stale = False  # to make it ready is one turn's work
+        elif self._planner and self._planner.run():
             self.plan, self._planner = self._planner.plan, None
 
     def _ends_ms(self, record: Record, at_ms: int) -> int:
--- a/molereach/upkeep/permits/proposals.py
+++ b/molereach/upkeep/permits/proposals.py
@@ -22,6 +22,10 @@
         self._open: dict[str, str] = {}  # what it is for, by id
         self._again_us: dict[str, int] = {}  # not before, by what it is for
 
+    @property
+    def full(self) -> bool:
+        return len(self._open) >= MOST_OPEN
+
     def open(self, what: str) -> bool:
         return what in self._open.values()
 
@@ -33,7 +37,7 @@
         return True
 
     def make(self, now_us: int, what: str, body: Body) -> list[Propose]:
-        if self.open(what) or now_us < self._again_us.get(what, 0) or len(self._open) >= MOST_OPEN:
+        if self.open(what) or now_us < self._again_us.get(what, 0) or self.full:
             return []
         self._count += 1
         id = f"{self._prefix}{self._count:x}"
--- /dev/null
+++ b/tests/upkeep/test_driver.py
@@ -0,0 +1,316 @@
+"""What the leader proposes: works go on to their end, and what goes wrong on the way."""
+
+from collections import deque
+from dataclasses import replace
+
+import msgspec
+import pytest
+
+from molereach.council.interface import Applied, Leads, Life, Over, ProposalOver, Propose, Restored, S, Tick
+from molereach.upkeep.door import DoorSide, Permitted
+from molereach.upkeep.driver import BEAT_US, SEAT_US, Driver, ReplaceSeat
+from molereach.upkeep.permits.bodies import Ask, Move, Out, decode, encode
+from molereach.upkeep.permits.machine import Upkeep
+from molereach.upkeep.permits.proposals import MOST_OPEN, RETRY_US, Proposals
+from molereach.upkeep.permits.telling import EVERY_US, IDLE_US, Measured, Telling
+from molereach.upkeep.permits.way import State, Step
+from molereach.upkeep.requests.work import MINUTE_MS
+from molereach.upkeep.rules.facts import Facts
+from molereach.upkeep.rules.settings import UpkeepSettings
+from tests.upkeep.logged import FLEET, A, B, Logged, logged
+from tests.upkeep.made import LOOSE, NOON_MS, doors, server, servers, work
+from tests.upkeep.test_door import Held
+
+QUICK = replace(LOOSE, standing=1, warming_ms=MINUTE_MS)
+
+
+class Led:
+    """A log, the driver of its leader, and proposals that are settled at once; all that is open says it is
+    clear."""
+
+    def __init__(self, log: Logged, life: Life = A, ballot: int = 1) -> None:
+        self.log, self.facts, self.now_us = log, FLEET, 0
+        self.silent: set[str] = set()  # front doors that say nothing
+        self.actions: list[object] = []
+        self.mute = False  # proposals of permits are left as they are
+        self.driver = Driver(life, log.machine, self)
+        self.begins_ms = log.at_ms
+        self.driver.handle(0, Restored(log.position))
+        self.first = list(self.driver.handle(0, Leads("a", ballot, True)))
+
+    def clear(self, name: str, fence: int) -> int:
+        return 0 if name in self.silent else self.log.position
+
+    def run(self, seconds: float) -> "Led":
+        until_us = self.now_us + int(seconds * S)
+        while self.now_us < until_us:
+            self.now_us += BEAT_US
+            self.log.at_ms = self.begins_ms + self.now_us // 1000
+            todo, self.first = deque(self.first), []
+            todo.extend(self.driver.handle(self.now_us, Measured(self.facts)))
+            todo.extend(self.driver.handle(self.now_us, Tick()))
+            while todo:
+                action = todo.popleft()
+                self.actions.append(action)
+                if isinstance(action, Propose) and not (self.mute and isinstance(decode(action.body), Out)):
+                    todo.extend(self.settle(action))
+        return self
+
+    def settle(self, propose: Propose) -> list[object]:
+        entry = self.log.entry("upkeep", propose.body)
+        outcome = self.log.machine.apply(entry)
+        out = list(self.driver.handle(self.now_us, Applied(entry, outcome)))
+        over = ProposalOver(propose.id, Over.SETTLED, outcome, entry.position)
+        return out + list(self.driver.handle(self.now_us, over))
+
+    def change(self, *names: str, **more: object) -> None:
+        found = tuple(msgspec.structs.replace(each, **more) if each.name in names else each
+                      for each in self.facts.servers)
+        self.facts = msgspec.structs.replace(self.facts, servers=found)
+
+    def state(self, id: str = "w") -> State:
+        return self.log.record(id).state
+
+    def why(self, id: str = "w") -> tuple[str, tuple[str, ...]]:
+        stop = self.driver.why(self.now_us, id)
+        assert stop is not None
+        return stop.rule, stop.machines
+
+
+def led(*works: object, settings: UpkeepSettings = QUICK) -> Led:
+    return Led(logged(*works, settings=settings))  # type: ignore[arg-type]
+
+
+def test_a_work_goes_its_way_to_the_end() -> None:
+    one = led(work("w", minutes=1)).run(10)
+    assert one.state() is State.OUT and one.log.record().permit == 1
+    one.change("s0", ready=False, warmth=0)
+    one.run(20)
+    assert one.state() is State.OUT and one.log.record().gone
+    one.change("s0", ready=True)
+    one.run(20)
+    assert one.state() is State.BACK, "it is cold"
+    one.change("s0", warmth=500)
+    one.run(20)
+    assert one.state() is State.WARM
+    one.change("s0", warmth=950)
+    one.run(20)
+    assert one.state() is State.DONE and not one.log.book.taken()
+
+
+def test_one_that_comes_back_by_its_address_or_its_successors_name_is_found() -> None:
+    for name, address in (("s9", FLEET.servers[0].address), ("s0b", "10.9.9.9:1")):
+        one = led(work("w", successor="s0b")).run(10)
+        one.facts = msgspec.structs.replace(one.facts, servers=FLEET.servers[1:])
+        one.run(20)
+        new = msgspec.structs.replace(server(name), address=address)
+        one.facts = msgspec.structs.replace(one.facts, servers=(*FLEET.servers[1:], new))
+        one.run(40)
+        assert one.state() is State.DONE and one.log.record().name == name
+
+
+def test_one_that_never_comes_is_overdue_then_lost() -> None:
+    one = led(work("w", minutes=1), settings=replace(QUICK, slack_ms=MINUTE_MS, lost_ms=MINUTE_MS)).run(5)
+    one.change("s0", ready=False)
+    one.run(140)
+    assert one.state() is State.OVERDUE
+    one.run(80)
+    assert one.state() is State.LOST
+    one.change("s0", ready=True)
+    one.run(40)
+    assert one.state() is State.DONE, "it came after all"
+
+
+def test_one_that_came_back_unseen_is_taken_for_back_once_its_permit_has_ended() -> None:
+    one = led(work("w", minutes=1), settings=replace(QUICK, slack_ms=MINUTE_MS)).run(110)
+    assert one.state() is State.OUT, "it may not have gone yet"
+    one.run(60)
+    assert one.state() is State.DONE
+
+
+def test_a_loss_calls_back_those_that_drain_and_hurries_those_that_are_out() -> None:
+    kept = replace(QUICK, least_ready_cell=3, least_ready_zone=0)
+    one = led(work("w"), work("x", "s1"), work("y", "s2"), settings=kept).run(10)
+    assert {one.state(id) for id in "wxy"} == {State.OUT}
+    one = led(work("w"), work("x", "s1"), work("y", "s2"), settings=kept)
+    one.silent = {"b"}
+    one.run(3)
+    one.silent = set()
+    assert {one.state(id) for id in "wxy"} == {State.DRAINING}
+    one.change("s5", ready=False)
+    one.run(5)
+    states = [one.state(id) for id in "wxy"]
+    assert states.count(State.QUEUED) == 1 and states.count(State.OUT) == 2, "one is called back, not all"
+    recalled = next(id for id in "wxy" if one.state(id) is State.QUEUED)
+    assert one.why(recalled)[0] == "floor"
+    assert not any(one.log.record(id).hurried for id in "wxy")
+    one.change("s4", ready=False)
+    one.run(5)
+    assert [one.log.record(id).hurried for id in "wxy"].count(True) == 2
+
+
+def test_an_order_of_another_takes_a_machine_that_drains_out_of_our_hands() -> None:
+    one = led(work("w"))
+    one.silent = {"b"}
+    one.run(3)
+    assert one.state() is State.DRAINING
+    one.facts = msgspec.structs.replace(one.facts, ordered=("s0",))
+    one.silent = set()
+    one.run(10)
+    assert one.state() is State.QUEUED and one.why() == ("orders", ("s0",))
+
+
+@pytest.mark.parametrize("machine", ["d0", "d3"])
+def test_a_seat_of_the_panel_is_moved_before_its_machine_drains(machine: str) -> None:
+    one = led(work("w", machine))
+    one.facts = msgspec.structs.replace(FLEET, spares=2)
+    one.run(2.5 * SEAT_US / S)
+    seats = [action for action in one.actions if isinstance(action, ReplaceSeat)]
+    assert seats == [ReplaceSeat(machine)] * len(seats) and 2 <= len(seats) <= 3
+    assert one.state() is State.QUEUED and one.why() == ("seat", (machine,))
+    rest = tuple(name for name in FLEET.panel if name != machine)
+    one.facts = msgspec.structs.replace(FLEET, spares=1, panel=(*rest, "d7"))
+    one.run(10)
+    assert one.state() is State.OUT
+
+
+def test_one_that_stands_is_replaced_before_it_drains() -> None:
+    one = led(settings=replace(QUICK, standing=300)).run(2)
+    assert len(one.log.book.standing) == 2
+    name = min(one.log.book.standing)
+    one.log.ask(work("w", name))
+    one.silent = {"b"}
+    one.run(5)
+    assert one.state() is State.DRAINING and name not in one.log.book.standing
+    assert len(one.log.book.standing) == 2
+    # A front door without a session that may count on it holds it back, and is named.
+    one.log.over(B)
+    one.run(2 * QUICK.over_wait_ms / 1000)
+    assert one.state() is State.DRAINING and "may count on it" in one.driver.missed["w"][0].why
+    one.log.open(Life("b", 2))
+    one.run(5)
+    assert one.state() is State.OUT
+
+
+def test_who_is_missed_for_a_proof_is_named() -> None:
+    one = led(work("w"))
+    one.silent = {"b"}
+    one.run(5)
+    assert [(each.door, each.why) for each in one.driver.missed["w"]] \
+        == [(B, f"has said 0 of {one.log.record().begun}")]
+    one.silent = set()
+    one.run(2)
+    assert one.state() is State.OUT
+
+
+def test_two_works_that_block_each_other_go_one_after_the_other() -> None:
+    one = led(work("w", minutes=1, not_with=("s1",)), work("x", "s1", minutes=1, not_with=("s0",))).run(5)
+    assert sorted(one.state(id).value for id in "wx") == ["out", "queued"]
+    first, second = ("w", "x") if one.state("w") is State.OUT else ("x", "w")
+    assert one.why(second) == ("apart", (one.log.record(first).work.machine,))
+    name = one.log.record(first).work.machine
+    one.change(name, ready=False)
+    one.run(15)
+    one.change(name, ready=True)
+    one.run(60)
+    assert one.state(first) is State.DONE and one.state(second) is State.OUT
+
+
+def test_a_leader_that_dies_with_the_permit_unheard_leaves_it_to_all_others() -> None:
+    one = led(work("w"))
+    one.mute = True
+    one.run(5)
+    assert one.state() is State.EMPTY
+    proposed = [each for each in one.actions if isinstance(each, Propose)]
+    [propose] = [each for each in proposed if isinstance(decode(each.body), Out)]
+    entry = one.log.entry("upkeep", propose.body)
+    assert not one.log.machine.apply(entry).error
+    # Another front door has it by the log alone, leads, and gives no second one.
+    machine = Upkeep(QUICK, one.log.sessions)
+    machine.restore(one.log.machine.snapshot())
+    side = DoorSide(machine, Held())
+    assert Permitted("w", "s0", 1, one.log.record().until_ms) in side.handle(0, Restored(one.log.position))
+    after = Led(one.log, B, ballot=2).run(10)
+    assert after.state() is State.OUT and one.log.book.permits == 1
+    after.change("s0", ready=False)
+    after.run(15)
+    after.change("s0", ready=True)
+    after.run(60)
+    assert after.state() is State.DONE, "while the one that gave the permit is stopped"
+    # The one that was stopped wakes, and what it proposes late does nothing.
+    assert one.log.machine.apply(one.log.entry("upkeep", propose.body)).error == "step: w is done"
+
+
+def test_a_work_whose_window_closes_while_it_waits_is_withdrawn() -> None:
+    late = work("w", not_after_ms=NOON_MS + 31 * MINUTE_MS)
+    one = led(late)
+    one.facts = msgspec.structs.replace(FLEET, ordered=("s0",))
+    one.run(70)
+    assert one.state() is State.WITHDRAWN and one.log.record().why == "its window closed"
+
+
+def test_a_work_waits_for_its_window_and_for_those_before_it() -> None:
+    one = led(work("w", not_before_ms=NOON_MS + 5000), work("x", "s1", after=("s0",)), work("y", "s0")).run(3)
+    assert [one.state(id) for id in "wxy"] == [State.ASKED, State.QUEUED, State.ASKED]
+    one.run(6)
+    assert [one.state(id) for id in "wxy"] == [State.OUT, State.QUEUED, State.ASKED]
+    assert one.why("x") == ("first", ("s0",))
+
+
+def test_who_does_not_lead_proposes_nothing() -> None:
+    one = led(work("w"))
+    one.driver.handle(0, Leads("b", 2, False))
+    one.first = []
+    one.run(30)
+    assert one.actions == [] and one.state() is State.ASKED
+
+
+def test_no_step_rests_on_facts_that_grew_old_at_the_leader() -> None:
+    one = led(work("w"))
+    one.driver.handle(0, Measured(FLEET))
+    for seconds in range(1, 100):
+        one.now_us = seconds * S
+        one.log.at_ms = one.begins_ms + seconds * 1000
+        for action in one.driver.handle(one.now_us, Tick()):
+            if isinstance(action, Propose) and not isinstance(decode(action.body), Ask):
+                body = decode(action.body)
+                assert seconds <= 32 or not (isinstance(body, Move) and body.step is Step.DRAIN)
+
+
+def test_a_refused_proposal_is_tried_again_later_under_another_id_and_few_are_open() -> None:
+    proposals = Proposals(A, 3)
+    [first] = proposals.make(0, "w", Ask(work("w")))
+    assert proposals.make(0, "w", Ask(work("w"))) == [], "one is open"
+    assert proposals.over(5, ProposalOver("other", Over.UNKNOWN)) is None
+    assert proposals.over(5, ProposalOver(first.id, Over.UNKNOWN)) == ("w", False)
+    assert proposals.make(4 + RETRY_US, "w", Ask(work("w"))) == []
+    [second] = proposals.make(5 + RETRY_US, "w", Ask(work("w")))
+    assert second.id != first.id
+    made = [each for number in range(40) for each in proposals.make(9, f"x{number}", Ask(work("w")))]
+    assert len(made) == MOST_OPEN - 1
+    assert Proposals(A, 4).make(0, "w", Ask(work("w")))[0].id != first.id
+
+
+def test_facts_are_told_in_parts_when_they_change_and_not_too_often() -> None:
+    many = Facts(servers=servers(400), doors=doors(9), panel=("d0",), spares=1, ordered=("s3",))
+    telling, log = Telling(), Logged()
+    assert telling.part(0, True) is None
+    telling.measured(0, many)
+    number = 0
+    while part := telling.part(2500, True):
+        number += 1
+        assert part.age_ms == 3 and len(encode(part)) < 16 << 10
+        log.ok(part)
+        telling.settled()
+    assert number > 1 and log.book.fleet.facts == msgspec.structs.replace(many, at_ms=log.at_ms - 3)
+    telling.measured(EVERY_US, many)
+    assert telling.part(EVERY_US, True) is None and telling.part(2500 + EVERY_US, False) is None
+    assert telling.part(2500 + EVERY_US, True) is not None
+    telling.failed()
+    again = telling.part(2500 + EVERY_US, True)
+    assert again is not None and again.part == 0, "a set that was cut off is told anew"
+    while telling.part(2500 + EVERY_US, True):
+        telling.settled()
+    telling.measured(2501 + EVERY_US, Facts(servers=(server("s0", ready=False), *servers(400)[1:])))
+    assert telling.part(2501 + EVERY_US, False) is not None, "one is ready no more"
+    assert IDLE_US > EVERY_US
