--- a/molereach/cache/purge/interned.py
+++ b/molereach/cache/purge/interned.py
@@ -36,6 +36,10 @@
             number, self.next = self.next, self.next + 1
             self._lists[number], self._numbers[rows], self._uses[number] = rows, number, 0
             self.rows += len(rows)
+        return self.again(number)
+
+    def again(self, number: int) -> int:
+        """One more use of a list that is here: without a look at its rows."""
         self._uses[number] += 1
         return number
 
--- a/molereach/cache/purge/machine.py
+++ b/molereach/cache/purge/machine.py
@@ -24,7 +24,7 @@
 from molereach.council.leases.sessions import Opened
 
 CLOCKS_MS = 5_000  # by which the wall clocks of front doors may differ
-MOST_DONE_AT_ONCE = 256  # purges, by one entry
+MOST_DONE_AT_ONCE = 128  # purges, by one entry
 MOST_ROWS_AT_ONCE = 4_096  # of lists that are looked through for it
 
 
@@ -143,34 +143,38 @@
         """End those that are proven, the oldest first. Whose session keeps one pending was open for each that
         was asked for since, and is: so all after the first that is not proven are not, either."""
         said = frozenset(body.said)
-        rosters: dict[int, tuple[Accounted, ...]] = {}
+        rosters: dict[int, int] = {}  # by cohort
         why, count, last, rows = "nothing is pending up to there", 0, 0, 0
         for asked in self.oldest(MOST_DONE_AT_ONCE):
             if asked.position > body.upto or rows > MOST_ROWS_AT_ONCE:
                 break
-            if asked.cohort not in rosters:
+            number = rosters.get(asked.cohort)
+            if number is None:
                 opened = self.cohorts[asked.cohort]
                 rows += len(opened) + 1
                 found = roster(opened, asked.position, said, self.sessions, entry.position)
                 if isinstance(found, Opened):
                     why = f"front door {found.life.name} is not accounted for"
                     break
-                rosters[asked.cohort] = found
+                rosters[asked.cohort] = self.rosters.use(found)
+            else:
+                self.rosters.again(number)
             self._done_with(entry, asked, rosters[asked.cohort])
             count, last = count + 1, asked.position
+        self._trim()
         return Outcome(value=msgspec.json.encode(Ended(count, last))) if count else Outcome(why)
 
-    def _done_with(self, entry: Entry, asked: Asked, doors: tuple[Accounted, ...]) -> None:
+    def _done_with(self, entry: Entry, asked: Asked, number: int) -> None:
         del self._pending[asked.id]
         self.cohorts.release(asked.cohort)
-        self._done[asked.id] = Finished(asked, entry.position, entry.at_ms, self.rosters.use(doors))
-        while len(self._done) > self.bounds.most_done or self.rosters.rows > self.bounds.most_rows:
-            self._forget(next(iter(self._done)))
+        self._done[asked.id] = Finished(asked, entry.position, entry.at_ms, number)
 
-    def _forget(self, purge_id: str) -> None:
-        finished = self._done.pop(purge_id)
-        self.rosters.release(finished.roster)
-        self.forgotten = finished.asked.position  # they go in the order of the log
+    def _trim(self) -> None:
+        """Forget the oldest that are done, in the order of the log."""
+        while len(self._done) > self.bounds.most_done or self.rosters.rows > self.bounds.most_rows:
+            _, finished = self._done.popitem(last=False)
+            self.rosters.release(finished.roster)
+            self.forgotten = finished.asked.position
 
     # --- snapshots ---
 
--- a/molereach/cache/readings/settings.py
+++ b/molereach/cache/readings/settings.py
@@ -9,7 +9,7 @@
 MOST_ASKED_BYTES = 512  # of what was asked
 MOST_READINGS = 4096  # of one member, so that to list them is a bounded step
 MOST_READING_BYTES = 32 << 10  # a hit leaves in one write, so it must fit what a socket takes at once
-OVERHEAD_BYTES = 768  # of memory, for one reading beside its value and what was asked, and for its member
+OVERHEAD_BYTES = 960  # of memory, for one reading beside its value and what was asked, and for its member
 
 
 @dataclass(frozen=True, slots=True)
