Upkeep: tests of lines that no test missed when taken out; alone is asked of ended sessions

Of 67 lines of the state machine and the proof taken out one by one, 12 were missed by no test: bounds with what is lost, plain steps for what has an entry of its own, a session that left before a later life's was over. Each has a test now; one condition of the proof followed from another and is gone.

--- a/molereach/upkeep/permits/proof.py
+++ b/molereach/upkeep/permits/proof.py
@@ -42,17 +42,16 @@
     found = {each.fence: each for each in (*sessions.at(begun), *sessions.lone())}
     for opened in sessions.all_open():
         past = sessions.past(opened.life.name)
-        if opened.fence > begun and past is not None and past.life == opened.life:
+        if past is not None and past.life == opened.life:  # again in the same life
             found[opened.fence] = opened
     return tuple(found[fence] for fence in sorted(found))
 
 
-def alone(sessions: SessionsAt, session: Opened | Past) -> bool:
-    """Whether this session's front door may be one that serves on without any."""
-    if isinstance(session, Opened) or session.known is not Known.OVER:
-        return False
+def alone(sessions: SessionsAt, session: Past) -> bool:
+    """Whether the front door that had this session may serve on without any."""
     last = sessions.past(session.life.name)
-    return sessions.open(session.life.name) is None and last is not None and last.known is Known.OVER
+    return (session.known is Known.OVER and sessions.open(session.life.name) is None
+            and last is not None and last.known is Known.OVER)
 
 
 def fault(
--- a/tests/upkeep/test_machine.py
+++ b/tests/upkeep/test_machine.py
@@ -6,6 +6,7 @@
 import pytest
 
 from molereach.council.interface import MOST_BODY_BYTES, Entry, Life
+from molereach.upkeep.permits import machine
 from molereach.upkeep.permits.bodies import Ask, Back, Move, Out, Seen, Stand, encode
 from molereach.upkeep.permits.machine import Upkeep
 from molereach.upkeep.permits.record import Record
@@ -42,7 +43,7 @@
     if state in (State.BACK, State.WARM, State.DONE, State.WITHDRAWN, State.LOST):
         log.refused(Step.WITHDRAW)  # there is nothing left to withdraw
         return
-    log.move(Step.WITHDRAW)
+    log.ok(Move("w", Step.WITHDRAW))  # whoever asked need not know by which entry it drains
     if state in (State.OUT, State.OVERDUE):
         assert log.record().state is state and log.record().hurried
         log.ok(Back("w", 1, "s0"))
@@ -61,12 +62,22 @@
     assert log.book.permits == before + (state is State.EMPTY)
 
 
+def test_what_has_an_entry_of_its_own_is_no_plain_step() -> None:
+    log = logged(work("w"))
+    log.to(State.EMPTY)
+    assert log.refused(Step.OUT) == "step: out has an entry of its own"
+    assert not log.out().error
+    assert log.refused(Step.BACK) == "step: back has an entry of its own"
+
+
 def test_the_numbers_of_permits_are_never_given_twice() -> None:
     log = logged(work("w"), work("x", "s1"))
     log.to(State.DONE)
     log.to(State.OUT, "x")
     assert (log.record("w").permit, log.record("x").permit) == (1, 2)
     assert "permit: x has 2" in log.error(Back("x", 1, "s1"))
+    log.ask(work("y", "s2"))
+    assert "permit: y has none" in log.error(Back("y", 1, "s2"))
 
 
 def test_a_step_of_an_earlier_draining_is_void() -> None:
@@ -308,6 +319,26 @@
     assert len(log.machine.snapshot()) < 1 << 18
 
 
+def test_what_is_lost_takes_room_until_it_is_not_listed() -> None:
+    log = Logged()
+    log.open(A)
+    many = servers(300)
+    log.ok(Seen(1, 0, 2, 0, many[:150]))
+    log.ok(Seen(1, 1, 2, 0, many[150:]))
+    for number in range(MOST_OPEN - 1):
+        log.ask(work(f"w{number}", f"s{number}"))
+    log.book.put(msgspec.structs.replace(log.record("w0"), work=work("lost", "s299"), state=State.LOST))
+    assert log.error(Ask(work("more", "s298"))) == f"id: more than {MOST_OPEN} works are open"
+
+
+def test_servers_that_stood_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    log = logged()
+    monkeypatch.setattr(machine, "MOST_UNSTOOD", 1)
+    log.ok(Stand(("s0", "s1")))
+    assert log.error(Stand(())) == "servers: too many have changed"
+    log.ok(Stand(("s1",)))
+
+
 def test_an_outcome_tells_where_the_work_stands() -> None:
     log = logged(work("w"))
     record = log.ok(Move("w", Step.QUEUE))
--- a/tests/upkeep/test_proof.py
+++ b/tests/upkeep/test_proof.py
@@ -123,6 +123,27 @@
     assert log.out().error == ""
 
 
+def test_what_left_or_was_replaced_before_is_not_alone_though_a_later_life_is() -> None:
+    log = logged(work("w"))
+    log.to(State.EMPTY)
+    log.close(A)
+    log.book.unstood["s0"] = log.fence(B)  # it stood while the first of a's lives had its session
+    log.open(A2)
+    log.over(A2)
+    later(log)
+    later(log)
+    assert log.out().error == ""
+
+
+def test_one_that_was_over_and_has_left_since_is_not_alone() -> None:
+    log = logged(work("w"))
+    log.to(State.EMPTY)
+    log.over(A)
+    log.open(A2)
+    log.close(A2)
+    assert log.out().error == ""
+
+
 def test_what_nobody_can_count_on_any_more_is_forgotten() -> None:
     log = logged()
     log.ok(Stand(("s0",)))
@@ -131,6 +152,10 @@
     log.open(A2, Life("b", 2), Life("c", 2))
     log.ok(Stand(("s2",)))
     assert log.book.unstood.keys() == {"s1"}
+    log.over(A2)
+    log.open(Life("b", 3), Life("c", 3))
+    log.ok(Stand(("s3",)))
+    assert log.book.unstood.keys() == {"s1", "s2"}, "one without a session may count on it"
 
 
 def test_marks_say_when_a_position_was_there_at_the_latest() -> None:
