--- a/molereach/shards/counts/counter.py
+++ b/molereach/shards/counts/counter.py
@@ -42,11 +42,6 @@
             return
         self.counts[shard] = before.plus(Count(1, size_bytes))
 
-    def retire(self, shards: set[int]) -> None:
-        """These are no more; what was counted for them has gone into the sizes of those that follow."""
-        for shard in shards & self.counts.keys():
-            del self.counts[shard]
-
     def rows(self) -> tuple[Row, ...]:
         return rows(self.counts)
 
--- a/molereach/shards/counts/cut.py
+++ b/molereach/shards/counts/cut.py
@@ -39,16 +39,16 @@
     total = sum(weight for _, _, weight in inside)
     if not total:
         return NoCut("no writes are known")
-    low, high, heaviest = max(inside, key=lambda span: (span[0] == span[1], span[2]))
+    low, high, heaviest = max(inside, key=lambda span: span[2])
     if low == high and heaviest > MOST_OF_ONE * total:
         return OneMember(low, heaviest / total)
-    member, below = nearest(inside, total, first, end)
+    member, below = nearest(inside, total, first)
     return Cut(member, below) if 0 < below < 1 else NoCut("all writes that are known lie together")
 
 
-def nearest(inside: list[tuple[int, int, int]], total: int, first: int, end: int) -> tuple[int, float]:
+def nearest(inside: list[tuple[int, int, int]], total: int, first: int) -> tuple[int, float]:
     """The cut between two nodes that comes nearest to half; what spans it counts half to each side."""
-    marks = sorted({cut for low, high, _ in inside for cut in (low, high + 1) if first < cut < end})
+    marks = sorted({cut for low, high, _ in inside for cut in (low, high + 1) if cut > first})
     starts, ends = sorted((low, weight) for low, _, weight in inside), sorted(
         (high + 1, weight) for _, high, weight in inside)
     best, begun, ended, at_start, at_end = (first, 0.0), 0, 0, 0, 0
--- a/molereach/shards/counts/door.py
+++ b/molereach/shards/counts/door.py
@@ -94,7 +94,6 @@
 
     def _beat(self, now_us: int) -> list[Action]:
         self.wake_us = now_us + BEAT_US
-        self.own.retire({shard for shard in self.own.counts if not self._folds.counted(shard)})
         self.merged.merge(self.me, self.own.rows())
         self.merged.settle()
         self._owed = {life: position for life, position in self._owed.items() if self._owes(life)}
--- a/molereach/shards/counts/folds.py
+++ b/molereach/shards/counts/folds.py
@@ -25,7 +25,7 @@
     """Of the state machine "shards", as the log has it at the same position."""
 
     def counted(self, shard: int) -> bool:
-        """Whether it is, or may yet be, one of the map."""
+        """Whether it is one of the map."""
 
 
 class _Kept(Wire, frozen=True):
--- a/molereach/shards/counts/merged.py
+++ b/molereach/shards/counts/merged.py
@@ -28,7 +28,7 @@
         """Whether it is in the base, so that no word of it counts."""
 
     def counted(self, shard: int) -> bool:
-        """Whether a shard is, or may yet be, one of the map; of others nothing is kept."""
+        """Whether a shard is one of the map. One that is not may be new, and not yet known here."""
 
 
 class Merged:
@@ -52,7 +52,7 @@
         for row in told:
             before = mine.get(row.shard, NONE)
             now = self._joined(before, Count(row.writes, row.bytes))
-            if now == before or not self._folded.counted(row.shard):
+            if now == before:
                 continue
             if row.shard not in mine and len(mine) >= MOST_ROWS:
                 self.refused += 1
@@ -91,10 +91,7 @@
         return {shard: count for shard, count in found.items() if self._folded.counted(shard)}
 
     def settle(self) -> None:
-        """Drop what the log has, and shards that are no more."""
+        """Drop what the log has."""
         for life in list(self._lives):
-            mine = self._lives[life]
-            for shard in [shard for shard in mine if not self._folded.counted(shard)]:
-                del mine[shard]
             if self._folded.forgotten(life) or (life in self._folded.kept() and not self.unfolded(life)):
                 del self._lives[life]
--- a/molereach/shards/counts/words.py
+++ b/molereach/shards/counts/words.py
@@ -9,7 +9,7 @@
 from molereach.shards.map.pieces import MEMBERS, MOST_SHARDS, ShardNumber
 
 MOST_BYTES = 1 << 62  # of one row
-MOST_ROWS = 2 * MOST_SHARDS  # of one life: the shards that are, and those just cut
+MOST_ROWS = 2 * MOST_SHARDS  # of one life
 MOST_ROWS_TOLD = 256  # in one word
 MOST_NODES = 1024  # of one digest
 MOST_WORD_BYTES = 64 << 10
--- a/molereach/shards/map/cutting.py
+++ b/molereach/shards/map/cutting.py
@@ -1,4 +1,7 @@
-"""The next version of a map: one shard cut in two, the upper part to another cell of its building."""
+"""The next version of a map: one shard cut in two, the upper part to another cell of its building.
+
+The lower part keeps the number, and what was counted for it less what moved; the upper has a new one.
+"""
 
 from molereach.shards.map.pieces import MOST_SHARDS, Home, Piece, ShardMap
 
@@ -27,6 +30,6 @@
     index = found.find(shard)
     assert index is not None
     piece, last = found.pieces[index], found.last_shard
-    halves = (Piece(piece.first, last + 1, piece.home), Piece(cut, last + 2, to))
+    halves = (piece, Piece(cut, last + 1, to))
     pieces = (*found.pieces[:index], *halves, *found.pieces[index + 1:])
-    return ShardMap(found.version + 1, pieces, last + 2)
+    return ShardMap(found.version + 1, pieces, last + 1)
--- a/molereach/shards/map/pieces.py
+++ b/molereach/shards/map/pieces.py
@@ -1,8 +1,7 @@
 """A map of members to shards: ranges of ids, each kept by one cell.
 
 A map is sound when each member is in exactly one shard: the first range begins at 0, each ends where the next
-begins, the last at `MEMBERS`. The number of a shard is used once: a split gives both halves new ones, so what
-was counted for the old one is never taken for either.
+begins, the last at `MEMBERS`. The number of a shard is never given to another.
 """
 
 from typing import Annotated
