--- a/fennelwinch/interface/words.py
+++ b/fennelwinch/interface/words.py
@@ -9,8 +9,8 @@
 
     A customer goes by a checksum of its name. `demand` and `spent` are new to the home; in an answer,
     `demand` is that of the whole set. `asked` waits for an answer; `level` is what the set has left or owes.
-    `inside`: whether the home lets in what was asked, as it drew. `granted`: units as asked come with the
-    answer from the home's share of the ceiling.
+    `inside`: whether the home lets in what was asked, as it drew; in an ask, that the asker drew so.
+    `granted`: units as asked come with the answer from the home's share of the ceiling.
     """
 
     customer: int
--- a/fennelwinch/rules/admission.py
+++ b/fennelwinch/rules/admission.py
@@ -45,11 +45,25 @@
             self.decide(job, 1.0)
             self.words.tell(home, customer, 0.0)
         elif home == self.set.me or heard or self.peers.is_silent(now, home) or not customer.plan.rate:
-            if home == self.set.me and customer.is_short(units) and self.words.give(customer, units):
+            self.draw(now, job)
+        else:
+            self.ask(now, job)
+
+    def draw(self, now: int, job: Job) -> None:
+        """The chance rule by what is known here; few are let in, and where the ceiling's share here holds no
+        whole request they ask for units of the home's all the same."""
+        customer, units, home = job.customer, job.req.units, job.customer.home
+        if not customer.is_short(units):
+            self.decide(job, customer.chance(units))
+        elif home == self.set.me:
+            if self.words.give(customer, units):
                 customer.take_given(now, now + GRANT_US, units)
             self.decide(job, customer.chance(units))
+        elif self.peers.is_silent(now, home):
+            self.decide(job, customer.chance(units))
         else:
-            self.ask(now, job)
+            job.let_in = self.random.random() < customer.chance(units)
+            self.ask(now, job) if job.let_in else self.decide(job, 0.0)
 
     def ask(self, now: int, job: Job) -> None:
         """Ask the customer's home, and let the request wait for its word."""
@@ -59,7 +73,7 @@
         wait, job.asks = min(ASK_US, job.rule.aim_us // ASK_PART), job.asks + 1
         job.decide_us = min(now + wait, job.end_us - 4 * TICK_US, job.half_us - 2 * TICK_US)
         self.waits.append(job)
-        self.words.tell(job.customer.home, job.customer, job.req.units)
+        self.words.tell(job.customer.home, job.customer, job.req.units, job.let_in or None)
 
     def end_waits(
         self, now: int, told: Customer | None = None, granted: bool = False, inside: bool | None = None
@@ -75,7 +89,7 @@
                 continue
             if granted and job.customer is told:
                 job.customer.take_given(now, job.asked_us + GRANT_US, job.req.units)
-            chance = job.customer.chance(job.req.units)
+            chance = 1.0 if job.let_in else job.customer.chance(job.req.units)
             # As much the home has counted already, each time that it was asked; not where it has totals.
             counted = chance * job.asks
             if inside is not None and job.customer is told:
@@ -116,7 +130,8 @@
             customer.spend(0.0 if counted else word.spent)
             # The chance is drawn here, where it is counted: were its mean counted, and what came of it
             # told with the asker's next word, the store would be wrong until then.
-            inside = self.random.random() < customer.chance(word.asked) if word.asked else None
+            draws = word.asked and not word.inside  # else its own draw let in what it asks for
+            inside = self.random.random() < customer.chance(word.asked) if draws else word.inside
             if word.asked or customer.level < customer.plan.burst / 2:
                 self.words.tell(sender, customer, word.asked, inside)
             customer.spend(0.0 if counted or not inside else word.asked)
--- a/fennelwinch/rules/job.py
+++ b/fennelwinch/rules/job.py
@@ -10,7 +10,8 @@
     """A request from its event to its last attempt's end; times are those of the events."""
 
     __slots__ = ("aim_us", "asked_us", "asks", "customer", "decide_us", "end_us", "half_us", "in_quota",
-                 "out", "over", "ran_on", "ran_us", "req", "rule", "servers", "unrun", "unsent", "worth")
+                 "let_in", "out", "over", "ran_on", "ran_us", "req", "rule", "servers", "unrun", "unsent",
+                 "worth")
 
     def __init__(
         self, req: i.Request, rule: i.RequestClass, customer: Customer, now: int, gone_us: int
@@ -28,6 +29,7 @@
         self.unsent = 0  # attempts that never came whole to a server
         self.decide_us, self.asks = NEVER, 0  # until when it waits for word of its quota
         self.asked_us = 0  # its last ask
+        self.let_in = False  # drawn here: it asks for units of the ceiling alone
 
     def may_refuse(self) -> bool:
         """Whether trying again is harmless, for all that is known of its attempts."""
--- a/tests/fennelwinch/test_rules.py
+++ b/tests/fennelwinch/test_rules.py
@@ -281,6 +281,25 @@
     assert gates.sent() - before > 20  # of the 16 + 3 * 8 that its quota holds; its own share is 2 + 3 * 1.6
 
 
+def test_what_is_let_in_by_the_last_word_asks_for_units_of_the_ceiling() -> None:
+    """A hundred a second at one of twenty gateways are more than may be asked about; the few of them that
+    its home's last word lets in still have need of the home's units: the share here is 0.8 a second."""
+    gates = Set(20, replace(SETTINGS, plans=(CEILED,), peer_messages_per_s=60.0))
+    name = ceiling_customer(gates, 3)
+    for n in range(40):  # all of the set come to speak with the home
+        gates.ask(n % 20, f"w{n}", customer=name)
+        gates.run(200 * MS)
+    gates.run(5 * S)
+    before = gates.sent()
+    for n in range(400):
+        gates.ask(7, f"r{n}", customer=name, left_us=S)
+        gates.run(10 * MS)
+    gates.run(2 * S)
+    assert 36 <= gates.sent() - before <= 49  # of the 16 + 4 * 8 that its quota holds; 31 when held in vain
+    home = gates.worlds[3].gateway.customers.known
+    assert min(customer.level for customer in home.values()) > -1.0  # what was let in is counted once
+
+
 class Older(Set):
     """The gateways up to number 4 are of a version that splits no ceilings, and says nothing of it."""
 
