--- a/molereach/upkeep/permits/nexts.py
+++ b/molereach/upkeep/permits/nexts.py
@@ -9,6 +9,7 @@
 from molereach.upkeep.permits.record import Record
 from molereach.upkeep.permits.way import LEAVING, State, Step
 from molereach.upkeep.requests.work import Kind
+from molereach.upkeep.rules.facts import Server
 from molereach.upkeep.rules.floor import floor
 from molereach.upkeep.rules.judge import judge
 from molereach.upkeep.rules.left import short
@@ -72,8 +73,11 @@
     ended = record.state is not State.OUT and book.fleet.facts.at_ms >= record.since_ms
     if book.fresh(at_ms) or not (record.gone or ended):
         return None
+    # One that was back already and did not warm is not back again until it has: else it would keep its place.
+    least = book.settings.warm if record.name else 0
     for name in book.successors(record):
         machine = book.fleet.get(name)
-        if machine is not None and machine.ready:
+        cold = isinstance(machine, Server) and machine.warmth < least
+        if machine is not None and machine.ready and not cold:
             return name
     return None
--- a/tests/upkeep/test_door.py
+++ b/tests/upkeep/test_door.py
@@ -60,6 +60,7 @@
     by_snapshot = DoorSide(log.machine, Held())
     assert follow(log, by_snapshot) == [Stop("s0"), permitted] and follow(log, by_snapshot) == []
     assert apply(log, by_snapshot, Move("w", Step.HURRY, log.record().begun)) == [Hurry("w", "s0", 1)]
+    assert follow(log, by_snapshot) == []
     late = DoorSide(log.machine, Held())
     assert follow(log, late) == [Stop("s0"), permitted, Hurry("w", "s0", 1)]
     assert apply(log, late, Back("w", 1, "s0")) == []
@@ -119,6 +120,7 @@
     log = logged(work("w"))
     side = DoorSide(log.machine, Held(until_us=100))
     side.handle(50, Tick())
+    assert side.only(50 + ALONE_US) is None
     woke = 51 + ALONE_US
     assert side.only(woke) == frozenset() and not side.may_send(woke, "s0")
 
--- a/tests/upkeep/test_driver.py
+++ b/tests/upkeep/test_driver.py
@@ -11,6 +11,7 @@
 from molereach.upkeep.driver import BEAT_US, SEAT_US, Driver, ReplaceSeat
 from molereach.upkeep.permits.bodies import Ask, Move, Out, decode, encode
 from molereach.upkeep.permits.machine import Upkeep
+from molereach.upkeep.permits.nexts import back_as, hurried, recalled
 from molereach.upkeep.permits.proposals import MOST_OPEN, RETRY_US, Proposals
 from molereach.upkeep.permits.telling import EVERY_US, IDLE_US, Measured, Telling
 from molereach.upkeep.permits.way import State, Step
@@ -121,6 +122,21 @@
     assert one.state() is State.DONE, "it came after all"
 
 
+def test_one_that_comes_back_and_never_warms_is_lost_and_frees_its_place() -> None:
+    kept = replace(QUICK, slack_ms=MINUTE_MS, lost_ms=MINUTE_MS, warming_ms=MINUTE_MS, most_out=1)
+    one = led(work("w", minutes=1), work("x", "s1", minutes=1), settings=kept).run(5)
+    one.change("s0", ready=False, warmth=0)
+    one.run(20)
+    one.change("s0", ready=True)
+    one.run(20)
+    assert one.state() is State.BACK
+    one.run(230)
+    assert one.state() is State.LOST and one.state("x") is State.OUT
+    one.change("s0", warmth=300)
+    one.run(20)
+    assert one.state() is State.WARM
+
+
 def test_one_that_came_back_unseen_is_taken_for_back_once_its_permit_has_ended() -> None:
     one = led(work("w", minutes=1), settings=replace(QUICK, slack_ms=MINUTE_MS)).run(110)
     assert one.state() is State.OUT, "it may not have gone yet"
@@ -277,6 +293,43 @@
                 assert seconds <= 32 or not (isinstance(body, Move) and body.step is Step.DRAIN)
 
 
+def test_old_facts_call_nobody_back_hurry_nobody_and_bring_nobody_back() -> None:
+    log = logged(work("w"), work("x", "s1"), settings=replace(QUICK, least_ready_cell=4))
+    log.to(State.OUT)
+    log.to(State.DRAINING, "x")
+    log.seen(msgspec.structs.replace(FLEET, servers=FLEET.servers[1:4]))
+    old_ms = log.at_ms + QUICK.fresh_ms + 1
+    assert [each.work.id for each in recalled(log.book, log.at_ms)] == ["x"]
+    assert recalled(log.book, old_ms) == () == hurried(log.book, old_ms)
+    assert [each.work.id for each in hurried(log.book, log.at_ms)] == ["w"]
+    log.ok(Move("w", Step.HURRY, log.record().begun))
+    assert hurried(log.book, log.at_ms) == ()
+    log.seen()
+    assert back_as(log.book, log.record(), log.at_ms) == "s0"
+    assert back_as(log.book, log.record(), old_ms) is None
+    never_away = msgspec.structs.replace(log.record(), gone=False)
+    assert back_as(log.book, never_away, log.at_ms) is None
+    overdue = msgspec.structs.replace(never_away, state=State.OVERDUE, since_ms=log.at_ms + 1)
+    assert back_as(log.book, overdue, log.at_ms) is None, "nothing was measured since"
+    assert back_as(log.book, msgspec.structs.replace(overdue, since_ms=log.at_ms), log.at_ms) == "s0"
+
+
+def test_a_front_door_that_is_out_is_hurried_where_a_set_has_lost_another() -> None:
+    log = logged(work("w", "d1"), settings=replace(QUICK, least_in_set=2, spread=3))
+    log.to(State.OUT)
+    assert hurried(log.book, log.at_ms) == ()
+    log.seen(msgspec.structs.replace(FLEET, doors=doors(9, down=(2,))))
+    assert [each.work.id for each in hurried(log.book, log.at_ms)] == ["w"]
+
+
+def test_what_is_said_of_other_proposals_and_of_works_that_do_not_wait_is_nothing() -> None:
+    one = led(work("w"))
+    assert one.driver.handle(0, ProposalOver("other", Over.REFUSED)) == []
+    one.run(5)
+    assert one.state() is State.OUT and one.driver.why(one.now_us, "w") is None
+    assert one.driver.why(one.now_us, "none") is None
+
+
 def test_a_refused_proposal_is_tried_again_later_under_another_id_and_few_are_open() -> None:
     proposals = Proposals(A, 3)
     [first] = proposals.make(0, "w", Ask(work("w")))
@@ -286,6 +339,10 @@
     assert proposals.make(4 + RETRY_US, "w", Ask(work("w"))) == []
     [second] = proposals.make(5 + RETRY_US, "w", Ask(work("w")))
     assert second.id != first.id
+    proposals.forget(5 + RETRY_US)
+    assert not proposals.wait(0, "seat", 10) or not proposals.wait(5, "seat", 10)
+    proposals.forget(9)
+    assert not proposals.wait(9, "seat", 10) and proposals.wait(10, "seat", 10)
     made = [each for number in range(40) for each in proposals.make(9, f"x{number}", Ask(work("w")))]
     assert len(made) == MOST_OPEN - 1
     assert Proposals(A, 4).make(0, "w", Ask(work("w")))[0].id != first.id
--- a/tests/upkeep/test_machine.py
+++ b/tests/upkeep/test_machine.py
@@ -14,7 +14,7 @@
 from molereach.upkeep.requests.checks import MOST_OPEN
 from molereach.upkeep.rules.facts import Facts
 from tests.upkeep.logged import FLEET, A, B, Logged, logged
-from tests.upkeep.made import LOOSE, NOON_MS, server, servers, work
+from tests.upkeep.made import DAY_MS, LOOSE, NOON_MS, server, servers, work
 
 FREE = [step for step in Step if step not in (Step.OUT, Step.BACK)]
 
@@ -128,6 +128,45 @@
     assert log.out().error == "facts: 30001 ms old"
 
 
+def test_the_rules_are_asked_again_for_the_permit_without_itself_counted_twice() -> None:
+    log = logged(work("w"), work("x", "s1"), settings=replace(LOOSE, least_ready_cell=4, most_out=2))
+    log.to(State.EMPTY)
+    log.to(State.EMPTY, "x")
+    log.seen(fleet("s5", ready=False))
+    assert log.out().error == "floor: 3 of 4 servers in cell c1 (s1)"
+    log.seen()
+    assert log.out().error == ""
+
+
+def test_warmth_by_old_facts_or_of_one_that_is_not_listed_decides_nothing() -> None:
+    log = logged(work("w"), work("d", "d7"))
+    log.to(State.BACK)
+    log.seen(Facts(servers=FLEET.servers[1:], doors=FLEET.doors))
+    assert log.refused(Step.WARM) == "s0 is not ready"
+    log.at_ms += LOOSE.fresh_ms + 1
+    assert log.refused(Step.WARM) == "facts: 30001 ms old"
+    log.to(State.DONE, "d")  # of a front door it is enough that it is ready
+
+
+def test_the_machine_itself_comes_back_though_it_is_not_listed_yet_and_no_empty_address_is_alike() -> None:
+    log = logged(work("w"))
+    bare = Facts(servers=tuple(msgspec.structs.replace(each, address="") for each in FLEET.servers))
+    log.seen(bare)
+    for step in (Step.QUEUE, Step.DRAIN, Step.EMPTY):
+        log.move(step)
+    assert not log.out().error
+    assert "neither" in log.error(Back("w", 1, "s1"))
+    log.seen(Facts(servers=bare.servers[1:]))
+    log.ok(Back("w", 1, "s0"))
+
+
+def test_a_lost_machine_does_not_hold_back_a_later_work_on_it() -> None:
+    log = logged(work("w"))
+    log.to(State.LOST)
+    log.ask(work("x", not_after_ms=NOON_MS + 9 * DAY_MS))
+    log.move(Step.QUEUE, "x")
+
+
 def test_facts_come_in_parts_and_whole_or_not_at_all() -> None:
     log = logged()
     log.at_ms += 10
@@ -243,6 +282,20 @@
     log.move(Step.DRAIN)
 
 
+def test_only_those_that_could_go_and_were_asked_for_earlier_are_passed_over() -> None:
+    log = logged(work("a", "s0"), work("b", "s1"), work("c", "s2"), work("d", "s3"),
+                 settings=replace(LOOSE, most_passed=1))
+    for id in ("a", "c", "d"):
+        log.move(Step.QUEUE, id)
+    log.move(Step.DRAIN, "c")
+    assert [log.record(id).passed for id in "abd"] == [1, 0, 0]
+    first_ms = log.at_ms
+    log.at_ms += 5
+    log.seen()
+    log.move(Step.DRAIN, "d")
+    assert log.record("a").passed == 2 and log.record("a").passed_ms == first_ms
+
+
 def test_those_that_stand_are_not_taken_and_those_on_their_way_do_not_stand() -> None:
     log = logged(work("w"))
     log.ok(Stand(("s0", "s1")))
--- a/tests/upkeep/test_order.py
+++ b/tests/upkeep/test_order.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from molereach.upkeep.order.ageing import Waiting, held_up, pressing
+from molereach.upkeep.order.ageing import MOST_PRESSING, Waiting, held_up, pressing
 from molereach.upkeep.order.passing import Pass, Planned
 from molereach.upkeep.order.plan import PLAN_RULES, Plan, Planner, most_steps
 from molereach.upkeep.order.stands import stands
@@ -160,6 +160,20 @@
     assert found[0].since_ms == found[1].since_ms == NOON_MS - 10 * MINUTE_MS
 
 
+def test_what_presses_is_inherited_along_a_chain_and_by_earlier_works_of_a_machine() -> None:
+    soon = work("soon", "s1", not_after_ms=NOON_MS + 80 * MINUTE_MS, after=("s2",))
+    chain = [Waiting(work("near", "s2", after=("s3",)), 1), Waiting(work("far", "s3"), 2),
+             Waiting(work("own", "s1"), 3), Waiting(soon, 4), Waiting(work("later", "s1"), 5),
+             Waiting(work("free", "s4"), 6)]
+    for order in (chain, chain[::-1]):
+        found = pressing(order, NOON_MS, LOOSE)
+        assert [one.waiting.work.id for one in found] == ["near", "far", "own", "soon"]
+        assert len({(one.since_ms, one.rank) for one in found}) == 1
+    assert pressing(chain, NOON_MS - 11 * MINUTE_MS, LOOSE) == ()
+    many = [Waiting(work(f"w{number}", "s1", not_after_ms=NOON_MS), number) for number in range(20)]
+    assert len(pressing(many, NOON_MS, LOOSE)) == MOST_PRESSING
+
+
 def test_later_work_waits_where_it_would_hold_up_one_that_presses_and_only_there() -> None:
     kept = replace(LOOSE, least_ready_cell=3)
     now = scene(Facts(servers=servers(4)), kept, {"s1": Off.AWAY})
