--- a/molereach/upkeep/driver.py
+++ b/molereach/upkeep/driver.py
@@ -134,6 +134,7 @@
             self._next_us = NEVER_US
             return []
         self._proposals.forget(now_us)
+        self._forget()
         at_ms = self.at_ms(now_us)
         out = self._tell(now_us)
         if self._book.records:
@@ -150,6 +151,12 @@
         self._next_us = now_us + (SLICE_US if self._planning.busy else BEAT_US)
         return out
 
+    def _forget(self) -> None:
+        """What is said of works that have gone on."""
+        at = {id: record.state for id, record in self._book.records.items()}
+        self.missed = {id: each for id, each in self.missed.items() if at.get(id) in LEAVING}
+        self.stops = {id: stop for id, stop in self.stops.items() if at.get(id) in WAITING | LEAVING}
+
     def _tell(self, now_us: int) -> list[Action]:
         if self._proposals.open(SEEN):
             return []
@@ -174,7 +181,6 @@
     def _clear_out(self, now_us: int, at_ms: int, record: Record) -> list[Action]:
         unstood = self._book.unstood.get(record.work.machine, -1)
         words, missed = self._accounting.account(now_us, record.begun, unstood)
-        self.missed = {id: each for id, each in self.missed.items() if id in self._book.records}
         self.missed[record.work.id] = missed
         if missed or self._machine.fault(record, words, at_ms):
             return []
@@ -189,7 +195,6 @@
 
     def _begin(self, now_us: int, at_ms: int) -> list[Action]:
         self._planning.go_on(at_ms)
-        self.stops = {id: stop for id, stop in self.stops.items() if id in self._book.records}
         plan = self._planning.plan
         if plan is None:
             return []
--- a/tests/upkeep/test_driver.py
+++ b/tests/upkeep/test_driver.py
@@ -6,10 +6,21 @@
 import msgspec
 import pytest
 
-from molereach.council.interface import Applied, Leads, Life, Over, ProposalOver, Propose, Restored, S, Tick
+from molereach.council.interface import (
+    Applied,
+    Leads,
+    Life,
+    Outcome,
+    Over,
+    ProposalOver,
+    Propose,
+    Restored,
+    S,
+    Tick,
+)
 from molereach.upkeep.door import DoorSide, Permitted
 from molereach.upkeep.driver import BEAT_US, SEAT_US, Driver, ReplaceSeat
-from molereach.upkeep.permits.bodies import Ask, Move, Out, decode, encode
+from molereach.upkeep.permits.bodies import Ask, Move, Out, Stand, decode, encode
 from molereach.upkeep.permits.machine import Upkeep
 from molereach.upkeep.permits.nexts import back_as, hurried, recalled
 from molereach.upkeep.permits.proposals import MOST_OPEN, RETRY_US, Proposals
@@ -19,7 +30,7 @@
 from molereach.upkeep.rules.facts import Facts
 from molereach.upkeep.rules.settings import UpkeepSettings
 from tests.upkeep.logged import FLEET, A, B, Logged, logged
-from tests.upkeep.made import LOOSE, NOON_MS, doors, server, servers, work
+from tests.upkeep.made import DAY_MS, LOOSE, NOON_MS, doors, server, servers, work
 from tests.upkeep.test_door import Held
 
 QUICK = replace(LOOSE, standing=1, warming_ms=MINUTE_MS)
@@ -33,6 +44,7 @@
         self.log, self.facts, self.now_us = log, FLEET, 0
         self.silent: set[str] = set()  # front doors that say nothing
         self.actions: list[object] = []
+        self.errors: list[str] = []  # of what it proposed
         self.mute = False  # proposals of permits are left as they are
         self.driver = Driver(life, log.machine, self)
         self.begins_ms = log.at_ms
@@ -60,6 +72,7 @@
     def settle(self, propose: Propose) -> list[object]:
         entry = self.log.entry("upkeep", propose.body)
         outcome = self.log.machine.apply(entry)
+        self.errors += [outcome.error] * bool(outcome.error)
         out = list(self.driver.handle(self.now_us, Applied(entry, outcome)))
         over = ProposalOver(propose.id, Over.SETTLED, outcome, entry.position)
         return out + list(self.driver.handle(self.now_us, over))
@@ -72,6 +85,9 @@
     def state(self, id: str = "w") -> State:
         return self.log.record(id).state
 
+    def bodies(self) -> list[object]:
+        return [decode(action.body) for action in self.actions if isinstance(action, Propose)]
+
     def why(self, id: str = "w") -> tuple[str, tuple[str, ...]]:
         stop = self.driver.why(self.now_us, id)
         assert stop is not None
@@ -97,6 +113,8 @@
     one.change("s0", warmth=950)
     one.run(20)
     assert one.state() is State.DONE and not one.log.book.taken()
+    one.run(5)
+    assert one.errors == [] and one.driver.missed == {} == one.driver.stops
 
 
 def test_one_that_comes_back_by_its_address_or_its_successors_name_is_found() -> None:
@@ -182,7 +200,7 @@
     one.facts = msgspec.structs.replace(FLEET, spares=2)
     one.run(2.5 * SEAT_US / S)
     seats = [action for action in one.actions if isinstance(action, ReplaceSeat)]
-    assert seats == [ReplaceSeat(machine)] * len(seats) and 2 <= len(seats) <= 3
+    assert seats == [ReplaceSeat(machine)] * len(seats) and 2 <= len(seats) <= 3 and one.errors == []
     assert one.state() is State.QUEUED and one.why() == ("seat", (machine,))
     rest = tuple(name for name in FLEET.panel if name != machine)
     one.facts = msgspec.structs.replace(FLEET, spares=1, panel=(*rest, "d7"))
@@ -193,6 +211,7 @@
 def test_one_that_stands_is_replaced_before_it_drains() -> None:
     one = led(settings=replace(QUICK, standing=300)).run(2)
     assert len(one.log.book.standing) == 2
+    assert sum(isinstance(body, Stand) for body in one.bodies()) == 1
     name = min(one.log.book.standing)
     one.log.ask(work("w", name))
     one.silent = {"b"}
@@ -230,6 +249,7 @@
     one.change(name, ready=True)
     one.run(60)
     assert one.state(first) is State.DONE and one.state(second) is State.OUT
+    assert one.errors == [], "it asks for nothing that is refused"
 
 
 def test_a_leader_that_dies_with_the_permit_unheard_leaves_it_to_all_others() -> None:
@@ -273,6 +293,54 @@
     assert one.why("x") == ("first", ("s0",))
 
 
+def test_a_jump_of_the_entries_time_does_not_shorten_the_wait_for_those_without_a_session() -> None:
+    one = led(work("w", not_after_ms=NOON_MS + 9 * DAY_MS), settings=replace(QUICK, fresh_ms=1 << 40))
+    one.silent = {"b"}
+    one.run(5)
+    one.log.over(B)
+    one.driver.handle(one.now_us, Restored(one.log.position))
+    one.run(5)
+    for _ in range(3):  # leaders whose clocks are ahead
+        one.begins_ms += 3600_000
+        one.run(5)
+    assert one.state() is State.DRAINING
+    assert [each.why for each in one.driver.missed["w"]] == ["is without a session for too short a time"]
+    one.run(QUICK.over_wait_ms / 1000)
+    assert one.state() is State.OUT
+
+
+def test_no_permit_is_asked_for_by_facts_that_are_too_old() -> None:
+    one = led(work("w"))
+    one.mute = True
+    one.run(5)
+    assert one.state() is State.EMPTY
+    late_us = one.now_us + QUICK.fresh_ms * 1000 + 60 * S
+    for propose in [each for each in one.actions if isinstance(each, Propose)]:
+        one.driver.handle(late_us, ProposalOver(propose.id, Over.UNKNOWN))
+    late = one.driver.handle(late_us + 2 * S, Tick())
+    assert not [each for each in late if isinstance(each, Propose) and isinstance(decode(each.body), Out)]
+    assert one.driver.stops["w"].rule == "facts"
+
+
+def test_it_takes_the_entries_time_on_by_its_own_clock_also_after_a_snapshot() -> None:
+    log = logged(work("w"))
+    driver = Driver(A, log.machine, Led(log))
+    driver.handle(7 * S, Restored(log.position))
+    assert driver.at_ms(9 * S) == NOON_MS + 2000
+    entry = log.entry("other", b"")
+    driver.handle(10 * S, Applied(msgspec.structs.replace(entry, at_ms=NOON_MS + 60_000), Outcome()))
+    assert driver.at_ms(11 * S) == NOON_MS + 61_000
+    driver.handle(12 * S, Restored(log.position))
+    assert driver.at_ms(12 * S) == NOON_MS + 62_000, "it does not go back"
+
+
+def test_without_a_fleet_nothing_stands() -> None:
+    one = Led(Logged(QUICK))
+    one.facts = Facts()
+    one.run(3)
+    assert not any(isinstance(body, Stand) for body in one.bodies())
+
+
 def test_who_does_not_lead_proposes_nothing() -> None:
     one = led(work("w"))
     one.driver.handle(0, Leads("b", 2, False))
--- a/tests/upkeep/test_machine.py
+++ b/tests/upkeep/test_machine.py
@@ -8,6 +8,7 @@
 from molereach.council.interface import MOST_BODY_BYTES, Entry, Life
 from molereach.upkeep.permits import machine
 from molereach.upkeep.permits.bodies import Ask, Back, Move, Out, Seen, Stand, encode
+from molereach.upkeep.permits.gathering import cut
 from molereach.upkeep.permits.machine import Upkeep
 from molereach.upkeep.permits.record import Record
 from molereach.upkeep.permits.way import BOUND, TABLE, State, Step
@@ -183,6 +184,18 @@
     assert log.error(Seen(4, 1, 2, 0)) == "part: not the next", "nothing is left of a set that is whole"
 
 
+def test_a_set_of_facts_is_bounded_in_all_its_parts() -> None:
+    log = logged()
+    assert log.error(Seen(1, 0, 1, NOON_MS + 1)) == "age_ms: older than time"
+    log.at_ms += 1
+    many = servers(600)
+    log.ok(Seen(1, 0, 3, 0, many[:200]))
+    log.ok(Seen(1, 1, 3, 0, many[200:400]))
+    assert log.error(Seen(1, 2, 3, 0, many[400:])) == "servers: more than 512"
+    with pytest.raises(ValueError, match="more than 16 parts"):
+        cut(Facts(servers=many), 1, 0, 1000)
+
+
 def test_a_step_rests_on_what_was_measured_after_the_one_before() -> None:
     log = logged(work("w"))
     log.to(State.OUT)
--- a/tests/upkeep/test_rules.py
+++ b/tests/upkeep/test_rules.py
@@ -7,6 +7,7 @@
 from molereach.upkeep.requests.work import MINUTE_MS
 from molereach.upkeep.rules.facts import Facts, Server, unsound
 from molereach.upkeep.rules.judge import judge
+from molereach.upkeep.rules.limits import limits
 from molereach.upkeep.rules.scene import Off, Stop
 from molereach.upkeep.rules.seasons import DAY_MS, month_day, within
 from molereach.upkeep.rules.settings import Season, UpkeepSettings
@@ -67,6 +68,9 @@
     taken = {"s0": type(beside.taken["s0"])(work("y", "s0", not_with=("s2",)), Off.AWAY)}
     assert named(judge(scene(TEN, taken=taken), other)) == ("apart", ("s0",))
     assert named(judge(beside, work("w"))) == ("apart", ("s0",))
+    renamed = {"s0b": type(beside.taken["s0"])(work("z", "s0"), Off.AWAY)}
+    assert named(judge(scene(TEN, taken=renamed), work("w"))) == ("apart", ("s0",)), "under another name"
+    assert judge(scene(TEN, off={"s1": Off.LOST}), one) is None
 
 
 def test_so_many_at_once_in_all_by_cell_and_by_zone() -> None:
@@ -80,6 +84,7 @@
     assert stops(both, most_out=2) == ("limits", ("s1", "s3")) and stops(both, most_out=3) is None
     assert stops({"s2": Off.AWAY, "s3": Off.AWAY}, most_out_cell=1) == ("limits", ("s2",))
     assert stops({"s1": Off.AWAY, "s3": Off.AWAY}, most_out_zone=1) == ("limits", ("s1",))
+    assert named(limits(scene(mixed), work("w", "s9"))) == ("limits", ("s9",))
     assert stops({"s1": Off.LOST, "s3": Off.LOST}, most_out=1) is None, "what is lost has no place"
 
 
