--- a/molereach/upkeep/driver.py
+++ b/molereach/upkeep/driver.py
@@ -21,8 +21,8 @@
     Tick,
 )
 from molereach.upkeep.order.plan import Plan
-from molereach.upkeep.order.stands import stands
 from molereach.upkeep.permits.accounting import MS_US, Accounting, Clears, Missed
+from molereach.upkeep.permits.beginning import due, lacking, replaced
 from molereach.upkeep.permits.bodies import MACHINE, Back, Body, Move, Out, Stand
 from molereach.upkeep.permits.machine import Upkeep
 from molereach.upkeep.permits.nexts import back_as, hurried, next_step, recalled
@@ -30,7 +30,7 @@
 from molereach.upkeep.permits.proposals import Proposals
 from molereach.upkeep.permits.record import Record
 from molereach.upkeep.permits.telling import Measured, Telling
-from molereach.upkeep.permits.way import GONE, LEAVING, UNSENDABLE, WAITING, State, Step
+from molereach.upkeep.permits.way import GONE, LEAVING, WAITING, State, Step
 from molereach.upkeep.rules.panel import SEAT
 from molereach.upkeep.rules.scene import Stop
 from molereach.upkeep.rules.standing import STANDING
@@ -147,7 +147,8 @@
                     break
                 out += self._go_on(now_us, at_ms, record)
             out += self._begin(now_us, at_ms)
-        out += self._keep_standing(now_us)
+        if (standing := lacking(self._book)) is not None:
+            out += self._make(now_us, "stand", Stand(standing))
         self._next_us = now_us + (SLICE_US if self._planning.busy else BEAT_US)
         return out
 
@@ -200,47 +201,20 @@
             return []
         self.stops.update(plan.stopped)
         out: list[Action] = []
-        scene, press = self._book.scene(at_ms), self._book.pressing(at_ms)
-        for planned in plan.planned:
-            record = self._book.records.get(planned.work.id)
-            if planned.begins_ms > at_ms or record is None or record.state is not State.QUEUED:
-                continue
-            stop = self._book.stop_begin(record, at_ms, press, scene)
+        for record, stop in due(self._book, plan, at_ms):
             if stop is None:
                 self.stops.pop(record.work.id, None)
                 out += self._move(now_us, record, Step.DRAIN)
-                continue
-            self.stops[record.work.id] = stop
-            out += self._make_way(now_us, record, stop)
+            else:
+                self.stops[record.work.id] = stop
+                out += self._make_way(now_us, record, stop)
         return out
 
     def _make_way(self, now_us: int, record: Record, stop: Stop) -> list[Action]:
         """What another has to take over before it may begin."""
         machine = record.work.machine
-        if stop.rule == STANDING:
-            return self._stand(now_us, machine)
+        if stop.rule == STANDING and (others := replaced(self._book, machine)):
+            return self._make(now_us, "stand", Stand(others))
         if stop.rule == SEAT and self._proposals.wait(now_us, f"seat.{machine}", SEAT_US):
             return [ReplaceSeat(machine)]
         return []
-
-    # --- servers that stand ---
-
-    def _keep_standing(self, now_us: int) -> list[Action]:
-        """Choose anew where one is not listed any more, or a cell has too few."""
-        if not self._book.fleet.servers:
-            return []
-        wanted, there = self._wanted(""), self._book.standing & self._book.fleet.servers.keys()
-        if there == self._book.standing and len(there) >= len(wanted):
-            return []
-        return self._make(now_us, "stand", Stand(wanted))
-
-    def _stand(self, now_us: int, besides: str) -> list[Action]:
-        wanted = self._wanted(besides)
-        return self._make(now_us, "stand", Stand(wanted)) if besides not in wanted else []
-
-    def _wanted(self, besides: str) -> tuple[str, ...]:
-        records = self._book.records.values()
-        busy = {each.work.machine for each in records}
-        away = {name for each in records if each.state in UNSENDABLE for name in each.names}
-        book = self._book
-        return stands(book.fleet, book.settings.standing, book.standing, busy, away, besides)
