A front door that begins anew is at work again, whatever let go of its last reading

Change: it is woken, and waits only where there is something to let go of; one that is off by a fault stays so.

--- a/molereach/cache/door.py
+++ b/molereach/cache/door.py
@@ -107,7 +107,8 @@
 
     @property
     def wake_us(self) -> int:
-        if self._news or self._sweeps.first or (self._emptying and self.store.size):
+        empties = self._emptying and (self.store.size or not self.off)
+        if self._news or self._sweeps.first or empties:
             return 0
         return self._look_us if self.store.size or len(self.marks) else NEVER_US
 
@@ -149,7 +150,7 @@
         before, self.applied, self._restored_to = self.applied, position, position
         if before < self.purges.past.floor:  # whose purges are missing here is not known any more
             self.marks.set_everything(position)
-            self._emptying = True
+            self._emptying = self.off or self.store.size > 0
         else:
             self._news.extend(past for past in self.purges.past.all() if past.position > before)
 
--- a/molereach/cache/interface.py
+++ b/molereach/cache/interface.py
@@ -52,11 +52,3 @@
     def at_hand(self, now_us: int, customer: str, class_index: int, request_id: str) -> int | None:
         """The age (us) of a reading that this request may be shown now, None for none. It only reads; the
         answer is good for this event alone."""
-
-
-class Council(Protocol):
-    """What the shell wires to the council, at each front door."""
-
-    @property
-    def clear(self) -> int:
-        """Up to where the log is applied here and what it forbids is let go of: for the session to say."""
--- a/tests/cache/test_door.py
+++ b/tests/cache/test_door.py
@@ -225,6 +225,21 @@
     assert place.look(OTHER)
 
 
+def test_one_that_begins_anew_is_at_work_again_whatever_lets_go_of_its_last_reading() -> None:
+    place = Place()
+    place.log.ask(1)
+    place.log.ask(2, "f" * 16, at_ms=10_000)
+    place.door.handle(5, Restored(2))  # a new process has nothing to let go of
+    assert place.fill(OTHER) is Fate.KEPT and place.look(OTHER) and place.door.clear == 2
+    place.log.ask(3, OTHER, at_ms=20_000)
+    place.log.ask(4, "f" * 16, at_ms=30_000)
+    place.door.handle(6, Restored(4))
+    place.door.store.drop(place.door.store.some(1)[0])
+    assert place.door.wake_us == 0
+    place.turn()
+    assert place.fill(OTHER) is Fate.KEPT
+
+
 def test_a_fault_of_the_machine_ends_answers_from_memory_in_this_run() -> None:
     place = Place()
     place.fill()
@@ -236,6 +251,11 @@
     assert place.door.clear == 0
     assert place.turn() == (Clear(1),) and not place.door.store.size
     assert place.look() is None and place.door.begin(3, OTHER, "load", b"x") is None
+    place.log.ask(2, OTHER, at_ms=10_000)
+    place.log.ask(3, "f" * 16, at_ms=20_000)
+    assert place.log.purges.past.floor > 1
+    place.door.handle(4, Restored(place.log.position))
+    assert place.door.begin(4, OTHER, "load", b"x") is None and place.door.clear == place.log.position
 
 
 def replace_position(place: Place, position: int) -> Entry:
