--- a/molereach/upkeep/rules/floor.py
+++ b/molereach/upkeep/rules/floor.py
@@ -3,7 +3,7 @@
 Those that drain count as gone: they will be, and nobody looks again between the two.
 """
 
-from molereach.upkeep.requests.work import Kind, Work
+from molereach.upkeep.requests.work import Work
 from molereach.upkeep.rules.facts import groups
 from molereach.upkeep.rules.left import least, left
 from molereach.upkeep.rules.scene import Scene, Stop
@@ -11,7 +11,7 @@
 
 def floor(scene: Scene, work: Work) -> Stop | None:
     server = scene.fleet.servers.get(work.machine)
-    if work.kind is not Kind.SERVER or server is None or not server.ready:
+    if server is None or not server.ready:
         return None
     for group in groups(server):
         then, most = left(scene, group, server.name), least(scene, group)
--- a/molereach/upkeep/rules/panel.py
+++ b/molereach/upkeep/rules/panel.py
@@ -4,7 +4,7 @@
 "Consensus: Bridging Theory and Practice" (2014), section 4: members that leave are replaced first.
 """
 
-from molereach.upkeep.requests.work import Kind, Work
+from molereach.upkeep.requests.work import Work
 from molereach.upkeep.rules.scene import Scene, Stop
 
 SEAT = "seat"  # the rule that asks for a seat to be moved
@@ -12,7 +12,7 @@
 
 def panel(scene: Scene, work: Work) -> Stop | None:
     fleet = scene.fleet
-    if work.kind is not Kind.DOOR or work.machine not in fleet.panel:
+    if work.machine not in fleet.panel:
         return None
     if fleet.facts.spares:
         return Stop(SEAT, (work.machine,), "its seat of the panel is moved first")
--- a/molereach/upkeep/rules/room.py
+++ b/molereach/upkeep/rules/room.py
@@ -5,7 +5,7 @@
 just come back counts by its measured warmth, so the next waits until it is warm enough.
 """
 
-from molereach.upkeep.requests.work import Kind, Work
+from molereach.upkeep.requests.work import Work
 from molereach.upkeep.rules.facts import WHOLE, groups
 from molereach.upkeep.rules.left import left
 from molereach.upkeep.rules.scene import Scene, Stop
@@ -13,7 +13,7 @@
 
 def room(scene: Scene, work: Work) -> Stop | None:
     server = scene.fleet.servers.get(work.machine)
-    if work.kind is not Kind.SERVER or server is None or not server.ready:
+    if server is None or not server.ready:
         return None
     for group in groups(server):
         then = left(scene, group, server.name)
--- a/molereach/upkeep/rules/sets.py
+++ b/molereach/upkeep/rules/sets.py
@@ -4,12 +4,12 @@
 any moment, so each run counts whether or not one is known that has it.
 """
 
-from molereach.upkeep.requests.work import Kind, Work
+from molereach.upkeep.requests.work import Work
 from molereach.upkeep.rules.scene import Scene, Stop
 
 
 def sets(scene: Scene, work: Work) -> Stop | None:
-    if work.kind is not Kind.DOOR or work.machine not in scene.fleet.doors:
+    if work.machine not in scene.fleet.doors:
         return None
     ring = scene.fleet.ring
     size = min(scene.settings.spread, len(ring))
--- a/tests/upkeep/test_machine.py
+++ b/tests/upkeep/test_machine.py
@@ -9,7 +9,6 @@
 from molereach.upkeep.permits import machine
 from molereach.upkeep.permits.bodies import Ask, Back, Move, Out, Seen, Stand, encode
 from molereach.upkeep.permits.gathering import cut
-from molereach.upkeep.permits.machine import Upkeep
 from molereach.upkeep.permits.record import Record
 from molereach.upkeep.permits.way import BOUND, TABLE, State, Step
 from molereach.upkeep.requests.checks import MOST_OPEN
@@ -344,7 +343,10 @@
     log.ok(Move("y", Step.WITHDRAW))
     log.ok(Seen(9, 0, 2, 0, FLEET.servers[:1]))
     data = log.machine.snapshot()
-    other = Upkeep(LOOSE, log.sessions)
+    other = Logged().machine  # also where something else was kept
+    other.sessions = log.sessions
+    assert not other.apply(log.entry("upkeep", encode(Seen(1, 0, 1, 0, FLEET.servers)))).error
+    assert not other.apply(log.entry("upkeep", encode(Ask(work("gone", "s5"))))).error
     other.restore(data)
     assert other.snapshot() == data
     entry = log.entry("upkeep", encode(Seen(9, 1, 2, 0, FLEET.servers[1:])))
@@ -354,6 +356,8 @@
 @pytest.mark.parametrize("change", [
     lambda state: {**state, "permits": 0}, lambda state: {**state, "records": state["records"] * 2},
     lambda state: {**state, "past": state["records"], "records": []}, lambda state: {**state, "more": 1},
+    lambda state: {**state, "permits": 9, "records": state["records"] + [
+        {**state["records"][0], "work": {**state["records"][0]["work"], "id": "x"}}]},
     lambda state: [], lambda state: {**state, "facts": {"servers": FLEET.servers[:1] * 2}},
 ])
 def test_a_snapshot_that_makes_no_sense_is_refused_and_changes_nothing(change: object) -> None:
--- a/tests/upkeep/test_order.py
+++ b/tests/upkeep/test_order.py
@@ -130,7 +130,7 @@
                       for number in range(200)))
     now = scene(Facts(servers=fleet), UpkeepSettings(most_out=12, most_out_cell=2, most_out_zone=6))
     plan, steps, most = planned(now, works, 256)
-    assert len(plan.planned) == 200 and steps <= most_steps(200) and most <= 256
+    assert len(plan.planned) == 200 and 200 <= steps <= most_steps(200) and most <= 256
 
 
 def test_a_plan_goes_on_past_a_season_and_names_what_never_can() -> None:
@@ -149,6 +149,21 @@
     long_last = waiting(work("short", minutes=10), work("long", minutes=80))
     plan, _, _ = planned(scene(Facts(servers=servers(3))), long_last)
     assert [one.work.id for one in plan.planned] == ["short", "long"]
+    never = scene(Facts(servers=servers(3), ordered=("s0",)))
+    plan, _, _ = planned(never, long_last)
+    assert {id: stop.rule for id, stop in plan.stopped.items()} == {"long": "apart", "short": "orders"}
+
+
+def test_what_is_away_now_comes_back_when_it_is_thought_to() -> None:
+    now = scene(Facts(servers=servers(6)), replace(LOOSE, most_out=2, drain_ms=0, warming_ms=0),
+                {"s5": Off.AWAY, "s4": Off.WARMING, "s3": Off.LOST})
+    ends_ms = {"s5": NOON_MS + 50 * MINUTE_MS, "s4": NOON_MS + 20 * MINUTE_MS}
+    planner = Planner(now, waiting(work("w", "s0"), work("x", "s1")), ends_ms)
+    while not planner.run():
+        pass
+    assert planner.plan is not None
+    begins = [(one.work.id, (one.begins_ms - NOON_MS) // MINUTE_MS) for one in planner.plan.planned]
+    assert begins == [("w", 20), ("x", 50)]
 
 
 def test_a_work_presses_that_was_passed_too_often_or_whose_window_closes_and_what_it_waits_for() -> None:
@@ -205,4 +220,6 @@
     fleet = Fleet(Facts(servers=servers(7)))
     assert stands(fleet, 250, ("s0", "s1"), (), (), besides) == expected
     assert stands(fleet, 250, ("s5",), ("s0",), ("s1",)) == ("s2", "s5")
+    ordered = Fleet(Facts(servers=servers(7), ordered=("s0",)))
+    assert stands(ordered, 250, (), (), ()) == ("s1", "s2"), "an order may end it at any time"
     assert stands(Fleet(Facts(servers=servers(1))), 250, (), (), ()) == (), "the only one could never go"
--- a/tests/upkeep/test_rules.py
+++ b/tests/upkeep/test_rules.py
@@ -107,6 +107,8 @@
     assert judge(scene(busy, kept), work("w")) is None, "2100 on 3000 is 0.7"
     over = Facts(servers=(*servers(3, load=525), server("s3", load=526)))
     assert named(judge(scene(over, kept), work("w"))) == ("room", ())
+    dead = Facts(servers=(server("s0", ready=False), *over.servers[1:]))
+    assert judge(scene(dead, replace(kept, target=300)), work("w")) is None, "it bears nothing anyway"
     back = Facts(servers=(*servers(4, load=420), server("s4", warmth=200, load=420)))
     assert judge(scene(back, kept, {"s4": Off.WARMING}), work("w")) is None
     two = {"s1": Off.AWAY, "s4": Off.WARMING}
@@ -122,6 +124,8 @@
     assert judge(scene(facts, kept, {"d7": Off.AWAY}), work("w", "d1")) is None
     down = Facts(doors=doors(9, down=(2,)))
     assert named(judge(scene(down, kept), work("w", "d1"))) == ("sets", ("d2",))
+    itself = Facts(doors=doors(9, down=(1,)))
+    assert judge(scene(itself, kept), work("w", "d1")) is None, "it is not lost twice"
     assert named(judge(scene(Facts(doors=doors(2)), kept), work("w", "d1"))) == ("sets", ())
 
 
@@ -131,6 +135,8 @@
     assert named(judge(scene(TEN, off={"d3": Off.AWAY}), work("w", "d0"))) == ("panel", ("d3",)), "one drains"
     dead = Facts(doors=doors(9, down=(4,)), panel=TEN.panel)
     assert named(judge(scene(dead), work("w", "d0"))) == ("panel", ("d4",))
+    itself = Facts(doors=doors(9, down=(0,)), panel=TEN.panel)
+    assert judge(scene(itself), work("w", "d0")) is None, "it is not lost twice"
     spare = Facts(doors=TEN.doors, panel=TEN.panel, spares=1)
     assert named(judge(scene(spare), work("w", "d0"))) == ("seat", ("d0",))
     assert judge(scene(spare), work("w", "d7")) is None
