--- a/molereach/upkeep/driver.py
+++ b/molereach/upkeep/driver.py
@@ -21,9 +21,10 @@
     Tick,
 )
 from molereach.upkeep.order.plan import Plan
-from molereach.upkeep.permits.accounting import MS_US, Accounting, Clears, Missed
+from molereach.upkeep.permits.accounting import Accounting, Clears, Missed
 from molereach.upkeep.permits.beginning import due, lacking, replaced
 from molereach.upkeep.permits.bodies import MACHINE, Back, Body, Move, Out, Stand
+from molereach.upkeep.permits.entry_clock import EntryClock
 from molereach.upkeep.permits.machine import Upkeep
 from molereach.upkeep.permits.nexts import back_as, hurried, next_step, recalled
 from molereach.upkeep.permits.planning import Planning
@@ -62,7 +63,7 @@
         self._planning = Planning(self._book)
         self._ballot: int | None = None
         self._proposals = Proposals(me, 0)
-        self._at = 0, 0  # the time of the last entry, and when it was applied here
+        self._clock = EntryClock()
         self._next_us = NEVER_US
         self.stops: dict[str, Stop] = {}  # by work that waits: what stops it
         self.missed: dict[str, tuple[Missed, ...]] = {}  # by work that drains: for whom it waits
@@ -77,8 +78,7 @@
 
     def at_ms(self, now_us: int) -> int:
         """What the time of an entry would be about now."""
-        at_ms, applied_us = self._at
-        return at_ms + (now_us - applied_us) // MS_US
+        return self._clock.at_ms(now_us)
 
     def why(self, now_us: int, id: str) -> Stop | None:
         """What stops a work that waits, with the machines; None where nothing does, or it waits for
@@ -93,13 +93,12 @@
             case Leads():
                 self._leads(now_us, event)
             case Applied():
-                self._at = event.entry.at_ms, now_us
+                self._clock.applied(now_us, event.entry.at_ms)
                 self._accounting.look(now_us)
                 if event.entry.machine == MACHINE and not event.outcome.error:
                     self._planning.changed()
             case Restored():
-                marks = self._book.marks
-                self._at = max(self.at_ms(now_us), marks[-1].at_ms if marks else 0), now_us
+                self._clock.restored(now_us, self._book.marks)
                 self._accounting.look(now_us)
                 self._planning.changed()
             case ProposalOver():
--- a/molereach/upkeep/permits/__init__.py
+++ b/molereach/upkeep/permits/__init__.py
@@ -3,5 +3,5 @@
 Read `way` (the table), `bodies` and `record` (what is settled and kept), `proof` (that nobody sends there any
 more), `gathering` (facts in parts), `marks`, `book` (all that is kept), `guards` (what each step asks for),
 `snapshots` and `machine`; of the leader `accounting` (who is missed for a proof), `nexts` (which step may
-be), `planning`, `beginning`, `proposals` and `telling` (facts to the log).
+be), `planning`, `beginning`, `entry_clock`, `proposals` and `telling` (facts to the log).
 """
