--- a/tests/shards/splits/test_steps.py
+++ b/tests/shards/splits/test_steps.py
@@ -11,8 +11,11 @@
 from molereach.shards.splits.book import MOST_OPEN
 from molereach.shards.splits.door import DoorShards, Learn
 from molereach.shards.splits.driver import Begin, Unneeded
+from molereach.shards.splits.orders import Done, Order
+from molereach.shards.splits.record import Record
 from molereach.shards.splits.way import State
 from tests.shards.made import HOMES, drawn_by, even_map
+from tests.shards.splits.servers import Cell
 from tests.shards.splits.world import WINDOW_MS, Kinds, World, plan
 
 A = Life("a", 1)
@@ -54,7 +57,8 @@
     world.drive(world.readers["a"], Begin(wanted))
 
     def dies(round: int) -> None:
-        asks(world)
+        if round < 60:
+            asks(world)
         if round == step:
             world.readers["a"].stopped = True
             world.over("a")
@@ -110,10 +114,30 @@
     assert found and state
     turned = state in (State.PLANNED, State.COPYING)
     assert world.state("s") in ((State.UNDONE, State.CLEARED) if turned else (State.CLEARED,))
+    assert rounds > 4 or world.state("s") is State.UNDONE
     assert (found.version == 1) is (world.state("s") is State.UNDONE)
     world.check_stores()
 
 
+@pytest.mark.parametrize(("mute", "ends"), [
+    (Order.COPY, State.COPYING), (Order.CLOSE, State.UNDONE), (Order.OPEN, State.CLEARED)])
+def test_a_cell_that_does_not_answer(mute: Order, ends: State) -> None:
+    class Mute(Cell):
+        def tell(self, order: Order, split: Record) -> Done | None:
+            done = super().tell(order, split)
+            return None if order is mute else done
+
+    world = World(drawn_by(1), Kinds(cell=Mute))
+    found = world.truth.shards.map
+    assert found
+    world.lead("a", 1)
+    world.drive(world.readers["a"], Begin(plan(found, "s")))
+    world.fair(300, lambda round: asks(world) if round < 60 else None)
+    assert world.state("s") is ends
+    world.fair(3)
+    world.check_stores()
+
+
 def test_of_two_due_at_once_in_one_building_the_second_takes_other_cells_or_waits() -> None:
     world, wanted = begun()
     found = world.truth.shards.map
