What the disk says reaches the council's cores in a turn of its own

Cause, on reading: the worker says that too much waits while it is handed a write, which is while an action of the cores is carried out, so the shell took an event within another. Test: the same, seen to fail when the worker calls the shell at once.

--- a/molereach/council/node/service.py
+++ b/molereach/council/node/service.py
@@ -95,7 +95,8 @@
         self.core = Council(
             self.me, settings, opened.identity if opened else NO_DISK, kept, first_panel(key, settings.panel),
             machines, random.random, lambda at_us: wall_ms + at_us // 1000)
-        self.worker = Worker(opened.store, self.take) if opened else None
+        # Its word comes in a turn of its own: that too much waits is said while an action is carried out.
+        self.worker = Worker(opened.store, self.from_disk) if opened else None
         self.links = Links(self.me, addresses or settings.doors, key, WORDS, self.heard, random.random)
         self.timer: asyncio.TimerHandle | None = None
         self.due_us = NEVER_US
@@ -158,6 +159,9 @@
     def heard(self, part: str, heard: Heard) -> None:
         self.take(From(part, heard))
 
+    def from_disk(self, event: Persisted | DiskFailed) -> None:
+        self.loop.call_soon(self.take, event)
+
     def take(self, event: Event) -> None:
         """One event of the cores, and all that follows from it. It is never called from within itself."""
         if self.closed:
@@ -269,6 +273,3 @@
             "council_turns": self.figures.turns, "council_longest_turn_us": self.figures.longest_us,
             "council_sessions_lost": self.figures.lost,
         }
-
-
-__all__ = ["CouncilService", "DiskFailed", "draw_life", "open_folder"]
--- /dev/null
+++ b/tests/council/node/test_service.py
@@ -0,0 +1,40 @@
+"""Shell of a front door's part: what it is told while it carries out an action comes in a new turn."""
+
+import asyncio
+from pathlib import Path
+
+from molereach.council.interface import Persist
+from molereach.council.node.first import first_identity
+from molereach.council.node.service import CouncilService, open_folder
+from molereach.council.node.settings import CouncilSettings
+from molereach.council.store import worker
+from tests.sockets import HOST, run
+
+KEY = b"a key of the whole council"
+DOORS = {name: (HOST, 7100 + number) for number, name in enumerate(("n0", "n1", "n2"))}
+
+
+def test_a_disk_that_takes_no_more_is_told_in_a_turn_of_its_own(tmp_path: Path) -> None:
+    async def job() -> None:
+        tmp_path.chmod(0o700)
+        opened = open_folder(tmp_path, "n0", KEY, True)
+        assert opened.identity == first_identity(KEY, "n0").hex()
+        service = CouncilService("n0", CouncilSettings(DOORS, tuple(DOORS)), KEY, opened, {})
+        within: list[bool] = []
+        busy = False
+        whole = service.core.handle
+
+        def handle(now_us: int, event: object) -> list[object]:
+            within.append(busy)
+            return whole(now_us, event)  # type: ignore[arg-type]
+
+        service.core.handle = handle  # type: ignore[method-assign,assignment]
+        busy = True
+        service.carry_out(Persist(1, (b"x" * (worker.MOST_WAITING_BYTES + 1),)))
+        busy = False
+        assert within == []
+        await asyncio.sleep(0)
+        assert within == [False] and service.core.parts.log.outbox.failed
+        await service.close()
+
+    run(job())
