Fleet: the campaign is a package of seven cores by what owns which state; nothing behaves otherwise

Now: events, report, sight (views, silences, looks that are out), judgment (book and order), ballots (proposer and its retries), account (what can be said, a view made when asked), course (stages and the order of steps). Importers name the module that they need; nothing is re-exported. Weighed: keeping `Campaign` a dataclass with its parts as fields (their initial values come of other fields: a plain constructor says that shorter).

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -15,7 +15,7 @@
 from benchmarks.door import Instant, Loop, cost, start_door
 from benchmarks.result import Result
 from molereach.fleet.agent.link import Link
-from molereach.fleet.campaign import Verdict
+from molereach.fleet.campaign.report import Verdict
 from molereach.fleet.cli.client import CallError, Fleet
 from molereach.fleet.orders import Verb
 from molereach.fleet.settings import FleetFile, load
--- a/molereach/fleet/cli/client.py
+++ b/molereach/fleet/cli/client.py
@@ -11,8 +11,10 @@
 import httpx
 import msgspec
 
-from molereach.fleet import campaign as c
 from molereach.fleet.agreement import Accept, Accepted, Behind, Known, Message, Outbid, Prepare, Promise
+from molereach.fleet.campaign import events as ev
+from molereach.fleet.campaign.course import STEP_US, Campaign
+from molereach.fleet.campaign.report import Report
 from molereach.fleet.settings import FleetFile, beside, client_tls, load_token
 from molereach.fleet.view import MOST_BODY_BYTES, Event, Problem, View
 
@@ -133,22 +135,22 @@
 class Giver:
     """Carries out a campaign's actions; `on_step` hears how far it has come."""
 
-    def __init__(self, fleet: Fleet, campaign: c.Campaign, on_step: Callable[[str], None]) -> None:
+    def __init__(self, fleet: Fleet, campaign: Campaign, on_step: Callable[[str], None]) -> None:
         self.fleet, self.campaign, self.on_step = fleet, campaign, on_step
-        self.events: asyncio.Queue[c.Event] = asyncio.Queue()
+        self.events: asyncio.Queue[ev.Event] = asyncio.Queue()
         self.tasks: set[asyncio.Task[None]] = set()
 
-    async def run(self) -> c.Report:
+    async def run(self) -> Report:
         """Give the order; the report of what became of it."""
         campaign = self.campaign
         self.act(campaign.begin(now_us()))
         tick_us = now_us()
         try:
             while campaign.report is None:
-                left_us = tick_us + c.STEP_US - now_us()
+                left_us = tick_us + STEP_US - now_us()
                 if left_us <= 0:
                     tick_us = now_us()
-                    self.act(campaign.handle(tick_us, c.Tick()))
+                    self.act(campaign.handle(tick_us, ev.Tick()))
                     continue
                 try:
                     event = await asyncio.wait_for(self.events.get(), left_us / 1e6)
@@ -163,14 +165,14 @@
             await asyncio.gather(*self.tasks, return_exceptions=True)
         return campaign.report
 
-    def act(self, actions: list[c.Action]) -> None:
+    def act(self, actions: list[ev.Action]) -> None:
         for action in actions:
             match action:
-                case c.Step():
+                case ev.Step():
                     self.on_step(action.name)
-                case c.Look():
+                case ev.Look():
                     self.spawn(self.look(action.agent))
-                case c.Say():
+                case ev.Say():
                     self.spawn(self.say(action.agent, action.message))
 
     def spawn(self, job: Coroutine[Any, Any, None]) -> None:
@@ -181,16 +183,16 @@
     async def look(self, agent: str) -> None:
         try:
             view = await self.fleet.call(agent, "/v1/view", View)
-            self.events.put_nowait(c.Viewed(agent, view))
+            self.events.put_nowait(ev.Viewed(agent, view))
         except CallError as error:
-            self.events.put_nowait(c.Silent(agent, str(error), look=True))
+            self.events.put_nowait(ev.Silent(agent, str(error), look=True))
 
     async def say(self, agent: str, message: Message) -> None:
         try:
             for reply in await self.fleet.call(agent, "/v1/agreement", Replies, message):
-                self.events.put_nowait(c.Replied(agent, reply))
+                self.events.put_nowait(ev.Replied(agent, reply))
         except CallError as error:
-            self.events.put_nowait(c.Silent(agent, str(error)))
+            self.events.put_nowait(ev.Silent(agent, str(error)))
 
 
 def now_us() -> int:
--- a/molereach/fleet/cli/commands.py
+++ b/molereach/fleet/cli/commands.py
@@ -14,7 +14,9 @@
 import msgspec
 import uvloop
 
-from molereach.fleet import campaign as c
+from molereach.fleet.campaign import events as ev
+from molereach.fleet.campaign.course import Campaign
+from molereach.fleet.campaign.report import Report, Verdict
 from molereach.fleet.cli.client import CallError, Fleet, Giver, RefusedCallError, now_us
 from molereach.fleet.cli.tables import Printer, age
 from molereach.fleet.orders import Order, OrderError, Verb
@@ -22,8 +24,8 @@
 from molereach.fleet.view import Event, Members, Orders, Quota, Status
 
 DONE, FAILED, BAD_INPUT, PARTLY, CONFLICT, UNREACHABLE, REFUSED, INTERRUPTED = 0, 1, 2, 3, 4, 5, 6, 130
-EXITS = {c.Verdict.DONE: DONE, c.Verdict.PARTLY: PARTLY, c.Verdict.CONFLICT: CONFLICT,
-         c.Verdict.UNREACHABLE: UNREACHABLE, c.Verdict.REFUSED: REFUSED}
+EXITS = {Verdict.DONE: DONE, Verdict.PARTLY: PARTLY, Verdict.CONFLICT: CONFLICT,
+         Verdict.UNREACHABLE: UNREACHABLE, Verdict.REFUSED: REFUSED}
 EXIT_TEXT = """\b
 exit codes: 0 done everywhere; 1 a fault of the tool's own; 2 bad input;
 3 partly: it stands, and not everybody said so, or not everybody answered;
@@ -290,10 +292,10 @@
         yield random.random()
 
 
-def campaign_for(settings: FleetFile, draft: c.Draft, confirm_s: float | None = None) -> c.Campaign:
+def campaign_for(settings: FleetFile, draft: ev.Draft, confirm_s: float | None = None) -> Campaign:
     """A campaign whose run has a name that no other has ever had."""
-    times = c.Times(round(settings.agree_s * 1e6), round((confirm_s or settings.confirm_s) * 1e6))
-    return c.Campaign(settings.names, draft, secrets.token_hex(16), draws(), time.time_ns() // 1_000_000,
+    times = ev.Times(round(settings.agree_s * 1e6), round((confirm_s or settings.confirm_s) * 1e6))
+    return Campaign(settings.names, draft, secrets.token_hex(16), draws(), time.time_ns() // 1_000_000,
                       settings.floor, times, settings.expected())
 
 
@@ -324,7 +326,7 @@
         await asyncio.sleep(WAIT_POLL_S)
 
 
-def show_report(out: Printer, report: c.Report) -> None:
+def show_report(out: Printer, report: Report) -> None:
     out.line(f"{report.verdict.value}: {report.text} (order {report.order_id})")
     if report.winner:
         other = report.winner.order
@@ -345,7 +347,7 @@
 ) -> None:
     """Give an order and end with the exit code of what became of it."""
     lapses_ms = time.time_ns() // 1_000_000 + round(lapse * 1000) if lapse else 0
-    draft = c.Draft(order_id or secrets.token_hex(8), verb, subject, issuer, reason, lapses_ms, forced,
+    draft = ev.Draft(order_id or secrets.token_hex(8), verb, subject, issuer, reason, lapses_ms, forced,
                     based_on)
 
     async def job(made: Fleet) -> int:
--- a/rig/orders.py
+++ b/rig/orders.py
@@ -9,7 +9,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from molereach.fleet import campaign as c
+from molereach.fleet.campaign import events as ev
+from molereach.fleet.campaign import report as words
 from molereach.fleet.cli.client import Fleet, Giver
 from molereach.fleet.cli.commands import campaign_for, wait_for_end
 from molereach.fleet.orders import Verb
@@ -33,7 +34,7 @@
 
     step: str
     seed: int
-    report: c.Report
+    report: words.Report
     world: Report
     wrong: list[str] = field(default_factory=list)
     late_us: int = 0  # the last new request at the drained server, after the order was decided
@@ -48,11 +49,13 @@
     return sc.Scenario("orders", "orders while front doors fail", seconds, doors, 6, sc.Load(rate))
 
 
-def draft(order_id: str, verb: Verb = Verb.DRAIN, subject: str = SERVER) -> c.Draft:
-    return c.Draft(order_id, verb, subject, "rig", "a trial")
+def draft(order_id: str, verb: Verb = Verb.DRAIN, subject: str = SERVER) -> ev.Draft:
+    return ev.Draft(order_id, verb, subject, "rig", "a trial")
 
 
-async def give(fleet: Fleet, what: c.Draft, on_step: Callable[[str], None] = lambda step: None) -> c.Report:
+async def give(
+    fleet: Fleet, what: ev.Draft, on_step: Callable[[str], None] = lambda step: None
+) -> words.Report:
     """Give an order as the tool does."""
     return await Giver(fleet, campaign_for(fleet.settings, what), on_step).run()
 
@@ -94,7 +97,7 @@
             rig.close()
         found.tracebacks = sum(agent.tracebacks() for agent in rig.agents)
         found.wrong += wrong_words(report, carried, victim.name)
-        if again.verdict is not c.Verdict.DONE or again.decided != report.decided:
+        if again.verdict is not words.Verdict.DONE or again.decided != report.decided:
             found.wrong.append(f"given again it is {again.verdict.value}: {again.text}")
         if not waited.ended:
             found.wrong.append(f"still in flight after the wait: {waited}")
@@ -112,10 +115,10 @@
     return any(f"order {order_id}: " in line for line in log)
 
 
-def wrong_words(report: c.Report, carried: dict[str, bool], victim: str) -> list[str]:
+def wrong_words(report: words.Report, carried: dict[str, bool], victim: str) -> list[str]:
     """Where the tool's report is not what each front door did."""
     wrong = []
-    if report.verdict not in (c.Verdict.DONE, c.Verdict.PARTLY):
+    if report.verdict not in (words.Verdict.DONE, words.Verdict.PARTLY):
         wrong.append(f"{report.verdict.value}: {report.text}")
     if {word.door for word in report.doors} != set(carried):
         wrong.append("the report does not name each front door")
@@ -125,6 +128,6 @@
             wrong.append(f"{word.door}: said {word.carried_out}, was {carried[word.door]}")
         if not word.carried_out and word.door not in report.text:
             wrong.append(f"{word.door} is not named: {report.text}")
-    if report.verdict is c.Verdict.DONE and not all(carried.values()):
+    if report.verdict is words.Verdict.DONE and not all(carried.values()):
         wrong.append("done, and not at each front door")
     return wrong
--- a/tests/fleet/test_campaign.py
+++ b/tests/fleet/test_campaign.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from molereach.fleet.campaign import Draft, Verdict
+from molereach.fleet.campaign.events import Draft
+from molereach.fleet.campaign.report import Verdict
 from molereach.fleet.orders import BookState, Decided, Order, Verb
 from tests.fleet.virtual import MS, Fleet, once
 
--- a/tests/fleet/virtual.py
+++ b/tests/fleet/virtual.py
@@ -5,8 +5,10 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from molereach.fleet import campaign as c
 from molereach.fleet.agreement import Acceptor, Message
+from molereach.fleet.campaign import events as ev
+from molereach.fleet.campaign.course import Campaign
+from molereach.fleet.campaign.report import Verdict
 from molereach.fleet.orders import Book, BookState, Decided, Verb
 from molereach.fleet.roster import Heard, Lost, Opened, Put, Roster, Sockets, Wanted
 from molereach.fleet.view import Status, View
@@ -35,7 +37,7 @@
 class Tool:
     """A run of the tool, which may be killed at a step."""
 
-    campaign: c.Campaign
+    campaign: Campaign
     kill_at: str = ""
     dead: bool = False
     steps: list[str] = field(default_factory=list)
@@ -163,12 +165,12 @@
             yield self.random.random()
 
     def give(
-        self, draft: c.Draft, kill_at: str = "", on_step: Callable[[str], None] = lambda step: None
+        self, draft: ev.Draft, kill_at: str = "", on_step: Callable[[str], None] = lambda step: None
     ) -> Tool:
         """Start a tool."""
         expected = {name: (self.doors[name].name,) for name in self.names}
         run = f"run{len(self.tools)}"
-        tool = Tool(c.Campaign(self.names, draft, run, self.draws(), 0, 1, c.Times(), expected), kill_at,
+        tool = Tool(Campaign(self.names, draft, run, self.draws(), 0, 1, ev.Times(), expected), kill_at,
                     on_step=on_step)
         self.tools.append(tool)
         self.act(tool, tool.campaign.begin(self.now_us))
@@ -177,44 +179,44 @@
 
     def tick(self, tool: Tool) -> None:
         if not tool.dead and tool.campaign.report is None:
-            self.hand(tool, c.Tick())
+            self.hand(tool, ev.Tick())
             self.after(TICK_US, lambda: self.tick(tool))
 
-    def hand(self, tool: Tool, event: c.Event) -> None:
+    def hand(self, tool: Tool, event: ev.Event) -> None:
         if not tool.dead and tool.campaign.report is None:
             self.act(tool, tool.campaign.handle(self.now_us, event))
 
-    def act(self, tool: Tool, actions: list[c.Action]) -> None:
+    def act(self, tool: Tool, actions: list[ev.Action]) -> None:
         for action in actions:
             if tool.dead:
                 return
-            if isinstance(action, c.Step):
+            if isinstance(action, ev.Step):
                 tool.steps.append(action.name)
                 tool.dead = action.name == tool.kill_at
                 tool.on_step(action.name)
                 if action.name == "reported":
                     tool.truth = {door.name: list(door.carried) for door in self.doors.values()}
-            elif isinstance(action, c.Look):
+            elif isinstance(action, ev.Look):
                 self.look(tool, action.agent)
             else:
                 self.say(tool, action.agent, action.message)
 
     def look(self, tool: Tool, agent: str) -> None:
         def failed() -> None:
-            self.hand(tool, c.Silent(agent, "no answer", look=True))
+            self.hand(tool, ev.Silent(agent, "no answer", look=True))
 
         def arrive() -> None:
             if agent in self.away:
                 self.after(CALL_US, failed)
                 return
             view = self.view(agent)
-            self.hop(lambda: self.hand(tool, c.Viewed(agent, view)), failed)
+            self.hop(lambda: self.hand(tool, ev.Viewed(agent, view)), failed)
 
         self.hop(arrive, failed)
 
     def say(self, tool: Tool, agent: str, message: Message) -> None:
         def failed() -> None:
-            self.hand(tool, c.Silent(agent, "no answer"))
+            self.hand(tool, ev.Silent(agent, "no answer"))
 
         def arrive() -> None:
             if agent in self.away:
@@ -225,7 +227,7 @@
             if self.agents[agent].book.revision > before:
                 self.tell(agent, Wanted(self.agents[agent].book.revision, True))
             for reply in replies:
-                self.hop(lambda reply=reply: self.hand(tool, c.Replied(agent, reply)), failed)
+                self.hop(lambda reply=reply: self.hand(tool, ev.Replied(agent, reply)), failed)
 
         self.hop(arrive, failed)
 
@@ -248,9 +250,9 @@
             assert done or not word.carried_out, (word, tool.truth)
         named = {word.door for word in report.doors}
         assert named == {door.name for door in self.doors.values()}
-        if report.verdict is c.Verdict.DONE:
+        if report.verdict is Verdict.DONE:
             assert all(word.carried_out for word in report.doors) and all(word.told for word in report.agents)
-        elif report.verdict is c.Verdict.PARTLY:
+        elif report.verdict is Verdict.PARTLY:
             assert any(not word.carried_out for word in report.doors) or any(
                 not word.told for word in report.agents)
 
