Fleet's tool: a module a command, and what commands share by itself; nothing behaves otherwise

Now: exits, session (one command on one fleet), campaigns, in_flight, and commands/ (status, seen, orders, watch, give, group). Commands no longer add themselves to the group as a side effect of import: `group` adds them all. The rig needs the campaign and the wait only, and no longer imports the commands for them.

--- a/molereach/command.py
+++ b/molereach/command.py
@@ -135,7 +135,7 @@
                 """Not installed: install the package with its extra, molereach[fleet]."""
                 raise SystemExit(complain("install the package with its extra, molereach[fleet]"))
         return
-    from molereach.fleet.cli.commands import fleet
+    from molereach.fleet.cli.commands.group import fleet
 
     top.add_command(fleet)
 
--- /dev/null
+++ b/molereach/fleet/cli/commands/give.py
@@ -0,0 +1,93 @@
+"""`drain`, `undrain`, `hold`, `release`: an order given, and what became of it."""
+
+import getpass
+import secrets
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+
+from molereach.fleet.campaign import events as ev
+from molereach.fleet.campaign.report import Report
+from molereach.fleet.cli.campaigns import campaign_for
+from molereach.fleet.cli.client import Fleet, Giver
+from molereach.fleet.cli.exits import DONE, EXITS, PARTLY
+from molereach.fleet.cli.in_flight import show_in_flight, wait_for_end
+from molereach.fleet.cli.session import as_json, run
+from molereach.fleet.cli.tables import Printer, age
+from molereach.fleet.orders import Order, Verb
+
+
+def show_report(out: Printer, report: Report) -> None:
+    out.line(f"{report.verdict.value}: {report.text} (order {report.order_id})")
+    if report.winner:
+        other = report.winner.order
+        out.line(f"  stands: {other.verb.value} {other.subject} at revision {report.winner.revision}, by "
+                 f"{other.issuer}: {other.reason} (order {other.id})")
+    for word in report.agents:
+        if word.why or (report.decided and not word.told):
+            out.line(f"  agent {word.agent}: {word.why or 'has not said that it knows the order'}")
+    if report.decided and report.doors:
+        out.table("", ("agent", "front door", "carried out", "reach", "revision", "heard", ""), (
+            (word.agent, word.door, "yes" if word.carried_out else "NOT KNOWN", word.reach, word.revision,
+             age(word.heard_ago_ms), word.why) for word in report.doors))
+
+
+def give(
+    file: Path | None, verb: Verb, subject: str, json_only: bool, reason: str, issuer: str, order_id: str,
+    lapse: float, forced: bool, based_on: int | None, wait_s: float | None,
+) -> None:
+    """Give an order and end with the exit code of what became of it."""
+    lapses_ms = time.time_ns() // 1_000_000 + round(lapse * 1000) if lapse else 0
+    draft = ev.Draft(order_id or secrets.token_hex(8), verb, subject, issuer, reason, lapses_ms, forced,
+                    based_on)
+
+    async def job(made: Fleet) -> int:
+        Order(draft.id, verb, subject, issuer, reason, based_on or 0, lapses_ms, forced).check()
+        out = Printer(json_only)
+        campaign = campaign_for(made.settings, draft)
+        report = await Giver(made, campaign, lambda step: out.note(f"{step} ...")).run()
+        code, in_flight = EXITS[report.verdict], None
+        if wait_s is not None and report.decided and code in (DONE, PARTLY):
+            in_flight = await wait_for_end(made, subject, wait_s, out.note)
+            code = code if in_flight.ended else PARTLY
+        out.result({**msgspec.to_builtins(report), "exit": code, "in_flight": in_flight})
+        if not json_only:
+            show_report(out, report)
+            if in_flight:
+                show_in_flight(out, subject, in_flight, wait_s or 0.0)
+        return code
+
+    run(file, job, many_calls=True)
+
+
+def giving(verb: Verb, what: str, text: str) -> click.Command:
+    """The command of one verb."""
+    options = [
+        click.argument("subject", metavar=what), as_json,
+        click.option("--reason", required=True, help="Why; others read it."),
+        click.option("--issuer", default=getpass.getuser, help="Who gives it (default: the user)."),
+        click.option("--id", "order_id", default="", help="Given twice with one id, it is one order."),
+        click.option("--lapse", type=click.FloatRange(0.0, 30 * 86400.0), default=0.0, metavar="S",
+                     help="It is void after so many seconds (default: never)."),
+        click.option("--based-on", type=click.IntRange(0), default=None, metavar="REVISION",
+                     help="The revision that was looked at (default: the latest)."),
+    ]
+    if verb in (Verb.DRAIN, Verb.HOLD):
+        options.append(click.option("--force", "forced", is_flag=True,
+                                    help="Also below the floor, and of what nobody knows."))
+    if verb is Verb.DRAIN:
+        options.append(click.option("--wait", "wait_s", type=click.FloatRange(0.0, 3600.0), metavar="S",
+                                    help="Then wait until nothing is in flight there, so long at most."))
+
+    def command(file: Path | None, forced: bool = False, wait_s: float | None = None, **more: Any) -> None:  # noqa: ANN401
+        give(file, verb, forced=forced, wait_s=wait_s, **more)
+
+    command.__doc__ = text
+    made: Callable[..., None] = command
+    for option in reversed(options):
+        made = option(made)
+    return click.command(verb.value)(click.pass_obj(made))
--- a/rig/orders.py
+++ b/rig/orders.py
@@ -11,8 +11,9 @@
 
 from molereach.fleet.campaign import events as ev
 from molereach.fleet.campaign import report as words
+from molereach.fleet.cli.campaigns import campaign_for
 from molereach.fleet.cli.client import Fleet, Giver
-from molereach.fleet.cli.commands import campaign_for, wait_for_end
+from molereach.fleet.cli.in_flight import wait_for_end
 from molereach.fleet.orders import Verb
 from molereach.fleet.settings import FleetFile, load
 from rig import scenario as sc
--- a/tests/fleet/test_settings.py
+++ b/tests/fleet/test_settings.py
@@ -9,7 +9,7 @@
 from molereach.fleet import settings
 from molereach.fleet.agent import run as agent_run
 from molereach.fleet.agent.auth import Client, Role, Tokens
-from molereach.fleet.cli.commands import fleet as command
+from molereach.fleet.cli.commands.group import fleet as command
 from molereach.fleet.settings import AgentFile, FleetFile, SettingsError, load, load_token
 from tests.sockets import refusing_address
 
