Rig: the auditor is a package, a module a rule and one each for what it keeps; nothing behaves otherwise

One class of 270 lines kept all facts and judged all rules. Now: figures, ledger (which takes findings), requests, doors, servers (what reached a server and what front doors were told of it, with rules 3 and 4), outcomes, effects, ceilings, quotas, and the auditor, which hands each fact to what keeps it and keeps the order of judgments. Importers name the module that they need; nothing is re-exported.

--- a/rig/table.py
+++ b/rig/table.py
@@ -4,7 +4,7 @@
 
 from rich.table import Table
 
-from rig.audit import Outcome
+from rig.audit.ledger import Outcome
 from rig.clock import now_us
 from rig.world import DoorReport, Report, World
 
--- a/rig/world.py
+++ b/rig/world.py
@@ -7,7 +7,9 @@
 from random import Random
 
 from rig import scenario as sc
-from rig.audit import Auditor, Ceiling, Figures, Ledger, Outcome, Quota
+from rig.audit.auditor import Auditor
+from rig.audit.figures import Ceiling, Figures, Quota
+from rig.audit.ledger import Ledger, Outcome
 from rig.clients import HOSTILE, Clients, DoorPool, greet_and_stay, hostile
 from rig.clock import Heartbeat, now_us
 from rig.discovery import Agent
--- a/tests/limits/test_replacement.py
+++ b/tests/limits/test_replacement.py
@@ -16,7 +16,7 @@
 from molereach.door.config import Config
 from rig import scenario as sc
 from rig import workload, world
-from rig.audit import Ledger
+from rig.audit.ledger import Ledger
 from rig.doors import FRONT_DOOR, Door
 from sim.loop import NODE
 from sim.world import DOORS, play, serve_with_limits
--- a/tests/limits/test_service.py
+++ b/tests/limits/test_service.py
@@ -17,7 +17,8 @@
 from molereach.limits.words import Codec
 from molereach.simulator.adapter import Host, run_batch
 from rig import scenario_files
-from rig.audit import Quota, quota_use
+from rig.audit.figures import Quota
+from rig.audit.quotas import quota_use
 from rig.facts import Asked, Effect
 from sim import swarm
 from sim.run import Options, judge
--- a/tests/rig/test_audit.py
+++ b/tests/rig/test_audit.py
@@ -6,7 +6,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from rig.audit import Auditor, Ceiling, Figures, Ledger, Outcome, Rule
+from rig.audit.auditor import Auditor
+from rig.audit.figures import Ceiling, Figures
+from rig.audit.ledger import Ledger, Outcome, Rule
 from rig.facts import (
     Answered,
     Arrived,
--- a/tests/rig/test_demo.py
+++ b/tests/rig/test_demo.py
@@ -1,7 +1,7 @@
 """What the demo says of a day, and its exit codes."""
 
 from rig import scenario_files as sc
-from rig.audit import Broken, Ledger, Outcome, Rule
+from rig.audit.ledger import Broken, Ledger, Outcome, Rule
 from rig.demo import BROKEN, DONE, NO_VERDICT, exit_code
 from rig.facts import Left
 from rig.mail import Datagram
--- a/tests/rig/test_world.py
+++ b/tests/rig/test_world.py
@@ -18,7 +18,7 @@
 
 from rig import scenario as sc
 from rig import scenario_files
-from rig.audit import Outcome, Rule
+from rig.audit.ledger import Outcome, Rule
 from rig.discovery import Agent
 from rig.doors import FRONT_DOOR
 from rig.facts import Fact, Listed, Told
--- a/tests/sim/test_world.py
+++ b/tests/sim/test_world.py
@@ -13,7 +13,7 @@
 from molereach.door.calls import CallPacing
 from rig import scenario as sc
 from rig import scenario_files
-from rig.audit import Outcome, Rule
+from rig.audit.ledger import Outcome, Rule
 from sim import swarm
 from sim.run import Options, judge, make_small
 from sim.world import Clocks, play
