--- a/benchmarks/door.py
+++ b/benchmarks/door.py
@@ -30,7 +30,7 @@
 from rig.registry import Registry
 from rig.sockets import Address, Listener, own_host
 from rig.workload import CLASSES, PLANS
-from rig.world import settings
+from rig.world.settings import settings
 
 SERVERS = (4, 60, 200, 500)
 CLIENTS = 16
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -25,7 +25,7 @@
 from rig.fleet import FleetRig
 from rig.orders import STEPS, Trial, draft, give, kill_at, scenario
 from rig.sockets import Listener, own_host, reserve
-from rig.world import World
+from rig.world.world import World
 
 TRIALS, QUICK_TRIALS, TRIALS_AT_ONCE = 20, 1, 1  # one after another: the rig judges times
 ORDERS, QUICK_ORDERS = 60, 8
--- a/rig/demo.py
+++ b/rig/demo.py
@@ -18,7 +18,8 @@
 from rig.doors import FRONT_DOOR
 from rig.fleet import FleetRig
 from rig.table import doors_table, ledger_lines, live_table
-from rig.world import Report, World
+from rig.world.report import Report
+from rig.world.world import World
 
 DONE, BROKEN, BAD_INPUT, NO_VERDICT, INTERRUPTED = 0, 1, 2, 3, 130
 EPILOG = """\b
--- a/rig/orders.py
+++ b/rig/orders.py
@@ -20,7 +20,8 @@
 from rig.clock import now_us
 from rig.facts import Arrived
 from rig.fleet import FleetRig
-from rig.world import Report, World
+from rig.world.report import Report
+from rig.world.world import World
 
 STEPS = ("looking", "judged", "promised", "accepting", "accepted", "decided", "told", "confirming",
          "reported")
@@ -88,7 +89,7 @@
                 await asyncio.sleep(DOWN_S)
                 victim.log.clear()
                 up_us = now_us()
-                await world.restart(victim)
+                await world.faults.restart(victim)
                 again = await give(fleet, draft("o1"))
                 waited = await wait_for_end(fleet, SERVER, 3.0, lambda text: None)
             found = Trial(step, seed, report, await day)
--- a/rig/table.py
+++ b/rig/table.py
@@ -6,7 +6,8 @@
 
 from rig.audit.ledger import Outcome
 from rig.clock import now_us
-from rig.world import DoorReport, Report, World
+from rig.world.report import DoorReport, Report
+from rig.world.world import World
 
 COLUMNS = ("door", "state", "served", "refused", "failed", "lost", "open", "p50 ms", "p99 ms", "cpu s", "MB",
            "starts")
--- /dev/null
+++ b/rig/world/world.py
@@ -0,0 +1,156 @@
+"""One run of a scenario: everything is started, the day is played, everything is ended, and it is judged."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from random import Random
+
+from rig import scenario as sc
+from rig.audit.auditor import Auditor
+from rig.audit.ledger import Outcome
+from rig.clients import Clients, DoorPool
+from rig.clock import Heartbeat, now_us
+from rig.doors import FRONT_DOOR, Door
+from rig.facts import Extra, Fact, Started
+from rig.front import Front
+from rig.mail import MOST_BYTES, Mail, MailSpec
+from rig.member import MemberSpec
+from rig.relay import Network
+from rig.scenario import ZONES
+from rig.sockets import own_host
+from rig.timeline import expand
+from rig.workload import Customer, LoadSpec, arrivals, customers
+from rig.world.faults import NOTICE_US, Faults
+from rig.world.jobs import Jobs
+from rig.world.machines import Machines
+from rig.world.report import DoorReport, Report, quantile
+from rig.world.settings import MAIL_PER_S, S, figures, settings
+
+MEMORY_MB, SOCKETS = 192, 1024
+
+
+class World:
+    """One run of a scenario."""
+
+    def __init__(
+        self, scenario: sc.Scenario, seed: int, command: Sequence[str] = FRONT_DOOR,
+        spec: MemberSpec | None = None, door_type: type[Door] = Door,
+    ) -> None:
+        self.scenario, self.seed, self.spec = scenario, seed, spec or MemberSpec()
+        self.host = own_host()
+        self.facts: list[Fact] = []
+        self.jobs = Jobs()
+        # A source of chance for each concern: what one draws does not change what another does.
+        self.randoms = {name: Random(f"{seed}:{name}")
+                        for name in ("load", "faults", "mail", "servers", "clients")}
+        names = scenario.door_names()
+        self.doors = [door_type(name, number, self.host, self.facts, command)
+                      for number, name in enumerate(names)]
+        self.front = Front(scenario.doors, NOTICE_US)
+        self.pools = [DoorPool(door.name, door.address, self.facts) for door in self.doors]
+        self.clients = Clients(self.pools, self.front, self.facts, self.randoms["clients"], seed)
+        self.machines = Machines(names, self.host, self.spec, self.facts, self.randoms["servers"],
+                                 self.clients.work_of, self.jobs)
+        self.network = Network(Mail(MailSpec(intake_per_s=MAIL_PER_S)),
+                               [door.peer_address for door in self.doors], self.randoms["mail"])
+        self.faults = Faults(self.doors, self.machines, self.front, self.network, self.facts,
+                             self.randoms["faults"], scenario.start_list, self.jobs)
+        self.heart = Heartbeat(self.facts)
+        self.start_us = 0
+
+    # --- start and end ---
+
+    async def run(self, on_ready: Callable[[], None] = lambda: None) -> Report:
+        """Start everything, play the day, end everything, and judge. Nothing stays behind."""
+        try:
+            await self.start()
+            on_ready()
+            await self.play()
+            await self.finish()
+        finally:
+            self.close()
+        return self.report()
+
+    async def start(self) -> None:
+        for number, name in enumerate(self.scenario.server_names()):
+            server = self.machines.add_server(name, ZONES[number % len(ZONES)])
+            self.facts.append(Started(now_us(), server.name, float(self.spec.cores), 1.0, self.spec.warm_us))
+        await self.network.start(self.host)
+        for door in self.doors:
+            agent = self.machines.agents[door.name]
+            await agent.learn(list(self.machines.registry.entries.values()))
+            discovery = await agent.start(self.host)
+            door.write_config(
+                name=door.name, listen="{}:{}".format(*door.address),
+                discovery="{}:{}".format(*discovery), limits={"cores": 1.0, "memory_mb": MEMORY_MB,
+                                                              "sockets": SOCKETS},
+                peer_listen="{}:{}".format(*door.peer_address),
+                peers=["{}:{}".format(*address) for address in self.network.peers_of(door.number)],
+                settings=settings(door.number, len(self.doors), self.spec),
+            )
+            door.write_config(seed=f"{self.randoms['faults'].getrandbits(64):016x}", known=agent.known())
+            door.start()
+        await asyncio.gather(*(door.ready() for door in self.doors))
+        self.heart.start()
+
+    async def play(self) -> None:
+        span_us = round(self.scenario.seconds * S)
+        load = self.scenario.load
+        spec = LoadSpec(load.rate, load.customers, load.greedy, impatient=load.impatient,
+                        set_doors=load.set_doors)
+        random = self.randoms["load"]
+        everyone: list[Customer] = customers(spec, len(self.doors), random)
+        day = arrivals(spec, everyone, span_us, random)
+        self.start_us = now_us() + 50_000
+        self.faults.begin(list(expand(self.scenario, self.randoms["faults"])), self.start_us)
+        await self.clients.run(day, self.start_us)
+
+    async def finish(self) -> None:
+        """End what faults have begun, then the front doors, in order."""
+        self.jobs.cancel()
+        self.faults.end_crowds()
+        for pool in self.pools:
+            pool.close()
+        for door in self.doors:
+            door.usage()  # the last look at what it takes
+        await asyncio.gather(*(door.finish() for door in self.doors))
+        self.heart.stop()
+
+    def close(self) -> None:
+        """Let go of everything; also after a fault of the rig's."""
+        self.heart.stop()
+        self.jobs.cancel()
+        self.clients.cancel()
+        for pool in self.pools:
+            pool.close()
+        for door in self.doors:
+            door.close()
+        self.machines.close()
+        self.network.close()
+
+    # --- what it was like ---
+
+    def door_report(self, door: Door) -> DoorReport:
+        pool = self.pools[door.number]
+        cpu_s, memory = door.usage()
+        count = pool.count
+        return DoorReport(
+            door.name, count.served, count.refused, count.failed, count.lost, count.open,
+            quantile(pool.took_us, 0.5), quantile(pool.took_us, 0.99), round(cpu_s, 2),
+            round(memory / (1 << 20), 1), door.starts, door.tracebacks, door.state,
+        )
+
+    def report(self) -> Report:
+        mail = self.network.mail
+        if mail.oversized:  # the protocol's bound: one of these voids a run
+            text = f"{mail.oversized} datagrams of more than {MOST_BYTES} bytes were sent"
+            self.facts.append(Extra(now_us(), "front doors", text))
+        auditor = Auditor(figures(self.spec))
+        auditor.feed(self.facts)
+        ledger = auditor.judge()
+        doors = [self.door_report(door) for door in self.doors]
+        for door in doors:
+            counts = ledger.by_door[door.name]
+            door.served, door.refused = counts[Outcome.SERVED], counts[Outcome.REFUSED]
+            door.failed, door.lost = counts[Outcome.FAILED], counts[Outcome.LOST_TO_KILL]
+        return Report(self.scenario.name, self.seed, self.scenario.seconds, ledger, doors,
+                      self.jobs.trouble + self.clients.trouble, mail.lost, mail.delivered)
--- a/sim/world.py
+++ b/sim/world.py
@@ -24,7 +24,8 @@
 from rig.facts import DoorDown, Down, Fact
 from rig.member import MemberSpec
 from rig.sockets import free_datagram_port, reserve
-from rig.world import Report, World
+from rig.world.report import Report
+from rig.world.world import World
 from sim.loop import NODE, SPIN_S, Node, SimLoop, SpinWatch
 from sim.network import Network, Spec
 from sim.seam import simulated
--- a/tests/rig/test_demo.py
+++ b/tests/rig/test_demo.py
@@ -6,7 +6,8 @@
 from rig.facts import Left
 from rig.mail import Datagram
 from rig.table import ledger_lines
-from rig.world import DoorReport, Report, World, quantile
+from rig.world.report import DoorReport, Report, quantile
+from rig.world.world import World
 
 
 def report(ledger: Ledger, *trouble: str) -> Report:
--- a/tests/rig/test_orders.py
+++ b/tests/rig/test_orders.py
@@ -14,7 +14,7 @@
 from molereach.fleet.campaign.report import AgentWord, DoorWord, Report, Verdict
 from rig.fleet import FleetRig
 from rig.orders import Trial, carried_out, kill_at, scenario, wrong_words
-from rig.world import World
+from rig.world.world import World
 
 ROOT = Path(__file__).parents[2]
 
--- a/tests/rig/test_world.py
+++ b/tests/rig/test_world.py
@@ -23,7 +23,8 @@
 from rig.doors import FRONT_DOOR
 from rig.facts import Fact, Listed, Told
 from rig.registry import Registry
-from rig.world import Report, World
+from rig.world.report import Report
+from rig.world.world import World
 
 ROOT = Path(__file__).parents[2]
 SEEDS = (1,)  # more of them in virtual time, and in `benchmarks scenarios`
