--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -15,7 +15,7 @@
 from benchmarks.door import Instant, Loop, cost, start_door
 from benchmarks.result import Result
 from molereach.fleet.agent.link import Link
-from molereach.fleet.campaign import Verdict
+from molereach.fleet.campaign.report import Verdict
 from molereach.fleet.cli.client import CallError, Fleet
 from molereach.fleet.orders import Verb
 from molereach.fleet.settings import FleetFile, load
@@ -25,7 +25,7 @@
 from rig.fleet import FleetRig
 from rig.orders import STEPS, Trial, draft, give, kill_at, scenario
 from rig.sockets import Listener, own_host, reserve
-from rig.world import World
+from rig.world.world import World
 
 TRIALS, QUICK_TRIALS, TRIALS_AT_ONCE = 20, 1, 1  # one after another: the rig judges times
 ORDERS, QUICK_ORDERS = 60, 8
--- a/tests/rig/test_demo.py
+++ b/tests/rig/test_demo.py
@@ -1,12 +1,13 @@
 """What the demo says of a day, and its exit codes."""
 
 from rig import scenario_files as sc
-from rig.audit import Broken, Ledger, Outcome, Rule
+from rig.audit.ledger import Broken, Ledger, Outcome, Rule
 from rig.demo import BROKEN, DONE, NO_VERDICT, exit_code
 from rig.facts import Left
 from rig.mail import Datagram
 from rig.table import ledger_lines
-from rig.world import DoorReport, Report, World, quantile
+from rig.world.report import DoorReport, Report, quantile
+from rig.world.world import World
 
 
 def report(ledger: Ledger, *trouble: str) -> Report:
--- a/tests/rig/test_world.py
+++ b/tests/rig/test_world.py
@@ -18,12 +18,13 @@
 
 from rig import scenario as sc
 from rig import scenario_files
-from rig.audit import Outcome, Rule
+from rig.audit.ledger import Outcome, Rule
 from rig.discovery import Agent
 from rig.doors import FRONT_DOOR
 from rig.facts import Fact, Listed, Told
 from rig.registry import Registry
-from rig.world import Report, World
+from rig.world.report import Report
+from rig.world.world import World
 
 ROOT = Path(__file__).parents[2]
 SEEDS = (1,)  # more of them in virtual time, and in `benchmarks scenarios`
