Simulation: the network is a package by what owns which state; nothing behaves otherwise

Now: way (all chance of the network), kernel (ports, descriptors and their bound), endpoint, transport, listener, tcp, udp, modules (in place of `socket` and `select`), and network, what the loop and the seam ask of all that.

--- a/sim/seam.py
+++ b/sim/seam.py
@@ -17,7 +17,7 @@
 from typing import Any, NoReturn
 
 from sim.loop import SimLoop
-from sim.network import Network
+from sim.network.network import Network
 
 DESCRIPTORS = 1 << 16
 GUARDED: tuple[tuple[object, str, str], ...] = (
--- a/sim/world.py
+++ b/sim/world.py
@@ -27,7 +27,8 @@
 from rig.world.report import Report
 from rig.world.world import World
 from sim.loop import NODE, SPIN_S, Node, SimLoop, SpinWatch
-from sim.network import Network, Spec
+from sim.network.network import Network
+from sim.network.way import Spec
 from sim.seam import simulated
 
 STARTS_US = 250_000  # from the start of a process to its first line of code
--- a/tests/sim/test_loop.py
+++ b/tests/sim/test_loop.py
@@ -14,7 +14,7 @@
 from sim import loop as module
 from sim import world
 from sim.loop import START_US, SimLoop, SimulationError, node_here
-from sim.network import Network
+from sim.network.network import Network
 from sim.seam import simulated
 
 S = 1_000_000
--- a/tests/sim/test_loopback.py
+++ b/tests/sim/test_loopback.py
@@ -11,7 +11,7 @@
 
 import tests.sockets
 from sim.loop import SimLoop
-from sim.network import Network
+from sim.network.network import Network
 from sim.seam import simulated
 from tests.backends import test_pools
 from tests.clients import test_resp
--- a/tests/sim/test_network.py
+++ b/tests/sim/test_network.py
@@ -13,7 +13,10 @@
 
 from molereach.resp import has_unread
 from sim.loop import SimLoop
-from sim.network import FIRST_PORT, LAST_PORT, WINDOW_BYTES, Network, Spec
+from sim.network.endpoint import WINDOW_BYTES
+from sim.network.kernel import FIRST_PORT, LAST_PORT
+from sim.network.network import Network
+from sim.network.way import Spec
 from sim.seam import simulated
 
 HOST = "127.0.0.1"
