--- a/tests/limits/test_replacement.py
+++ b/tests/limits/test_replacement.py
@@ -15,9 +15,11 @@
 from molereach.__main__ import serve
 from molereach.door.config import Config
 from rig import scenario as sc
-from rig import workload, world
+from rig import workload
 from rig.audit.ledger import Ledger
 from rig.doors import FRONT_DOOR, Door
+from rig.world import settings
+from rig.world.world import World
 from sim.loop import NODE
 from sim.world import DOORS, play, serve_with_limits
 
@@ -35,7 +37,7 @@
 
 @pytest.fixture(autouse=True)
 def plans(monkeypatch: pytest.MonkeyPatch) -> None:
-    for module in (workload, world):
+    for module in (workload, settings):
         monkeypatch.setattr(module, "PLANS", (*workload.PLANS[:2], BULK))
 
 
@@ -78,7 +80,7 @@
             super().start()
 
     async def day() -> Any:  # noqa: ANN401
-        one = world.World(replace(DAY, doors=3, fault=(
+        one = World(replace(DAY, doors=3, fault=(
             sc.Mail(at=0.1, lasts=9.0, loss=0.3), sc.End(at=1.0, door=sc.ANY, part=1.0, steps=3, over=6.0,
                                                         back_after=0.3),
         )), 4, door_type=Replaced)
