One quantile for all benchmarks, and one pair of bounds for keys

Cause: reading the change again, benchmarks/council.py had written fleet's quantile anew, to the letter, and links/service.py the bounds of keyfile.py. Change: result.quantile and keyfile's bounds are used by both. Measured: 29 tests of benchmarks and links pass, mypy over 374 files, 12 contracts kept; no behaviour.

--- a/benchmarks/council.py
+++ b/benchmarks/council.py
@@ -20,7 +20,7 @@
 import uvloop
 
 from benchmarks.door import DOOR, Instant, Loop, cost, finish, start_door
-from benchmarks.result import Result
+from benchmarks.result import Result, quantile
 from rig.council.tier import Tier
 from rig.sockets import Listener, own_host
 from sim.council import CouncilHistory
@@ -51,11 +51,6 @@
 }
 
 
-def quantile(values: list[float], part: float) -> float:
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
-
-
 # --- processes ---
 
 
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -13,7 +13,7 @@
 import uvloop
 
 from benchmarks.door import Instant, Loop, cost, start_door
-from benchmarks.result import Result
+from benchmarks.result import Result, quantile
 from molereach.fleet.agent.link import Link
 from molereach.fleet.campaign.report import Verdict
 from molereach.fleet.cli.client import CallError, Fleet
@@ -38,11 +38,6 @@
 SERVERS = 50
 
 
-def quantile(values: list[float], part: float) -> float:
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
-
-
 async def trials(count: int, seed: int, say: Callable[[str], None]) -> list[Trial]:
     """A front door killed at each step in turn, with load; some side by side."""
     places, done = asyncio.Semaphore(TRIALS_AT_ONCE), []
--- a/benchmarks/result.py
+++ b/benchmarks/result.py
@@ -5,6 +5,12 @@
 from dataclasses import dataclass, field
 
 
+def quantile(values: list[float], part: float) -> float:
+    """The value below which that part of them lies."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
+
+
 @dataclass(slots=True)
 class Result:
     """Figures against aims. An aim is the least that a figure of its name must be, or the most where its name
--- a/molereach/council/links/service.py
+++ b/molereach/council/links/service.py
@@ -14,10 +14,10 @@
 from molereach.council.links.settings import LinkSettings
 from molereach.council.links.stats import LinksStats
 from molereach.council.links.words import Words
+from molereach.keyfile import LEAST_KEY_BYTES, MOST_KEY_BYTES
 
 log = logging.getLogger(__name__)
 
-LEAST_KEY_BYTES, MOST_KEY_BYTES = 16, 64
 BACKLOG = 128  # all front doors dial one that is back; past it a dial waits for seconds and not for a refusal
 
 
