--- /dev/null
+++ b/tests/council/links/test_room.py
@@ -0,0 +1,275 @@
+"""Links under load and at their bounds: floods, dead peers, idle links, places and ends."""
+
+import asyncio
+import socket
+
+from molereach.council.interface import Life, Say
+from molereach.council.links.board import BEATS_AT_ONCE, DIALS_AT_ONCE
+from molereach.council.links.budget import MOST_STEPS
+from molereach.council.links.queue import DOWN_ROOM
+from molereach.council.links.settings import LinkSettings
+from molereach.council.links.words import Bye
+from rig.council.relay import Relay
+from tests.council.links.doors import BY_HAND, HOST, PARTS, Door, Other, Raw, State, Word, doors, spin
+from tests.sockets import run
+
+
+def test_a_message_that_is_not_understood_costs_the_link_which_is_dialled_again() -> None:
+    async def job() -> None:
+        a, b = await doors("a", "b")
+        strange = Door("c", a.book, parts={**PARTS, "log": Word | Other})
+        await strange.start()
+        a.say("b", 1)
+        await b.until_heard(1)
+        strange.links.say("log", Say("b", Other(1)))
+        await strange.until(lambda: strange.ups() == 2)
+        strange.say("b", 2)
+        a.say("b", 3)
+        await b.until_heard(2, 3)
+        assert b.events[0] == "up a 1" and b.downs() == 1 and a.downs() == 0
+        assert "not understood" in b.events[2]
+
+    run(job())
+
+
+def test_an_exception_over_a_message_or_an_event_costs_nothing_else() -> None:
+    async def job() -> None:
+        a, b = await doors("a", "b")
+        b.fail = {2}
+
+        def up(life: Life) -> None:
+            b.on_up(life)
+            raise RuntimeError("as the test wants")
+
+        b.links.board.up = up
+        for number in range(5):
+            a.say("b", number)
+        await b.until_heard(4)
+        assert b.numbers == [0, 1, 2, 3, 4] and b.links.stats().failed == 1 and not a.downs()
+
+    run(job())
+
+
+def test_a_flood_is_taken_in_pieces_with_other_work_between_and_read_no_faster() -> None:
+    async def job() -> None:
+        (b,) = await doors("b")
+        b.book["c"] = (HOST, 1)
+        raw = await Raw(Life("c", 1), "b").dial(b.book["b"])
+        await b.until(b.ups)
+        between, waiting = [], []
+
+        def probe() -> None:
+            between.append(len(b.heard) - sum(between))
+            waiting.append(sum(len(link.cutter.buffer) for link in b.links.board.links))
+            if len(b.heard) < 5000:
+                loop.call_soon(probe)
+            else:
+                b.changed.set()
+
+        loop = asyncio.get_running_loop()
+        loop.call_soon(probe)
+        raw.writer.write(b"".join(raw.sealed(number, "x" * 1000) for number in range(5000)))
+        await b.until(lambda: len(b.heard) == 5000)
+        await spin(lambda: sum(between) == 5000)
+        assert b.numbers == list(range(5000))
+        assert 0 < max(between) <= MOST_STEPS
+        assert max(waiting) <= BY_HAND.most_unhandled_bytes + (256 << 10)  # and what the loop reads at once
+
+    run(job())
+
+
+def test_10000_messages_for_a_dead_peer_stay_within_bounds_and_the_last_ones_reach_it_when_it_lives() -> None:
+    async def job() -> None:
+        a, c = await doors("a", "c")
+        with socket.create_server((HOST, 0)) as taken:
+            a.book["b"] = a.book["d"] = taken.getsockname()[:2]
+        b = Door("b", a.book)
+        for number in range(10_000):
+            a.say("b", number, "x" * 100, part="hint")
+            a.links.say("log", Say("b", State(number)))
+            a.say("d", number, "x" * 100)
+            assert a.links.board.peers["b"].outbox.size <= 1 << 16
+            assert len(a.links.board.peers["d"].outbox) <= 256
+        a.say("c", 1)
+        await c.until_heard(1)
+        stats = a.links.stats().peers["b"]
+        assert stats.queued == 101 and stats.dropped == 9_900
+        await spin(lambda: a.links.stats().peers["d"].failures)
+        assert a.links.stats().peers["d"].queued == DOWN_ROOM.messages
+        await b.start()
+        await b.until_heard(9_999)
+        await b.until(lambda: len(b.heard) == 101)
+        assert b.numbers[:2] == [9_900, 9_901] and b.heard[-1] == State(9_999)
+
+    run(job())
+
+
+def test_a_peer_that_failed_has_less_room_until_it_is_up_and_is_dialled_for_what_is_too_large() -> None:
+    async def job() -> None:
+        a, b = await doors("a", "b")
+        there = a.book["b"]
+        with socket.create_server((HOST, 0)) as taken:
+            a.book["b"] = taken.getsockname()[:2]
+        a.say("b", 1, "x" * 900_000)
+        await spin(lambda: a.links.stats().peers["b"].failures)
+        assert a.links.stats().peers["b"].queued == 0
+        relay = Relay(there)
+        a.book["b"] = await relay.start()
+        a.say("b", 2, "x" * 900_000)
+        await a.until(a.ups)
+        a.say("b", 3, "x" * 900_000)
+        relay.stall("to")
+        link = a.links.board.peers["b"].link
+        while link and not link.paused:
+            a.say("b", 0, "x" * 10_000, part="hint")
+        for number in range(4, 24):
+            a.say("b", number, "x" * 60_000)  # more than would wait for one that failed
+        relay.pass_()
+        await b.until_heard(23)
+        assert [number for number in b.numbers if number] == list(range(3, 24))
+        await relay.close()
+
+    run(job())
+
+
+def test_a_link_with_nothing_to_say_closes_in_order_and_takes_what_was_said_meanwhile() -> None:
+    async def job() -> None:
+        a, b = await doors("a", "b", settings=LinkSettings(beat_s=3600, most_idle=3))
+        a.say("b", 1)
+        await b.until_heard(1)
+        b.links.board.beat()  # acknowledges
+        await spin(lambda: a.links.board.peers["b"].link and a.links.board.peers["b"].link.pulse.acked)
+        for _ in range(4):
+            a.links.board.beat()
+        assert a.events[-1] == "down b: nothing to say"
+        b.say("a", 2)  # b has not heard of it
+        await b.until(b.downs)
+        assert b.events[-1] == "down a: left: nothing to say"
+        await a.until_heard(2)
+        await spin(lambda: not a.links.board.links and not b.links.board.links)
+        a.say("b", 3)
+        await b.until_heard(3)
+        assert a.numbers == [2] and b.numbers == [1, 3]
+
+    run(job())
+
+
+def test_unproven_connections_are_few_of_each_source_and_have_little_time() -> None:
+    async def job() -> None:
+        settings = LinkSettings(beat_s=3600, hello_s=0.1, most_unproven_of_source=2)
+        a, b = await doors("a", "b", settings=settings)
+        raws = [await Raw(Life("b", 1), "a").connect(a.book["a"]) for _ in range(3)]
+        assert not await raws[2].frame()  # turned away at once
+        assert a.links.stats().unproven == 2
+        for raw in raws[:2]:
+            assert await raw.frame() and not await raw.frame()  # greeted, and ended by time
+        assert a.links.stats().unproven == 0
+        b.say("a", 1)
+        await a.until_heard(1)
+
+    run(job())
+
+
+def test_of_links_that_others_dialled_the_one_least_used_gives_way() -> None:
+    async def job() -> None:
+        (a,) = await doors("a", settings=LinkSettings(beat_s=3600, most_accepted=2))
+        a.book.update({name: (HOST, 1) for name in "cde"})
+        c, d = [await Raw(Life(name, 1), "a").dial(a.book["a"]) for name in "cd"]
+        await a.until(lambda: a.ups() == 2)
+        a.links.board.beat()
+        c.writer.write(c.sealed(1))
+        await a.until_heard(1)
+        a.links.board.beat()
+        e = await Raw(Life("e", 1), "a").dial(a.book["a"])
+        assert await d.read() == Bye("room for another")
+        a.say("c", 2)
+        a.say("e", 3)
+        assert await e.read() == Word(3) and a.links.stats().accepted == 2
+
+    run(job())
+
+
+def test_beats_and_dials_of_many_are_spread_over_turns_of_the_loop() -> None:
+    async def job() -> None:
+        settings = LinkSettings(beat_s=3600, most_unproven=99, most_unproven_of_source=99)
+        (a,) = await doors("a", settings=settings)
+        names = [f"n{number}" for number in range(BEATS_AT_ONCE + 4)]
+        a.book.update({name: (HOST, 1) for name in names})
+        raws = [await Raw(Life(name, 1), "a").dial(a.book["a"]) for name in names]
+        beaten = lambda: sum(link.pulse.idle > 0 for link in a.links.board.links)  # noqa: E731
+        await a.until(lambda: a.ups() == len(names))
+        a.links.board.beat()
+        a.links.board.beat()
+        assert beaten() == BEATS_AT_ONCE
+        await spin(lambda: beaten() == len(names))
+        for raw in raws:
+            raw.drop()
+        await a.until(lambda: a.downs() == len(names))
+        relay = Relay(a.book["a"])
+        relay.hold()
+        a.book.update(dict.fromkeys(names, await relay.start()))
+        peers = [a.links.board.peers[name] for name in names]
+        for peer in peers:
+            peer.close()  # ends the wait for another dial
+            peer.retry.at_us = 0
+            a.say(peer.name, 1)
+        assert all(peer.dialling for peer in peers)
+        await asyncio.sleep(0)
+        assert sum(peer.task is not None for peer in peers) == DIALS_AT_ONCE
+        await relay.until(lambda: len(relay.connections) == len(names))
+        a.links.close()
+        await spin(lambda: not a.links.board.links)
+        await relay.close()
+
+    run(job())
+
+
+def test_a_dial_that_was_given_up_does_not_leave_its_connection() -> None:
+    async def job() -> None:
+        a, b = await doors("a", "b")
+        a.say("b", 1)
+        link = a.links.board.peers["b"].dialling
+        assert link
+        link.lose("given up")
+        transport, _ = await asyncio.get_running_loop().create_connection(lambda: link, *a.book["b"])
+        assert transport.is_closing() and not a.links.board.links
+        await b.until_heard(1)  # by another
+
+    run(job())
+
+
+def test_who_does_not_close_or_read_when_a_link_ends_is_cut() -> None:
+    async def job() -> None:
+        settings = LinkSettings(beat_s=3600, hello_s=0.1, most_idle=2)
+        (a,) = await doors("a", settings=settings)
+        a.book["c"] = (HOST, 1)
+        raw = await Raw(Life("c", 1), "a").dial(a.book["a"])
+        await a.until(a.ups)
+        for _ in range(3):
+            a.links.board.beat()
+        assert await raw.read() == Bye("nothing to say") and a.links.board.links
+        for _ in range(2):
+            a.links.board.beat()
+        assert not await raw.frame()
+        raw = await Raw(Life("c", 1), "a").dial(a.book["a"])
+        await a.until(lambda: a.ups() == 2)
+        for number in range(3000):
+            a.say("c", number, "x" * 10_000)
+        a.links.close()
+        await spin(lambda: not a.links.board.links)
+
+    run(job())
+
+
+def test_a_front_door_that_is_forgotten_has_no_link_and_nothing_waiting() -> None:
+    async def job() -> None:
+        a, b = await doors("a", "b")
+        a.say("b", 1)
+        await b.until_heard(1)
+        a.links.forget("b")
+        del a.book["b"]
+        await b.until(b.downs)
+        a.say("b", 2)
+        assert a.links.stats().unsaid == 1 and not a.links.stats().peers
+
+    run(job())
