Upkeep's test world: who plays in it stands in a module of its own

Change: cores, servers, sessions and front doors of the histories are in players.py; no test was changed.

--- a/tests/upkeep/world.py
+++ b/tests/upkeep/world.py
@@ -8,7 +8,6 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from molereach.council.interface import (
     Applied,
@@ -29,90 +28,30 @@
 from molereach.council.leases.bodies import Open
 from molereach.council.leases.bodies import encode as encode_session
 from molereach.council.leases.sessions import Past
-from molereach.upkeep.door import Began, DoorSide, Ended
+from molereach.upkeep.door import Began, Ended
 from molereach.upkeep.driver import Driver
 from molereach.upkeep.permits.accounting import Accounting
 from molereach.upkeep.permits.bodies import Ask, Move, Out, Word, decode, encode
-from molereach.upkeep.permits.machine import Upkeep
 from molereach.upkeep.permits.proof import needed
 from molereach.upkeep.permits.record import Record
 from molereach.upkeep.permits.telling import Measured
 from molereach.upkeep.permits.way import GONE, LEAVING, UNSENDABLE, State, Step
 from molereach.upkeep.requests.work import Work
 from molereach.upkeep.rules.facts import Facts
-from molereach.upkeep.rules.settings import UpkeepSettings
 from tests.upkeep.logged import LoneSessions
 from tests.upkeep.made import NOON_MS, server, work
+from tests.upkeep.players import REAL, SETTINGS, STEP_US, BrokenError, Cores, Door, Held, Server
 
-STEP_US = 5 * S
 TURN_US = S // 100
 TERMS = Terms(15 * S, 0.01)
-SETTINGS = UpkeepSettings(
-    most_out=2, most_out_cell=2, most_out_zone=2, least_ready_cell=3, least_ready_zone=2, target=1000,
-    least_in_set=0, fresh_ms=25_000, drain_ms=20_000, warming_ms=30_000, closing_ms=60_000, most_passed=2,
-    slack_ms=60_000, lost_ms=120_000, alone_ms=50_000, flight_ms=15_000)
 NAMES = ("a", "b", "c")
 SERVERS = tuple(f"s{number}" for number in range(5))
 
 
-class BrokenError(AssertionError):
-    """What must never be, was."""
-
-
-@dataclass(frozen=True)
-class Cores:
-    """What a world is made of; a mutation changes one."""
-
-    machine: type[Upkeep] = Upkeep
-    door: type[DoorSide] = DoorSide
-    settings: UpkeepSettings = SETTINGS
-
-
-@dataclass(eq=False)
-class Server:
-    """One member's server, and what its journal says."""
-
-    ready: bool = True
-    warmth: int = 1000
-    back_at: int = 0  # the step at which it is there again; 0 for there or never
-    flying: list[tuple[int, "Door"]] = field(default_factory=list)  # until which step, from whom
-
-
-class Held:
-    """A front door's session, by its own clock."""
-
-    def __init__(self) -> None:
-        self.until_us, self.fence, self.applied = 0, 0, 0
-
-    def holds(self, now_us: int) -> bool:
-        return now_us < self.until_us
-
-
-@dataclass(eq=False)
-class Door:
-    """One run of one front door."""
-
-    life: Life
-    rate: float
-    sessions: LoneSessions
-    machine: Upkeep
-    held: Held
-    side: DoorSide
-    driver: Driver
-    learnt: int = 0
-    stopped: int = 0  # until this step
-    cut: int = 0
-    waiting: list[ProposalOver] = field(default_factory=list)
-    given_us: int = 0  # when its session was renewed, in true time
-
-    def now_us(self, step: int) -> int:
-        return int(step * STEP_US * self.rate)
-
-
 class World:
     """Moved on by `step`; `calm` ends all trouble."""
 
-    def __init__(self, seed: int, cores: Cores = Cores()) -> None:
+    def __init__(self, seed: int, cores: Cores = REAL) -> None:
         self.chance, self.cores = random.Random(seed), cores
         self.now = 1
         self.order: list[Entry] = []
@@ -446,7 +385,7 @@
 MOST_CALM_STEPS = 400
 
 
-def history(seed: int, cores: Cores = Cores(), steps: int = 90) -> World:
+def history(seed: int, cores: Cores = REAL, steps: int = 90) -> World:
     """Run one; its world at the end, where all works are over."""
     world = World(seed, cores)
     asked = works(world.chance)
