Lists are cut by their braces, and an answer with no length ends with its stream

Seen by tests: a list indented over several lines was dropped as lines that are no JSON, in a watch and whole; an answer with neither length nor chunks that ended cleanly lost what had come without a line's end, as h11 was never told of the stream's end. News that whoever takes them failed on raised the version all the same, and were never asked for again. Ruled out: a reset or a cut within a chunk, a length or an object never gave half an object; each was dropped and asked for again, and still is. Lines at fault: WatchConnection.take split at newlines; it had no eof_received; Source.line set the version first. The change: a core cuts the stream by braces outside of strings, each byte looked at once, within bounds of size and levels; it tells at once of what can never be an object. Tests: test_indented_lists..., test_answer_with_no_length_that_ends_cleanly... and test_news_that_nobody... fail without the change and pass with it; the others hold what held already.

--- a/molereach/door/source.py
+++ b/molereach/door/source.py
@@ -31,15 +31,15 @@
         self.retiring = self.closed = False
         self.connection: WatchConnection | None = None
 
-    def line(self, line: bytes) -> None:
-        """A whole line. Where it fails, the version stays, and the next watch brings it again."""
-        if self.closed:  # what is still in the pipe must not undo what a newer source has told
+    def word(self, word: bytes) -> None:
+        """A whole object. Where it fails, the version stays, and the next watch brings it again."""
+        if self.closed or not word:  # what is still in the pipe must not undo what a newer source has told
             return
         kind = i.ListKind.FULL if self.version is None else None
-        news = self.catalog.news(json.loads(line), kind)
-        self.version = news.event.version
+        news = self.catalog.news(json.loads(word), kind)
         self.pacing.heard()
         self.heard(self, news)
+        self.version = news.event.version
 
     async def run(self) -> None:
         if self.version:
@@ -61,14 +61,20 @@
     async def read(self, target: str) -> None:
         """One answer, until it ends or has been silent for too long."""
         host, port = self.address
+        heard_s = time.monotonic()
+
+        def beat(_: bool) -> None:
+            nonlocal heard_s
+            heard_s = time.monotonic()
+
         async with asyncio.timeout(CONNECT_S):
             _, connection = await asyncio.get_running_loop().create_connection(
-                lambda: WatchConnection(target, f"{host}:{port}", self.line), host, port
+                lambda: WatchConnection(target, f"{host}:{port}", self.word, beat), host, port
             )
         self.connection = connection
         try:
             while not connection.ended.done():
-                left = connection.heard + SILENT_S - time.monotonic()
+                left = heard_s + SILENT_S - time.monotonic()
                 if left <= 0:
                     log.warning("the watch on discovery is silent")
                     return
