A server that drains is heard of whatever else its entry says

Seen by tests: an entry that said DRAINING with an address, a cell or a number that could not be read was passed over whole, so the server went on being sent new work; an infinite cell ended the call, and the list came never. Ruled out: weights, start times, zones and kinds of no sense said nothing already. Lines at fault: Catalog.news dropped an entry for its address in any state but DELETED; Catalog.server took the cell as it came and made a name of whatever stood there. The change: only a server that is to get work needs an address; the cell is read as the other numbers are; an entry with no name is passed over.

--- a/molereach/door/catalog.py
+++ b/molereach/door/catalog.py
@@ -16,7 +16,10 @@
     "DRAINING": i.ServerState.DRAINING,
     "DELETED": i.ServerState.GONE,
 }
+# What an entry that makes no sense runs into.
+SENSELESS = (KeyError, TypeError, ValueError, AttributeError, ArithmeticError, ConfigError)
 MOST_WEIGHT = 1e6
+MOST_CELL = 1e9
 MOST_TIME_MS = 1e14  # some thousands of years
 
 
@@ -48,29 +51,43 @@
         return float(value) if known else 0.0
 
     def server(self, entry: Mapping[str, Any]) -> i.Server:
+        name = entry["instanceId"]
+        if not isinstance(name, str) or not name:
+            raise ValueError("no name")
         return i.Server(
-            name=str(entry["instanceId"]),
+            name=name,
             zone=self.zones.get(str(entry.get("zone")), -1),
             kind=self.kinds.get(str(entry.get("machineType")), -1),
-            cell=int(entry.get("cell") or 0),
+            cell=int(self.number(entry, "cell", MOST_CELL)),
             # In a state that we do not know it is not said to serve: nothing new goes there.
             state=STATES.get(str(entry.get("lifecycle")), i.ServerState.DRAINING),
             size=self.number(entry, "weight", MOST_WEIGHT) or 1.0,
             started_us=self.started_us(self.number(entry, "startedAtMs", MOST_TIME_MS)),
         )
 
+    @staticmethod
+    def address(entry: Mapping[str, Any], state: i.ServerState) -> Address | None:
+        """One that is to get nothing new must be heard of in any case, and needs no address for that."""
+        try:
+            return read_address(entry["hostPort"]) if state is not i.ServerState.GONE else None
+        except SENSELESS:
+            if state is i.ServerState.UP:
+                raise
+            return None
+
     def news(self, value: Mapping[str, Any], kind: i.ListKind | None = None) -> News:
         """A list or changes to it; an entry that makes no sense is passed over."""
         kind = kind or (i.ListKind.FULL if value.get("reset") else i.ListKind.CHANGES)
-        servers, addresses = [], {}
+        servers: list[i.Server] = []
+        addresses: dict[str, Address] = {}
         for entry in value["instances"]:
             try:
                 server = self.server(entry)
-                # One that is gone needs no address, and must be heard of in any case.
-                if server.state is not i.ServerState.GONE:
-                    addresses[server.name] = read_address(entry["hostPort"])
-            except (KeyError, TypeError, ValueError, AttributeError, ConfigError) as error:
-                log.error("passed over an entry of the list: %.200r: %s", entry, error)
+                address = self.address(entry, server.state)
+            except SENSELESS as error:
+                log.error("passed over an entry of the list: %.200r: %.200s", entry, error)
                 continue
             servers.append(server)
+            if address:
+                addresses[server.name] = address
         return News(i.ServerList(kind, int(value["generation"]), tuple(servers)), addresses)
