--- a/molereach/door/catalog.py
+++ b/molereach/door/catalog.py
@@ -71,7 +71,7 @@
         try:
             return read_address(entry["hostPort"]) if state is not i.ServerState.GONE else None
         except SENSELESS:
-            if state is i.ServerState.UP:
+            if state is i.ServerState.UP or "lifecycle" not in entry:
                 raise
             return None
 
