--- a/molereach/door/frontdoor.py
+++ b/molereach/door/frontdoor.py
@@ -23,6 +23,7 @@
 from molereach.door.calls import CallPacing
 from molereach.door.config import Address, Config
 from molereach.door.discovery import Catalog, Discovery, News
+from molereach.door.draining import drain
 from molereach.door.ending import Ending
 from molereach.door.peers import Peers
 
@@ -33,8 +34,6 @@
 BACKSTOP_US = 15_000  # how much later than the module a request is ended here, should it not do so
 FIRST_LIST_S = 0.3  # how long the start waits for a list that is newer than the known one
 RING_AGAIN_US = 20_000  # how soon a timer comes again on which the module failed
-ENDING_LOOK_S = 0.05  # between two looks at whether it is time to let clients go
-LAST_WRITES_S = 1.0  # how long clients may take to read their last answers, or to ask at last
 CALLS_SEED = 0x5CA11  # the chance of calls is not that of the module
 BYES = 2  # last words to each peer, as they may be lost
 SPARE_SOCKETS = 32  # for listening, discovery, peers, the loop and log
@@ -139,13 +138,7 @@
     async def drain(self) -> None:
         """Take and answer what comes while there is time for it, then close what is idle, and answer all."""
         self.ending = Ending(now_us(), (rule.deadline_us for rule in self.settings.classes))
-        while not self.ending.over(now_us()):
-            await asyncio.sleep(ENDING_LOOK_S)
-        self.clients.drain()
-        while not await self.clients.left(LAST_WRITES_S):
-            if not self.open:  # a request may still come on a connection that has had none
-                log.warning("%d clients stay without a request", len(self.clients.connections))
-                break
+        await drain(self.ending, self.clients, self.open)
         for peer, word in self.gateway.limits.bye() * BYES if self.gateway.limits else ():
             self.peers.tell(i.Tell(peer, (word,)))
         for end in self.last:
--- a/tests/door/test_frontdoor.py
+++ b/tests/door/test_frontdoor.py
@@ -10,7 +10,7 @@
 
 from fennelwinch import interface as i
 from molereach.clock import now_us
-from molereach.door import ending, frontdoor
+from molereach.door import draining, ending
 from molereach.door.frontdoor import FrontDoor
 from tests.sockets import (
     CONFIG,
@@ -283,7 +283,7 @@
 def test_drain_waits_for_a_request_that_comes_at_last(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(ending, "SETTLE_US", 0)
     monkeypatch.setattr(ending, "QUIET_US", 0)
-    monkeypatch.setattr(frontdoor, "LAST_WRITES_S", 0.1)
+    monkeypatch.setattr(draining, "LAST_WRITES_S", 0.1)
 
     async def job() -> None:
         backend = Backend(lambda words: None)
