What is open when SIGTERM comes is answered before the kill too

Cause: Ending.take bounded the requests taken after SIGTERM, and nothing bounded those taken before. Where a client waits longer than the longest deadline that counts (3 s), or for up to twice its class's deadline, its request stayed open past the kill and was lost: on a backend that hangs until the client's own time was over, held until the module gave it up. Ruled out: the module's own end, which goes by the time told with the request. FrontDoor.hurry shortens what is open to Ending.answers_by_us; a last attempt's time-out follows from that.

Both new tests fail without the call (answered after 6 s and more) and pass with it.

--- a/molereach/door/frontdoor.py
+++ b/molereach/door/frontdoor.py
@@ -138,6 +138,7 @@
     async def drain(self) -> None:
         """Take and answer what comes while there is time for it, then close what is idle, and answer all."""
         self.ending = Ending(now_us(), (rule.deadline_us for rule in self.settings.classes))
+        self.hurry(self.ending.answers_by_us)
         await drain(self.ending, self.clients, self.open)
         for peer, word in self.gateway.limits.bye() * BYES if self.gateway.limits else ():
             self.peers.tell(i.Tell(peer, (word,)))
@@ -145,6 +146,16 @@
             await end()
         self.close()
 
+    def hurry(self, by_us: int) -> None:
+        """Have what is open answered by then, however much longer its clients would wait."""
+        for name, exchange in self.open.items():
+            if exchange.end_us <= by_us:
+                continue
+            exchange.end_us = by_us
+            if exchange.timer:
+                exchange.timer.cancel()
+            exchange.timer = self.loop.call_later((by_us - now_us()) / 1e6, self.give_up, name)
+
     def close(self) -> None:
         """Let go of all sockets."""
         self.peers.close()
--- /dev/null
+++ b/tests/crossings/test_sigterm_requests.py
@@ -0,0 +1,56 @@
+"""SIGTERM and requests: what was open when it came, what comes on the connections that clients have."""
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+
+from fennelwinch import interface as i
+from molereach.door import ending
+from tests.crossings.wire import Peer, machine, until
+from tests.sockets import SETTINGS, front_door, query, run, submit
+
+FAILED = b"-ERR failed\r\n"
+
+
+@pytest.fixture(autouse=True)
+def short(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The times of the end, a tenth: killed 0.37 s after SIGTERM where deadlines are 3 s or more."""
+    for name in ("LONGEST_US", "GRACE_US", "MARGIN_US", "LEAST_LEFT_US", "SETTLE_US", "QUIET_US"):
+        monkeypatch.setattr(ending, name, getattr(ending, name) // 10)
+
+
+def test_request_of_before_is_answered_before_the_kill_however_long_its_client_waits() -> None:
+    """Its client waits for 12 s, and the kill may come 3.7 s after SIGTERM."""
+
+    async def job() -> None:
+        with machine() as backend:
+            async with front_door(addresses=[backend.address]) as (door, address):
+                client = Peer.dial(address)
+                client.say(query("out", 12_000))
+                work = await backend.accept()
+                await work.hear_until(b"out")
+                draining = asyncio.create_task(door.drain())
+                async with asyncio.timeout(5):  # without the bound it takes 12 s
+                    assert await client.hear_all() == FAILED
+                    await draining
+
+    run(job())
+
+
+def test_request_held_for_want_of_a_backend_is_answered_before_the_kill() -> None:
+    patient = i.RequestClass(aim_us=6_000_000, deadline_us=6_000_000, effect=i.Effect.UNSAFE)
+    settings = replace(SETTINGS, classes=(patient, patient, patient))
+
+    async def job() -> None:
+        async with front_door(settings=settings) as (door, address):
+            client = Peer.dial(address)
+            client.say(submit("held", wait_ms=12_000))
+            await until(lambda: "held" in door.open)
+            assert not door.open["held"].attempts
+            draining = asyncio.create_task(door.drain())
+            async with asyncio.timeout(5):  # the module would refuse it after half of its time, 6 s
+                assert await client.hear_all() == FAILED
+                await draining
+
+    run(job())
