--- a/molereach/door/frontdoor.py
+++ b/molereach/door/frontdoor.py
@@ -16,9 +16,11 @@
 from fennelwinch.codec import Form
 from fennelwinch.rules import Gateway
 from molereach.backends.pools import Attempt, Backends
+from molereach.clients.commands import Command, CommandParser
 from molereach.clients.intake import Intake
+from molereach.clients.replies import Reply
 from molereach.clients.requests import CommandError
-from molereach.clients.resp import FAILED, ClientConnection, Command, CommandParser, Reply
+from molereach.clients.resp import FAILED, ClientConnection
 from molereach.clock import now_us
 from molereach.door.calls import CallPacing
 from molereach.door.config import Address, Config
--- a/rig/broken.py
+++ b/rig/broken.py
@@ -15,7 +15,7 @@
 from fennelwinch import interface as i
 from molereach.__main__ import front_door
 from molereach.backends.pools import Attempt
-from molereach.clients import resp
+from molereach.clients.replies import Reply
 from molereach.door.config import Config
 from molereach.door.discovery import News
 from molereach.door.frontdoor import FrontDoor
@@ -26,13 +26,13 @@
 
 
 def drop() -> None:
-    count, send = itertools.count(1), resp.Reply.send
+    count, send = itertools.count(1), Reply.send
 
-    def broken(self: resp.Reply, data: bytes) -> None:
+    def broken(self: Reply, data: bytes) -> None:
         if self.id is None or next(count) % EVERY:
             send(self, data)
 
-    resp.Reply.send = broken  # type: ignore[method-assign]
+    Reply.send = broken  # type: ignore[method-assign]
 
 
 def twice() -> None:
@@ -84,15 +84,15 @@
 
 
 def hold() -> None:
-    count, send = itertools.count(1), resp.Reply.send
+    count, send = itertools.count(1), Reply.send
 
-    def broken(self: resp.Reply, data: bytes) -> None:
+    def broken(self: Reply, data: bytes) -> None:
         if self.id is None or next(count) % EVERY:
             send(self, data)
         else:
             asyncio.get_running_loop().call_later(HOLD_S, send, self, data)
 
-    resp.Reply.send = broken  # type: ignore[method-assign]
+    Reply.send = broken  # type: ignore[method-assign]
 
 
 def ceiling() -> None:
--- a/tests/clients/test_resp.py
+++ b/tests/clients/test_resp.py
@@ -11,8 +11,8 @@
 
 from molereach.clients import intake
 from molereach.clients import resp as clients
+from molereach.clients.commands import CommandParser
 from molereach.clients.requests import CommandError
-from molereach.clients.resp import CommandParser
 from molereach.resp import CommandReader, ProtocolError
 from tests.sockets import CONFIG, CUSTOMER, Backend, Client, front_door, query, resp, run, value
 
