--- /dev/null
+++ b/tests/crossings/sigterm.py
@@ -0,0 +1,50 @@
+"""What the tests of the end by SIGTERM share: its times made short, and acts in the instant of a step."""
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+
+from molereach.door import ending
+from molereach.door.config import Address
+from molereach.door.frontdoor import FrontDoor
+from tests.crossings.wire import Peer
+from tests.sockets import query
+
+OK = b"$2\r\nok\r\n"
+FAILED = b"-ERR failed\r\n"
+ENDS = b"-ERR the front door ends\r\n"
+
+
+def shorten(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The times of the end, a tenth: killed 0.37 s after SIGTERM where deadlines are 3 s or more."""
+    for name in ("LONGEST_US", "GRACE_US", "MARGIN_US", "LEAST_LEFT_US", "SETTLE_US", "QUIET_US"):
+        monkeypatch.setattr(ending, name, getattr(ending, name) // 10)
+
+
+def before(owner: object, name: str, act: Callable[[], object]) -> None:
+    """Have `act` done in the instant of a step, with no turn of the loop between."""
+    step = getattr(owner, name)
+
+    def both(*args: object) -> object:
+        act()
+        return step(*args)
+
+    setattr(owner, name, both)
+
+
+async def drained(door: FrontDoor) -> None:
+    """A drain, within a time that only a hang takes."""
+    async with asyncio.timeout(10):
+        await door.drain()
+
+
+def dial_and_ask(address: Address, name: str) -> Peer:
+    client = Peer.dial(address)
+    client.say(query(name))
+    return client
+
+
+def is_answer(data: bytes) -> bool:
+    """One whole answer and nothing more: a value, or a word that near the kill there is no time for one."""
+    return data == OK or (data[:1] == b"-" and data.index(b"\r\n") == len(data) - 2)
--- a/tests/crossings/test_sigterm_requests.py
+++ b/tests/crossings/test_sigterm_requests.py
@@ -6,18 +6,14 @@
 import pytest
 
 from fennelwinch import interface as i
-from molereach.door import ending
+from tests.crossings.sigterm import FAILED, shorten
 from tests.crossings.wire import Peer, machine, until
 from tests.sockets import SETTINGS, front_door, query, run, submit
 
-FAILED = b"-ERR failed\r\n"
-
 
 @pytest.fixture(autouse=True)
 def short(monkeypatch: pytest.MonkeyPatch) -> None:
-    """The times of the end, a tenth: killed 0.37 s after SIGTERM where deadlines are 3 s or more."""
-    for name in ("LONGEST_US", "GRACE_US", "MARGIN_US", "LEAST_LEFT_US", "SETTLE_US", "QUIET_US"):
-        monkeypatch.setattr(ending, name, getattr(ending, name) // 10)
+    shorten(monkeypatch)
 
 
 def test_request_of_before_is_answered_before_the_kill_however_long_its_client_waits() -> None:
