--- a/molereach/door/frontdoor.py
+++ b/molereach/door/frontdoor.py
@@ -16,13 +16,16 @@
 from fennelwinch.codec import Form
 from fennelwinch.rules import Gateway
 from molereach.backends.pools import Attempt, Backends
+from molereach.clients.commands import Command, CommandParser
 from molereach.clients.intake import Intake
+from molereach.clients.replies import Reply
 from molereach.clients.requests import CommandError
-from molereach.clients.resp import FAILED, ClientConnection, Command, CommandParser, Reply
+from molereach.clients.resp import FAILED, ClientConnection
 from molereach.clock import now_us
 from molereach.door.calls import CallPacing
 from molereach.door.config import Address, Config
 from molereach.door.discovery import Catalog, Discovery, News
+from molereach.door.draining import drain
 from molereach.door.ending import Ending
 from molereach.door.peers import Peers
 
@@ -33,8 +36,6 @@
 BACKSTOP_US = 15_000  # how much later than the module a request is ended here, should it not do so
 FIRST_LIST_S = 0.3  # how long the start waits for a list that is newer than the known one
 RING_AGAIN_US = 20_000  # how soon a timer comes again on which the module failed
-ENDING_LOOK_S = 0.05  # between two looks at whether it is time to let clients go
-LAST_WRITES_S = 1.0  # how long clients may take to read their last answers, or to ask at last
 CALLS_SEED = 0x5CA11  # the chance of calls is not that of the module
 BYES = 2  # last words to each peer, as they may be lost
 SPARE_SOCKETS = 32  # for listening, discovery, peers, the loop and log
@@ -139,19 +140,24 @@
     async def drain(self) -> None:
         """Take and answer what comes while there is time for it, then close what is idle, and answer all."""
         self.ending = Ending(now_us(), (rule.deadline_us for rule in self.settings.classes))
-        while not self.ending.over(now_us()):
-            await asyncio.sleep(ENDING_LOOK_S)
-        self.clients.drain()
-        while not await self.clients.left(LAST_WRITES_S):
-            if not self.open:  # a request may still come on a connection that has had none
-                log.warning("%d clients stay without a request", len(self.clients.connections))
-                break
+        self.hurry(self.ending.answers_by_us)
+        await drain(self.ending, self.clients, self.open)
         for peer, word in self.gateway.limits.bye() * BYES if self.gateway.limits else ():
             self.peers.tell(i.Tell(peer, (word,)))
         for end in self.last:
             await end()
         self.close()
 
+    def hurry(self, by_us: int) -> None:
+        """Have what is open answered by then, however much longer its clients would wait."""
+        for name, exchange in self.open.items():
+            if exchange.end_us <= by_us:
+                continue
+            exchange.end_us = by_us
+            if exchange.timer:
+                exchange.timer.cancel()
+            exchange.timer = self.loop.call_later((by_us - now_us()) / 1e6, self.give_up, name)
+
     def close(self) -> None:
         """Let go of all sockets."""
         self.peers.close()
