--- a/molereach/door/config.py
+++ b/molereach/door/config.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from fennelwinch import interface as i
-from fennelwinch.codec import Pairs, read_settings
+from fennelwinch.settings import Pairs, read_settings
 
 Address = tuple[str, int]
 
--- a/molereach/simulator/adapter.py
+++ b/molereach/simulator/adapter.py
@@ -9,8 +9,9 @@
 from typing import TextIO
 
 from fennelwinch import interface as i
-from fennelwinch.codec import Form, Pairs, PlainForm, read_report, read_settings
+from fennelwinch.codec import Form, PlainForm, read_report
 from fennelwinch.rules import Gateway
+from fennelwinch.settings import Pairs, read_settings
 
 RESULTS = {
     "served": i.Result.OK,
