Backends' pools split by what they hold: attempts, answers, connections, reuse

Behaviour unchanged: the classes stand in modules of their own and no line in them was changed. Tests name the modules in which the constants now stand.

--- /dev/null
+++ b/molereach/backends/answers.py
@@ -0,0 +1,31 @@
+"""What a backend's answer means."""
+
+import logging
+
+from fennelwinch import interface as i
+from fennelwinch.codec import read_report
+from molereach.resp import Answer
+
+log = logging.getLogger(__name__)
+
+
+def outcome_of(answer: Answer) -> tuple[i.Result, bytes | None, i.LoadReport | None]:
+    """What a backend's answer means."""
+    load = read_load(answer.report)
+    if answer.error is None:
+        return i.Result.OK, answer.value, load
+    word = answer.error.partition(b" ")[0]
+    if word not in (b"BUSY", b"ERR"):
+        log.error("a backend answers %.200r", answer.error)
+    return (i.Result.FULL if word == b"BUSY" else i.Result.ERROR), None, load
+
+
+def read_load(text: bytes | None) -> i.LoadReport | None:
+    """A load report `name=value,...`; one that is malformed says nothing."""
+    if not text or b"=" not in text:
+        return None
+    try:
+        pairs = (part.split("=", 1) for part in text.decode().split(","))
+        return read_report((name, value) for name, value in pairs)
+    except ValueError:
+        return None
--- /dev/null
+++ b/molereach/backends/attempt.py
@@ -0,0 +1,59 @@
+"""One command for one backend, and its exactly one outcome.
+
+Whether an attempt may have run is decided here, and only by whether its last byte was handed to the kernel:
+before that it never ran, after that it may have.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from fennelwinch import interface as i
+from molereach.clock import now_us
+
+if TYPE_CHECKING:
+    from molereach.backends.connection import Connection
+    from molereach.backends.pool import Pool
+
+Done = Callable[["Attempt", i.Result, bytes | None, i.LoadReport | None], None]
+
+
+class Attempt:
+    """One command for one backend; `done` is called once, with how it ended."""
+
+    __slots__ = ("connection", "done", "number", "over", "payload", "pool", "request_id", "sent_us",
+                 "server", "timer", "written")
+
+    def __init__(self, request_id: str, number: int, server: str, payload: bytes, done: Done) -> None:
+        self.request_id, self.number, self.server = request_id, number, server
+        self.payload, self.done = payload, done
+        self.sent_us, self.over, self.written = now_us(), False, False
+        self.connection: Connection | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.pool: Pool | None = None
+
+    def finish(
+        self, result: i.Result, value: bytes | None = None, report: i.LoadReport | None = None
+    ) -> None:
+        if self.over:
+            return
+        self.over = True
+        if self.timer:
+            self.timer.cancel()
+        self.done(self, result, value, report)
+
+    def cancel(self) -> None:
+        """Stop waiting for it."""
+        self.give_up(i.Result.CANCELLED)
+
+    def time_out(self) -> None:
+        if self.written and self.pool:
+            self.pool.doubt(self.sent_us)
+        self.give_up(i.Result.TIMEOUT if self.written else i.Result.CONNECT_FAILED)
+
+    def give_up(self, result: i.Result) -> None:
+        connection, self.connection = self.connection, None
+        if connection and connection.attempt is self:
+            connection.attempt = None
+            connection.abort()  # an answer is still due on it: it must never be used again
+        self.finish(result)
--- /dev/null
+++ b/molereach/backends/pool.py
@@ -0,0 +1,128 @@
+"""The connections to one backend, and the attempts that wait for one."""
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING
+
+from fennelwinch import interface as i
+from molereach.backends.attempt import Attempt
+from molereach.backends.connection import Connection
+from molereach.clock import now_us
+from molereach.door.config import Address
+from molereach.resp import has_unread
+
+if TYPE_CHECKING:
+    from molereach.backends.pools import Backends
+
+REST_US = 5_000  # before a connection is used again: what a backend sends behind an answer comes by then
+
+
+class Pool:
+    """The connections to one backend."""
+
+    def __init__(self, owner: "Backends", name: str, address: Address) -> None:
+        self.owner, self.name, self.address = owner, name, address
+        self.connections: dict[Connection, None] = {}  # all that hold a socket, until it is let go of
+        self.idle: list[Connection] = []  # the one used last at the end, so that spare ones grow old
+        self.waiting: deque[Attempt] = deque()
+        self.connecting, self.heard_us, self.wanted = 0, 0, True
+
+    def start(self, attempt: Attempt) -> None:
+        attempt.pool = self
+        if connection := self.take_idle():
+            connection.send(attempt)
+            return
+        if not self.owner.may_open():
+            attempt.finish(i.Result.MOOT)  # a shortage of ours, which is not to be held against the backend
+            return
+        self.waiting.append(attempt)
+        self.connecting += 1
+        connection = Connection(self)
+        self.connections[connection] = None  # at once, as the bound counts those that are still connecting
+        self.owner.spawn(self.connect(connection))
+
+    def take_idle(self) -> Connection | None:
+        """The connection used last of those that have rested, are not too old, and have brought nothing more.
+
+        What comes behind an answer, after the connection was given to the next request, would pass for that
+        one's answer.
+        """
+        now = now_us()
+        for connection in reversed(self.idle[:]):
+            idle_us = now - connection.idle_since
+            if idle_us < REST_US:
+                continue
+            good = connection.usable() and self.owner.reuse.good(idle_us)
+            if good and connection.transport and not has_unread(connection.transport):
+                self.idle.remove(connection)
+                return connection
+            connection.abort()
+        return None
+
+    async def connect(self, connection: Connection) -> None:
+        """Open a connection for whoever waits longest; bounded, as a machine that is cut off says nothing."""
+        try:
+            async with asyncio.timeout(self.owner.connect_s):
+                await asyncio.get_running_loop().create_connection(lambda: connection, *self.address)
+        except (OSError, TimeoutError):
+            connection.abort()
+            self.connections.pop(connection, None)
+        finally:
+            self.connecting -= 1
+        connected = connection.usable()  # a backend that is full takes a connection and ends it at once
+        self.drop_over()
+        if connected and self.waiting:
+            connection.send(self.waiting.popleft())
+        elif connected and self.wanted:
+            self.rest(connection)
+        elif connected:
+            connection.close()
+        elif len(self.waiting) > self.connecting:
+            self.waiting.popleft().finish(i.Result.CONNECT_FAILED)
+
+    def drop_over(self) -> None:
+        while self.waiting and self.waiting[0].over:
+            self.waiting.popleft()
+
+    def rest(self, connection: Connection) -> None:
+        """A connection has nothing to do: it is kept for a while."""
+        if self.wanted and connection.usable():
+            connection.fresh, connection.idle_since = False, now_us()
+            self.idle.append(connection)
+        else:
+            connection.close()
+
+    def stop_using(self, connection: Connection) -> None:
+        if connection in self.idle:
+            self.idle.remove(connection)
+
+    def lost(self, connection: Connection) -> None:
+        """Its socket is let go of."""
+        self.stop_using(connection)
+        self.connections.pop(connection, None)
+
+    def doubt(self, since_us: int) -> None:
+        """Close what is idle where nothing was heard since: the machine may have vanished.
+
+        Connections to it stay open and silent, and are reset when it is back; the next request on one
+        would end as a reset, which an unsafe class cannot repeat.
+        """
+        if self.heard_us < since_us:
+            self.close_idle()
+
+    def close_unheard(self, since_us: int) -> None:
+        """Close what is idle and was silent since: after a reset the machine may be another one."""
+        for connection in [connection for connection in self.idle if connection.heard_us < since_us]:
+            self.idle.remove(connection)
+            connection.close()
+
+    def close_idle(self, before_us: int | None = None) -> None:
+        while self.idle and (before_us is None or self.idle[0].idle_since < before_us):
+            self.idle.pop(0).close()
+
+    def retire(self) -> None:
+        """Its backend is not at this address any more: what is not yet written there goes elsewhere."""
+        self.wanted = False
+        self.close_idle()
+        while self.waiting:
+            self.waiting.popleft().finish(i.Result.CONNECT_FAILED)
--- a/molereach/door/frontdoor.py
+++ b/molereach/door/frontdoor.py
@@ -15,7 +15,8 @@
 from fennelwinch import interface as i
 from fennelwinch.codec import Form
 from fennelwinch.rules import Gateway
-from molereach.backends.pools import Attempt, Backends
+from molereach.backends.attempt import Attempt
+from molereach.backends.pools import Backends
 from molereach.clients.intake import Intake
 from molereach.clients.requests import CommandError
 from molereach.clients.resp import FAILED, ClientConnection, Command, CommandParser, Reply
--- a/rig/broken.py
+++ b/rig/broken.py
@@ -14,7 +14,7 @@
 
 from fennelwinch import interface as i
 from molereach.__main__ import front_door
-from molereach.backends.pools import Attempt
+from molereach.backends.attempt import Attempt
 from molereach.clients import resp
 from molereach.door.config import Config
 from molereach.door.discovery import News
--- a/tests/backends/test_pools.py
+++ b/tests/backends/test_pools.py
@@ -12,8 +12,10 @@
 from hypothesis import strategies as st
 
 from fennelwinch import interface as i
-from molereach.backends import pools as backends
-from molereach.backends.pools import Attempt, Backends, outcome_of
+from molereach.backends import pool, reuse
+from molereach.backends.answers import outcome_of
+from molereach.backends.attempt import Attempt
+from molereach.backends.pools import Backends
 from molereach.door.config import Address
 from molereach.resp import Answer, AnswerReader, ProtocolError
 from tests.sockets import HOST, Backend, refusing_address, resp, run, value
@@ -48,7 +50,7 @@
 
 
 def test_connection_is_reused_and_carries_one_command_at_a_time(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(backends, "REST_US", 0)
+    monkeypatch.setattr(pool, "REST_US", 0)
 
     async def job() -> None:
         backend = Backend(lambda words: None)
@@ -242,7 +244,7 @@
     answer: bytes, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """The backend leaves the connection open: whoever waits for the rest waits for good."""
-    monkeypatch.setattr(backends, "REST_US", 0)
+    monkeypatch.setattr(pool, "REST_US", 0)
 
     async def job() -> None:
         backend = Backend(lambda words: None)
@@ -347,7 +349,7 @@
 
 def test_kept_connections_that_are_reset_are_not_kept_for_long(monkeypatch: pytest.MonkeyPatch) -> None:
     """Whatever lets go of them: the next request on one ends as a reset, and an unsafe one is lost."""
-    monkeypatch.setattr(backends, "REST_US", 0)
+    monkeypatch.setattr(pool, "REST_US", 0)
 
     async def job() -> None:
         backend = Backend()
@@ -359,22 +361,22 @@
             sender.send()
             results.append(await sender.result())
         assert i.Result.RESET in results
-        assert results.count(i.Result.RESET) <= backends.LEAST_USES
+        assert results.count(i.Result.RESET) <= reuse.LEAST_USES
         assert results[-20:] == [i.Result.OK] * 20
         for _ in range(9):
             sender.backends.reuse.fade()
-        assert sender.backends.reuse.most == backends.AGES  # it is tried again after a while
+        assert sender.backends.reuse.most == reuse.AGES  # it is tried again after a while
         sender.backends.close()
 
     run(job())
 
 
 def test_resets_that_meet_new_connections_alike_are_no_matter_of_age() -> None:
-    reuse = backends.Reuse()
+    seen = reuse.Reuse()
     for number in range(100):
-        reuse.note(0, reset=number % 5 == 0)
-        reuse.note(4, reset=number % 5 == 1)
-    assert reuse.good(29_000_000)
+        seen.note(0, reset=number % 5 == 0)
+        seen.note(4, reset=number % 5 == 1)
+    assert seen.good(29_000_000)
 
 
 def parsed(data: bytes, cuts: list[int]) -> list[Answer | None]:
