A keyed repeat is written whole within its window, or withdrawn

Cause: the window was looked at when a repeat was decided (Job.may_run_on), and never again; the attempt then waited in Pool.waiting for its dial, or in the socket's buffer for a slow peer, and was written whenever that came up. Ruled out: the side from which the window counts. `ran_us` is when the first attempt was let go, which is the earliest moment at which it may have run.

A Send now says until when it may be written whole, on the clock of the events. The attempt is withdrawn then, in part or not written, and its outcome is that it was not sent (MOOT, as that is nothing against the backend); a dial that comes up in the same turn finds it late before the timer does.

--- a/fennelwinch/interface/actions.py
+++ b/fennelwinch/interface/actions.py
@@ -7,11 +7,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Start an attempt; a time-out of 0 lasts until the client gives up."""
+    """Start an attempt; a time-out of 0 lasts until the client gives up.
+
+    Its last byte is sent before `whole_by_us`, on the clock of the events, or never: it may wait for a
+    connection, and be taken slowly. 0 is no such bound.
+    """
 
     id: str
     server: str
     timeout_us: int = 0
+    whole_by_us: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/fennelwinch/rules/attempts.py
+++ b/fennelwinch/rules/attempts.py
@@ -54,10 +54,10 @@
         server.kept = server.kept - 1 if server.is_kept(now, self.set.keep_us) else 0
         job.out[number] = server.out[(job.req.id, number)] = now
         job.customer.out, self.out = job.customer.out + 1, self.out + 1
-        server.sent_us, server.credit = now, 0.0
+        server.sent_us, server.credit, whole_by_us = now, 0.0, job.whole_by_us()
         if job.ran_on is None:
             job.ran_on, job.ran_us = server, now
-        return i.Send(job.req.id, server.entry.name, self.time_out(now, job))
+        return i.Send(job.req.id, server.entry.name, self.time_out(now, job), whole_by_us)
 
     def time_out(self, now: int, job: Job) -> int:
         """For the attempt that leaves now."""
--- a/fennelwinch/rules/job.py
+++ b/fennelwinch/rules/job.py
@@ -36,6 +36,12 @@
         keyed_ok = self.rule.effect is i.Effect.KEYED and self.rule.group is i.Group.ALL
         return self.ran_on is None or self.rule.effect is i.Effect.SAFE or keyed_ok
 
+    def whole_by_us(self) -> int:
+        """Until when a further attempt may still begin to run; 0 where it may at any time. The window counts
+        from the earliest moment at which the first one may have run: when it was let go."""
+        repeats = self.ran_on is not None and self.rule.effect is i.Effect.KEYED
+        return self.ran_us + self.rule.window_us if repeats else 0
+
     def may_run_on(self, now: int, server: Server) -> bool:
         """A keyed request that may have run stays where its repeats are dropped, while they are."""
         rule, first = self.rule, self.ran_on
@@ -43,4 +49,4 @@
             return True
         place = "zone" if rule.group is i.Group.ZONE else "cell"
         same = rule.group is i.Group.ALL or getattr(server.entry, place) == getattr(first.entry, place)
-        return same and rule.effect is i.Effect.KEYED and now < self.ran_us + rule.window_us
+        return same and rule.effect is i.Effect.KEYED and now < self.whole_by_us()
--- a/molereach/backends/attempt.py
+++ b/molereach/backends/attempt.py
@@ -22,24 +22,39 @@
     """One command for one backend; `done` is called once, with how it ended."""
 
     __slots__ = ("connection", "done", "number", "over", "payload", "pool", "request_id", "sent_us",
-                 "server", "timer", "written")
+                 "server", "timers", "whole_by_us", "written")
 
-    def __init__(self, request_id: str, number: int, server: str, payload: bytes, done: Done) -> None:
+    def __init__(
+        self, request_id: str, number: int, server: str, payload: bytes, done: Done, whole_by_us: int = 0
+    ) -> None:
         self.request_id, self.number, self.server = request_id, number, server
         self.payload, self.done = payload, done
+        self.whole_by_us = whole_by_us  # its last byte is written before then, or never; 0: at any time
         self.sent_us, self.over, self.written = now_us(), False, False
         self.connection: Connection | None = None
-        self.timer: asyncio.TimerHandle | None = None
+        self.timers: list[asyncio.TimerHandle] = []
         self.pool: Pool | None = None
 
+    def limit(self, timeout_us: int) -> None:
+        """Count its time from now on."""
+        later = asyncio.get_running_loop().call_later
+        self.timers.append(later(timeout_us / 1e6, self.time_out))
+        if self.whole_by_us:
+            left = max(0, self.whole_by_us - now_us())
+            self.timers.append(later(left / 1e6, self.withdraw, i.Result.MOOT))
+
+    def is_late(self) -> bool:
+        """Whether nothing of it may be written any more; the loop may come to its timer only later."""
+        return 0 < self.whole_by_us <= now_us()
+
     def finish(
         self, result: i.Result, value: bytes | None = None, report: i.LoadReport | None = None
     ) -> None:
         if self.over:
             return
         self.over = True
-        if self.timer:
-            self.timer.cancel()
+        for timer in self.timers:
+            timer.cancel()
         self.done(self, result, value, report)
 
     def cancel(self) -> None:
@@ -51,6 +66,11 @@
             self.pool.doubt(self.sent_us)
         self.give_up(i.Result.TIMEOUT if self.written else i.Result.CONNECT_FAILED)
 
+    def withdraw(self, result: i.Result) -> None:
+        """Take it back where its last byte is not written: it never runs, whatever comes up later."""
+        if not self.written:
+            self.give_up(result)
+
     def give_up(self, result: i.Result) -> None:
         connection, self.connection = self.connection, None
         if connection and connection.attempt is self:
--- a/molereach/backends/pool.py
+++ b/molereach/backends/pool.py
@@ -81,8 +81,9 @@
             self.waiting.popleft().finish(i.Result.CONNECT_FAILED)
 
     def drop_over(self) -> None:
-        while self.waiting and self.waiting[0].over:
-            self.waiting.popleft()
+        """Leave out who waits no more, and whose time to be written is over."""
+        while self.waiting and (self.waiting[0].over or self.waiting[0].is_late()):
+            self.waiting.popleft().withdraw(i.Result.MOOT)
 
     def rest(self, connection: Connection) -> None:
         """A connection has nothing to do: it is kept for a while."""
--- a/molereach/backends/pools.py
+++ b/molereach/backends/pools.py
@@ -50,7 +50,10 @@
         if pool is None:
             attempt.finish(i.Result.CONNECT_FAILED)
             return
-        attempt.timer = asyncio.get_running_loop().call_later(timeout_us / 1e6, attempt.time_out)
+        if attempt.is_late():
+            attempt.finish(i.Result.MOOT)
+            return
+        attempt.limit(timeout_us)
         pool.start(attempt)
 
     def close_idle(self, name: str) -> None:
--- a/molereach/door/frontdoor.py
+++ b/molereach/door/frontdoor.py
@@ -246,7 +246,7 @@
         timeout = min(left, action.timeout_us) if action.timeout_us > 0 else left
         number, exchange.attempts = exchange.attempts, exchange.attempts + 1
         payload = exchange.command.payload(timeout)
-        attempt = Attempt(action.id, number, action.server, payload, self.attempt_done)
+        attempt = Attempt(action.id, number, action.server, payload, self.attempt_done, action.whole_by_us)
         exchange.out[number] = attempt
         self.backends.send(attempt, timeout)
 
--- a/tests/crossings/wire.py
+++ b/tests/crossings/wire.py
@@ -155,3 +155,16 @@
     async with asyncio.timeout(within_s):
         while not seen():
             await asyncio.sleep(0.001)
+
+
+def narrow(monkeypatch: Any) -> None:  # noqa: ANN401
+    """The kernel takes little of what the front door writes to a backend: a long command only in part."""
+    from molereach.backends.connection import Connection
+
+    made = Connection.connection_made
+
+    def connection_made(self: Connection, transport: asyncio.Transport) -> None:
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        made(self, transport)
+
+    monkeypatch.setattr(Connection, "connection_made", connection_made)
--- a/tests/fennelwinch/rules/test_attempts.py
+++ b/tests/fennelwinch/rules/test_attempts.py
@@ -117,3 +117,16 @@
     late, _ = attempts_of(replace(SAFE, late_worth=0.5))
     late.gone_us(first)
     assert late.gone_us(replace(first, left_us=S, is_repeat=True)) == 0
+
+
+def test_repeat_says_until_when_it_may_still_be_written() -> None:
+    keyed = i.RequestClass(2 * S, 6 * S, effect=i.Effect.KEYED, group=i.Group.ALL, window_us=S)
+    unsafe = replace(SAFE, effect=i.Effect.UNSAFE)
+    for rule, result, until in (
+        (keyed, i.Result.RESET, NOW + S), (keyed, i.Result.CONNECT_FAILED, 0), (SAFE, i.Result.RESET, 0),
+        (unsafe, i.Result.CONNECT_FAILED, 0),
+    ):
+        attempts, job = attempts_of(rule)
+        assert attempts.begin(NOW, job, ONE).whole_by_us == 0
+        attempts.end(NOW + 10 * MS, outcome(result))
+        assert attempts.begin(NOW + 20 * MS, job, OTHER).whole_by_us == until
