A known list with infinite numbers no longer stops a start

JSON as Python reads it knows 1e400 and Infinity; as generation or cell such a number was an OverflowError, which read_known did not take for a list that makes no sense: a traceback and the end of the start. The whole list is passed over with one line, as other nonsense was. The test failed before at FrontDoor.read_known, passes now.

--- a/molereach/door/frontdoor.py
+++ b/molereach/door/frontdoor.py
@@ -103,7 +103,7 @@
             return None
         try:
             news = self.catalog.news(self.config.known, i.ListKind.SAVED)
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, ArithmeticError) as error:
             log.error("the known list makes no sense: %s", error)
             return None
         self.list_heard(news)
