Wrong configuration is one line with file, key and reason, for every key

Seen by replacing and removing each key in turn: infinite numbers were an uncaught OverflowError at the start; an entry of classes that was no object, or a class without times, a ZeroDivisionError later; numbers and truth values in quotes, flags that were neither, negative prices, a memory limit of 0, peers or sections of another type were taken or passed over in silence, and a class without its effect passed for safe. Lines did not name the file, and most not the key. Cause: the settings were turned to texts before anything looked at them (config.flatten, Pairs).

Values keep their types now, each is read with its range, and the error names its path. Names of classes, plans, zones and kinds must be there once; settings nested without end are an error of their own. Unknown keys and absent ones that mean none are as before; times, effect, number and count of front doors must be there.

--- a/molereach/door/config.py
+++ b/molereach/door/config.py
@@ -1,15 +1,19 @@
 """What a front door is told at its start: the environment and the JSON file, checked and typed."""
 
 import json
+import re
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 from fennelwinch import interface as i
-from fennelwinch.settings import Pairs, read_settings
+from fennelwinch.settings import Pairs, SettingsError, read_settings, shown
 
 Address = tuple[str, int]
+Section = TypeVar("Section", dict[str, Any], list[Any])
+
+SEED = re.compile(r"[0-9a-fA-F]{1,64}")
 
 
 class ConfigError(Exception):
@@ -38,66 +42,95 @@
     peers: tuple[Address, ...] = ()
 
 
-def read_address(text: str) -> Address:
-    host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise ConfigError(f"'{text}' is not an address")
+def read_address(text: object) -> Address:
+    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not colon or not host or not (port.isascii() and port.isdecimal()) or not 0 < int(port[:6]) < 65536:
+        raise ConfigError(f"{shown(text)} is not an address")
     return host, int(port)
 
 
-def flatten(value: object, path: str = "") -> Iterator[tuple[str, str]]:
-    """Nested JSON as the path=value pairs of the simulator's wire."""
+def address(values: Mapping[str, Any], key: str, env: Mapping[str, str] | None = None) -> Address:
+    """That of the environment, where it is set there, or the file's."""
+    variable = f"PROXY_{key.upper()}"
+    text = env.get(variable) if env else None
+    if not text and values.get(key) is None:
+        raise ConfigError(f"{key}: is missing")
+    try:
+        return read_address(text or values[key])
+    except ConfigError as error:
+        raise ConfigError(f"{variable if text else key}: {error}") from None
+
+
+def flatten(value: object, path: str = "") -> Iterator[tuple[str, object]]:
+    """Nested JSON by the paths of the simulator's wire, with the objects and lists themselves, which are no
+    good value where one is asked for."""
+    if path:
+        yield path, value
     if isinstance(value, dict):
         for name, inner in value.items():
             yield from flatten(inner, f"{path}.{name}" if path else name)
     elif isinstance(value, list) and all(isinstance(item, dict) for item in value):
-        yield f"{path}.count", str(len(value))
+        yield f"{path}.count", len(value)
         for number, item in enumerate(value):
             yield from flatten(item, f"{path}.{number}")
-    elif isinstance(value, list):
-        yield path, ",".join(map(str, value))
-    elif isinstance(value, bool):
-        yield path, "true" if value else "false"
-    elif value is not None:
-        yield path, str(value)
 
 
-def numbers(values: object) -> dict[str, int]:
-    """The index of each name in a list of the settings: of plain names, or of objects with one."""
-    if not isinstance(values, list):
-        return {}
-    names = [value["name"] if isinstance(value, dict) else value for value in values]
-    return {str(name): number for number, name in enumerate(names)}
+def section(values: Mapping[str, Any], key: str, kind: type[Section], at: str = "") -> Section:
+    """An object or a list; an empty one where it is absent."""
+    value = values.get(key)
+    if value is None:
+        return kind()
+    if not isinstance(value, kind):
+        raise ConfigError(f"{at}{key}: is {shown(value)}, not {'a list' if kind is list else 'an object'}")
+    return value
+
+
+def numbers(settings: Mapping[str, Any], key: str, named: bool) -> dict[str, int]:
+    """The index of each name in a list of the settings: of objects with one, or of plain names."""
+    found: dict[str, int] = {}
+    for number, value in enumerate(section(settings, key, list, "settings.")):
+        name = value.get("name") if isinstance(value, dict) else value
+        if not isinstance(name, str) or (named and not isinstance(value, dict)):
+            raise ConfigError(f"settings.{key}.{number}: is {shown(value)}, which has no name")
+        if found.setdefault(name, number) != number:
+            raise ConfigError(f"settings.{key}.{number}: the name {shown(name)} is there twice")
+    if named and not found:
+        raise ConfigError(f"settings.{key}: is missing or empty")
+    return found
 
 
-def parse(values: Mapping[str, Any], env: Mapping[str, str]) -> Config:
+def parse(values: object, env: Mapping[str, str]) -> Config:
     """The configuration from the file's values, where the environment goes before them."""
-    settings = values["settings"]
-    pairs = Pairs(dict(flatten(settings)))
-    peer_listen = values.get("peer_listen")
-    limits = values.get("limits") or {}
+    if not isinstance(values, dict):
+        raise ConfigError(f"the file holds {shown(values)}, not an object")
+    settings = section(values, "settings", dict)
+    for key in ("ceilings", "extra", "obligations", "prices"):
+        section(settings, key, dict, "settings.")
+    pairs, own = Pairs(dict(flatten(settings)), False, "settings."), Pairs(values, False)
+    limits = Pairs(section(values, "limits", dict), False, "limits.")
+    seed, peers = own.text("seed", None), section(values, "peers", list)
+    if not SEED.fullmatch(seed):
+        raise ConfigError(f"seed: is {shown(seed)}, which is no hexadecimal number")
     config = Config(
-        name=env.get("PROXY_NAME") or values["name"],
-        listen=read_address(env.get("PROXY_LISTEN") or values["listen"]),
-        discovery=read_address(env.get("PROXY_DISCOVERY") or values["discovery"]),
-        settings=read_settings(int(values["seed"], 16), pairs),
-        class_numbers=numbers(settings["categories"]),
-        plan_numbers=numbers(settings["plans"]),
-        zone_numbers=numbers(settings.get("zones")),
-        kind_numbers=numbers(settings.get("kinds")),
-        conn_idle_us=pairs.whole("ceilings.conn-idle-us", 30_000_000),
-        connect_timeout_us=pairs.whole("ceilings.connect-timeout-us", 250_000),
-        max_open=pairs.whole("ceilings.max-open", 20_000),
-        sockets=int(limits.get("sockets", 1024)),
-        memory_mb=int(limits.get("memory_mb", 64)),
-        known=values.get("known") or {},
-        peer_listen=read_address(peer_listen) if peer_listen else None,
-        peers=tuple(map(read_address, values.get("peers") or ())),
+        name=env.get("PROXY_NAME") or own.text("name", None),
+        listen=address(values, "listen", env),
+        discovery=address(values, "discovery", env),
+        class_numbers=numbers(settings, "categories", named=True),
+        plan_numbers=numbers(settings, "plans", named=True),
+        zone_numbers=numbers(settings, "zones", named=False),
+        kind_numbers=numbers(settings, "kinds", named=False),
+        settings=read_settings(int(seed, 16), pairs),
+        conn_idle_us=pairs.whole("ceilings.conn-idle-us", 30_000_000, 1),
+        connect_timeout_us=pairs.whole("ceilings.connect-timeout-us", 250_000, 1),
+        max_open=pairs.whole("ceilings.max-open", 20_000, 1),
+        sockets=limits.whole("sockets", 1024, 1),
+        memory_mb=limits.whole("memory_mb", 64, 1),
+        known=values.get("known") or {},  # what is wrong there must not keep it from a start
+        peer_listen=None if values.get("peer_listen") in (None, "") else address(values, "peer_listen"),
+        peers=tuple(address({f"peers.{n}": text}, f"peers.{n}") for n, text in enumerate(peers)),
     )
-    if not config.class_numbers or not config.plan_numbers:
-        raise ConfigError("the settings name no class or no plan")
-    if not 0 <= config.settings.me < config.settings.gateways:
-        raise ConfigError(f"there is no front door {config.settings.me} of {config.settings.gateways}")
+    if config.zone_numbers and config.settings.zone >= len(config.zone_numbers):
+        raise ConfigError(f"settings.zone: is {config.settings.zone}, of {len(config.zone_numbers)} zones")
     return config
 
 
@@ -108,14 +141,14 @@
         raise ConfigError("PROXY_CONFIG is not set")
     try:
         values = json.loads(Path(path).read_bytes())
-    except (OSError, ValueError) as error:
-        raise ConfigError(f"cannot read the configuration: {' '.join(str(error).split())}") from error
+    except (OSError, ValueError, RecursionError) as error:
+        raise ConfigError(f"{path}: cannot read the configuration: {' '.join(str(error).split())}") from error
     try:
         return parse(values, env)
-    except KeyError as error:
-        raise ConfigError(f"the configuration lacks or does not know {error}") from error
-    except (TypeError, ValueError, AttributeError) as error:
-        raise ConfigError(f"the configuration is malformed: {' '.join(str(error).split())}") from error
+    except RecursionError as error:
+        raise ConfigError(f"{path}: is nested too deep") from error
+    except (ConfigError, SettingsError) as error:
+        raise ConfigError(f"{path}: {error}") from error
 
 
 def reload(env: Mapping[str, str]) -> Config:
