A try that is decided after its client went is counted as its own, and so ends

Seen: where an attempt's refusal and the client's end come in one turn, the module sends the next try before it hears that the client has gone. FrontDoor.send had forgotten the request by then (settle keeps only those with attempts out, attempt_done drops the last) and told the end of attempt 0; the module then waited for attempt 1 for ever: a job and a count in flight at a server that never go. Ruled out: the pools (nothing was sent), the order of the batch. Now a request that is over is kept until the module has heard it and no attempt is out. The test fails without that (the job stays) and passes with it.

--- a/molereach/door/frontdoor.py
+++ b/molereach/door/frontdoor.py
@@ -49,13 +49,14 @@
 class Exchange:
     """A request from its arrival until its answer, with the attempts that are out."""
 
-    __slots__ = ("attempts", "command", "end_us", "out", "reply", "timer")
+    __slots__ = ("attempts", "command", "end_us", "known", "out", "reply", "timer")
 
     def __init__(self, command: Command, reply: Reply, end_us: int) -> None:
         self.command, self.reply, self.end_us = command, reply, end_us
         self.attempts = 0
         self.out: dict[int, Attempt] = {}
         self.timer: asyncio.TimerHandle | None = None
+        self.known = False  # the module has heard that it is over
 
 
 class FrontDoor:
@@ -68,7 +69,9 @@
         self.counted: list[Callable[[], dict[str, int]]] = []  # counters of what stands beside
         self.last: list[Callable[[], Awaitable[None]]] = []  # what ends after all clients
         self.open: dict[str, Exchange] = {}  # requests that are owed an answer
-        self.ended: dict[str, Exchange] = {}  # those answered with attempts still out
+        # Those that are over, until no attempt is out and the module has heard it: what it asks for until
+        # then is counted among their attempts, or it would wait for the outcome of one that never was.
+        self.ended: dict[str, Exchange] = {}
         self.held_bytes = 0
         self.ending: Ending | None = None  # from when it was told to end
         self.address = config.listen
@@ -170,16 +173,20 @@
     def run_batch(self) -> None:
         now, events, self.inbox = now_us(), self.inbox, []
         for event in events:
-            try:
-                actions = self.gateway.handle(now, event)
-            except Exception:
-                log.exception("the module failed on %r", event)
-                self.give_up(getattr(event, "id", ""))
-                if isinstance(event, i.Timer):  # the module lives by it: it comes again
-                    self.set_timer(i.SetTimer(RING_AGAIN_US, event.token))
-                continue
-            for action in actions:
+            for action in self.decide(now, event):
                 self.act(action)
+            if isinstance(event, i.ClientGone) or (isinstance(event, i.Outcome) and event.over):
+                self.let_go(event.id, known=True)
+
+    def decide(self, now: int, event: i.Event) -> list[i.Action]:
+        try:
+            return self.gateway.handle(now, event)
+        except Exception:
+            log.exception("the module failed on %r", event)
+            self.give_up(getattr(event, "id", ""))
+            if isinstance(event, i.Timer):  # the module lives by it: it comes again
+                self.set_timer(i.SetTimer(RING_AGAIN_US, event.token))
+            return []
 
     def act(self, action: i.Action) -> None:
         try:
@@ -262,8 +269,7 @@
         exchange = self.ended.get(name) if over else self.open[name]
         if exchange:
             exchange.out.pop(attempt.number, None)
-            if over and not exchange.out:
-                del self.ended[name]
+            self.let_go(name)
         took = now_us() - attempt.sent_us
         self.post(i.Outcome(name, over, attempt.number, attempt.server, result, took, report=report))
 
@@ -276,9 +282,11 @@
     def refuse(self, action: i.Refuse) -> None:
         wait_ms = action.retry_after_us // 1000
         self.answer(action.id, b"-BUSY %d\r\n" % wait_ms if wait_ms > 0 else b"-BUSY\r\n")
+        self.let_go(action.id, known=True)
 
     def fail(self, action: i.Fail) -> None:
         self.answer(action.id, FAILED)
+        self.let_go(action.id, known=True)
 
     def answer(self, name: str, data: bytes) -> None:
         if exchange := self.settle(name):
@@ -292,10 +300,16 @@
         self.held_bytes -= exchange.command.size + REQUEST_BYTES
         if exchange.timer:
             exchange.timer.cancel()
-        if exchange.out:
-            self.ended[name] = exchange
+        self.ended[name] = exchange
         return exchange
 
+    def let_go(self, name: str, known: bool = False) -> None:
+        """Forget what is over once nothing about it can come any more, from backends or from the module."""
+        if exchange := self.ended.get(name):
+            exchange.known = exchange.known or known
+            if exchange.known and not exchange.out:
+                del self.ended[name]
+
     def set_timer(self, action: i.SetTimer) -> None:
         self.ring(now_us() + action.delay_us, action.token)
 
