A client that goes is noticed at once, also while it is not read

Seen: with 16 requests open, clogged, or closing behind a garbled command, reading was paused, and a paused loop hears neither an end nor a reset: what waited was sent on for a client long gone. A half-close with bytes unsent below the mark was noticed only when they were read, and kept its socket without bound, as overdue() passed over a closing transport. Lines: ClientConnection.update, overdue, connection_lost. First bytes of a new connection are taken a turn later, so that a burst that asks and leaves at once is not sent on. An end of sending counts as gone: it is all that is seen of a close, and the protocol takes it so on the backends' side. One test of the bound on memory let its clients be collected and relied on nobody noticing; it keeps them now.

--- a/molereach/clients/intake.py
+++ b/molereach/clients/intake.py
@@ -6,6 +6,7 @@
 import socket
 from collections.abc import Callable, Coroutine
 
+from molereach.clients.ends import EndWatch
 from molereach.clients.states import (
     FIRST_US,
     GIVE_WAY,
@@ -55,6 +56,7 @@
         self.address: Address | None = None
         self.held = self.ended = False  # no new connections by an order; it has been closed
         self.draining = False
+        self.ends = EndWatch()
         self.empty = asyncio.Event()
 
     # --- taking connections in ---
@@ -157,6 +159,7 @@
     def closed(self, connection: Connection) -> None:
         self.sockets -= 1
         self.connections.pop(connection, None)
+        self.ends.let_go(connection)
         for connections in self.leaving.values():
             connections.pop(connection, None)
         if not self.connections:
--- a/molereach/clients/resp.py
+++ b/molereach/clients/resp.py
@@ -9,7 +9,7 @@
 from collections import deque
 from typing import cast
 
-from molereach.clients.intake import WAITS_US, Connection, Intake, State
+from molereach.clients.intake import READ_BYTES, WAITS_US, Connection, Intake, State
 from molereach.clients.replies import Front, Reply
 from molereach.clients.requests import CommandError
 from molereach.clock import now_us
@@ -18,6 +18,7 @@
 log = logging.getLogger(__name__)
 
 MOST_PIPELINED = 16  # requests open on a connection; further commands wait unread
+DISCARD_BYTES = 256 * 1024  # read of what follows a last answer; then the client has to wait
 MOST_ERRORS = 16  # wrong commands in a row on a connection, then it is closed
 FAILED = b"-ERR failed\r\n"
 
@@ -31,6 +32,7 @@
         self.replies: deque[Reply] = deque()
         self.closing, self.reading, self.clogged, self.processing = False, True, False, False
         self.known, self.asked, self.errors = False, False, 0  # it has sent a good command; a request
+        self.discarded = 0  # bytes that came behind the last command
         self.more = self.scheduled = False  # whole commands may wait to be taken; that is due
         self.state, self.since_us = State.NEW, now_us()
         self.until_us = self.since_us + WAITS_US[State.NEW]
@@ -43,10 +45,34 @@
         return self.intake.read_buffer
 
     def buffer_updated(self, count: int) -> None:
-        if not self.closing:
-            self.reader.feed(self.intake.read_buffer[:count])
+        if self.closing:
+            self.discarded += count
+            self.update()
+            return
+        self.reader.feed(self.intake.read_buffer[:count])
+        if self.state is State.NEW and count < READ_BYTES:
+            # A burst of clients that ask and leave at once is not sent on: their ends are heard first.
+            self.more = True
+            self.process_soon()
+        elif not self.scheduled:
             self.process()
 
+    def eof_received(self) -> None:
+        """An end is all that is seen of a close. What is written still leaves, in bounded time."""
+        self.gone()
+        self.enter(State.CLOGGED)
+
+    def peer_ended(self) -> None:
+        self.gone()
+        self.abort()
+
+    def gone(self) -> None:
+        """The client has left: what is still open for it is for nobody."""
+        self.closing, replies = True, [reply for reply in self.replies if reply.data is None]
+        self.replies.clear()
+        for reply in replies:
+            self.front.client_gone(reply)
+
     def process(self) -> None:
         """Take the commands that are whole, as many as may be open at once; others come in between."""
         self.processing, taken, self.more = True, 0, False
@@ -122,7 +148,7 @@
         self.update()
 
     def finish(self, data: bytes) -> None:
-        """A last answer, then close. What still comes is not read."""
+        """A last answer, then close. What still comes is thrown away, so that no reset takes the answer."""
         self.closing = True
         self.replies.append(Reply(self, data))
         self.flush()
@@ -138,22 +164,34 @@
             reply.send(FAILED)
 
     def update(self) -> None:
-        """Read no further ahead than what fits, and set the time until which it may stay as it is."""
+        """Read on or not, and set the time until which it may stay as it is."""
         if self.transport.is_closing():
             return
-        wanted = not (self.closing or self.more or self.clogged or len(self.replies) >= MOST_PIPELINED)
+        wanted = self.wants_more()
         if wanted and not self.reading:
             self.transport.resume_reading()
+            self.intake.ends.let_go(self)
         elif self.reading and not wanted:
             self.transport.pause_reading()
+            self.intake.ends.watch(self)
         self.reading = wanted
         state = self.current_state()
         if state is not self.state:
-            self.state = state
-            if state is not State.NEW:
-                self.since_us = now_us()
-                self.until_us = self.since_us + WAITS_US[state]
-            self.intake.moved(self)
+            self.enter(state)
+
+    def wants_more(self) -> bool:
+        """Whether to read on: somewhat ahead of what can be taken, as the client's end stands behind it."""
+        if self.closing:
+            return self.discarded < DISCARD_BYTES
+        full = self.more or self.clogged or len(self.replies) >= MOST_PIPELINED
+        return not full or len(self.reader.buffer) < READ_BYTES
+
+    def enter(self, state: State) -> None:
+        self.state = state
+        if state is not State.NEW:
+            self.since_us = now_us()
+            self.until_us = self.since_us + WAITS_US[state]
+        self.intake.moved(self)
 
     def current_state(self) -> State:
         if self.closing and not self.replies:
@@ -181,21 +219,17 @@
 
     def overdue(self) -> None:
         """It has been as it is for too long."""
-        if self.transport.is_closing():
+        if self.state in (State.CLOGGED, State.CLOSING):
+            self.abort()
+        elif self.transport.is_closing():
             return
-        if self.state in (State.IDLE, State.GREETED):
+        elif self.state in (State.IDLE, State.GREETED):
             self.close()
-        elif self.state in (State.CLOGGED, State.CLOSING):
-            self.abort()
         else:
             self.finish(b"-ERR timed out\r\n")
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.closing = True
-        for reply in self.replies:
-            if reply.data is None:
-                self.front.client_gone(reply)
-        self.replies.clear()
+        self.gone()
         self.intake.closed(self)
 
     def close(self) -> None:
--- a/molereach/clients/states.py
+++ b/molereach/clients/states.py
@@ -59,6 +59,10 @@
     def overdue(self) -> None:
         """It has been as it is for too long."""
 
+    @abc.abstractmethod
+    def peer_ended(self) -> None:
+        """Its client has ended it, behind bytes that are not read, or has reset it."""
+
     @abc.abstractmethod
     def close(self) -> None:
         """Close between requests, unless one has just come."""
--- a/molereach/resp.py
+++ b/molereach/resp.py
@@ -6,6 +6,7 @@
 
 import select
 from asyncio import BaseTransport
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 MOST_VALUE = 64 * 1024  # bytes: the largest value of the protocol
@@ -31,6 +32,16 @@
     return bool(poll.poll(0))
 
 
+def have_ended(transports: Iterable[BaseTransport]) -> Iterator[bool]:
+    """Of each, whether its peer's end or a reset has come, also behind bytes that nobody has read."""
+    poll, numbers = select.poll(), [each.get_extra_info("socket").fileno() for each in transports]
+    for number in numbers:
+        poll.register(number, select.POLLRDHUP)
+    ends = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+    ended = {number for number, told in poll.poll(0) if told & ends}
+    return (number in ended for number in numbers)
+
+
 class Reader:
     """A stream of bytes, cut into parts of known forms."""
 
--- a/sim/network/modules.py
+++ b/sim/network/modules.py
@@ -2,6 +2,7 @@
 
 import errno
 import os
+import select
 import socket as real
 from types import SimpleNamespace
 
@@ -12,6 +13,8 @@
 from sim.network.tcp import Tcp
 from sim.network.udp import Udp
 
+ALWAYS_TOLD = select.POLLHUP | select.POLLERR
+
 
 class SimSocket:
     """A socket that is not connected yet: what the rig does with one by hand."""
@@ -79,17 +82,30 @@
 
 
 def select_module(descriptors: Descriptors) -> SimpleNamespace:
-    """In place of `select`, for the one question that is asked of it: is there something to read?"""
+    """In place of `select`, for what is asked of it: is there something to read, has the peer ended?"""
 
     class Poll:
         def __init__(self) -> None:
-            self.asked: list[int] = []
+            self.asked: dict[int, int] = {}
 
         def register(self, descriptor: int, mask: int) -> None:
-            self.asked.append(descriptor)
+            self.asked[descriptor] = mask
 
         def poll(self, timeout: int) -> list[tuple[int, int]]:
-            found = [descriptors.things.get(number) for number in self.asked]
-            return [(1, 1) for each in found if isinstance(each, Endpoint) and each.readable()]
-
-    return SimpleNamespace(poll=Poll, POLLIN=1)
+            found = []
+            for number, mask in self.asked.items():
+                endpoint = descriptors.things.get(number)
+                if isinstance(endpoint, Endpoint) and (told := state(endpoint) & (mask | ALWAYS_TOLD)):
+                    found.append((number, told))
+            return found
+
+    def state(endpoint: Endpoint) -> int:
+        told = select.POLLIN if endpoint.readable() else 0
+        if endpoint.eof or endpoint.error:
+            told |= select.POLLRDHUP
+        if endpoint.error:
+            told |= select.POLLERR
+        return told | (select.POLLHUP if endpoint.error or (endpoint.eof and endpoint.shut) else 0)
+
+    names = ("POLLIN", "POLLRDHUP", "POLLHUP", "POLLERR")
+    return SimpleNamespace(poll=Poll, **{name: getattr(select, name) for name in names})
--- a/tests/clients/test_resp.py
+++ b/tests/clients/test_resp.py
@@ -266,8 +266,8 @@
 def test_open_requests_are_bounded_by_the_memory() -> None:
     async def job() -> None:
         async with front_door(Backend(lambda words: None), memory_mb=1) as (door, address):
-            for number in range(4):
-                client = await Client.open(address)
+            asking = [await Client.open(address) for _ in range(4)]  # kept: one that is let go of has left
+            for number, client in enumerate(asking):
                 client.send(b"".join(query(f"a{number}x{other}") for other in range(16)))
             last = await Client.open(address)
             while len(door.open) < 30:
