--- a/tests/crossings/test_clients_gone.py
+++ b/tests/crossings/test_clients_gone.py
@@ -1,6 +1,5 @@
 """Clients that go: noticed at once, whatever their requests wait for, and nothing is sent on for them."""
 
-import asyncio
 import socket
 from collections.abc import Callable
 from dataclasses import replace
