Where front doors cannot tell each other, each of a set spends its part of the quota

Seen in a set of two, three and ten gateways whose settings forbid words (ceilings.peers false): the set sent on two, three and ten times a customer's quota. With no words each is a side of a split, and may spend its part. The same holds where the settings allow words and the configuration names no peers or no address to hear them at: nobody would answer, so the settings are read as without.

--- a/fennelwinch/rules/store.py
+++ b/fennelwinch/rules/store.py
@@ -29,7 +29,9 @@
     ) -> None:
         self.plan, self.key, self.size, self.at = plan, key, key[3], now
         self.home = (key[2] + key[0] % self.size) % set_.gateways if set_.may_tell else set_.me
-        self.part, self.level = plan.burst / self.size, plan.burst
+        # The part of the quota that may be spent on this side of a split; with no words, each is a side.
+        self.reach = 1.0 if set_.may_tell else 1 / self.size
+        self.part, self.level = plan.burst / self.size, plan.burst * self.reach
         self.own, self.others = 0.0, 0.0  # aged demand, here and at the others of the set
         # Empty at the gateway's start, as a restart looks like a first one; it fills from then on.
         self.split = SPLIT_SHARE if split else 1.0
@@ -40,7 +42,6 @@
         self.pool = min(self.most_pooled, filled * self.pooled)
         self.heard_us, self.out = -NEVER, 0
         self.untold = self.spent = 0.0  # demand and spending that the home has not been told of
-        self.reach = 1.0  # the part of the quota that may be spent on this side of a split
         self.asked_us = NEVER  # the first ask that its home has not answered
 
     def refill(self, now: int) -> "Customer":
--- a/molereach/door/config.py
+++ b/molereach/door/config.py
@@ -3,7 +3,7 @@
 import json
 import re
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -129,6 +129,8 @@
         peer_listen=None if values.get("peer_listen") in (None, "") else address(values, "peer_listen"),
         peers=tuple(address({f"peers.{n}": text}, f"peers.{n}") for n, text in enumerate(peers)),
     )
+    if not (config.peers and config.peer_listen):  # nobody to tell, or no way to hear what they answer
+        config = replace(config, settings=replace(config.settings, may_tell=False))
     if config.zone_numbers and config.settings.zone >= len(config.zone_numbers):
         raise ConfigError(f"settings.zone: is {config.settings.zone}, of {len(config.zone_numbers)} zones")
     return config
