A resting connection is half-closed and lingers; what crosses that stays unread

Seen: ClientConnection.close looked for unread bytes and then closed the transport: a request that came in between met a close over unread bytes, a reset, which takes an answer that the client has not read yet with it. The same close waited without bound for a client that reads nothing, closed over half of a first command, and a first command in the very moment of its time-out was told that it had timed out. A connection that was clogged while closing stayed CLOGGED for its times after it was read (resume_writing did nothing then), and was aborted with requests open. Now we half-close, never read again, and let go of the socket when the client's end has come or LINGER_US is over (RFC 9112, 9.6); while answers are still in our buffer, READS_US counts. TCP_NODELAY was checked: the loop sets it on accepted sockets.

--- a/molereach/clients/resp.py
+++ b/molereach/clients/resp.py
@@ -32,7 +32,7 @@
         self.replies: deque[Reply] = deque()
         self.closing, self.reading, self.clogged, self.processing = False, True, False, False
         self.known, self.asked, self.errors = False, False, 0  # it has sent a good command; a request
-        self.discarded = 0  # bytes that came behind the last command
+        self.unread, self.discarded = False, 0  # closing: what comes stays unread, or so much was thrown away
         self.more = self.scheduled = False  # whole commands may wait to be taken; that is due
         self.state, self.since_us = State.NEW, now_us()
         self.until_us = self.since_us + WAITS_US[State.NEW]
@@ -155,7 +155,7 @@
 
     def hang_up(self) -> None:
         """End our side; the rest follows when the client has had time to read."""
-        if self.state is not State.CLOSING and self.transport.can_write_eof():
+        if self.transport.can_write_eof():
             self.transport.write_eof()
 
     def fail_all(self) -> None:
@@ -182,7 +182,7 @@
     def wants_more(self) -> bool:
         """Whether to read on: somewhat ahead of what can be taken, as the client's end stands behind it."""
         if self.closing:
-            return self.discarded < DISCARD_BYTES
+            return not self.unread and self.discarded < DISCARD_BYTES
         full = self.more or self.clogged or len(self.replies) >= MOST_PIPELINED
         return not full or len(self.reader.buffer) < READ_BYTES
 
@@ -195,7 +195,8 @@
 
     def current_state(self) -> State:
         if self.closing and not self.replies:
-            return State.CLOSING
+            # Its time to read the last answer begins when that has left.
+            return State.CLOGGED if self.transport.get_write_buffer_size() else State.CLOSING
         if self.clogged:
             return State.CLOGGED
         if self.replies:
@@ -213,16 +214,21 @@
 
     def resume_writing(self) -> None:
         self.clogged = False
-        if self.closing or self.processing:
-            return
-        self.process()
+        if self.closing:
+            self.flush()
+        elif not self.processing:
+            self.process()
 
     def overdue(self) -> None:
         """It has been as it is for too long."""
-        if self.state in (State.CLOGGED, State.CLOSING):
+        if self.state is State.CLOGGED and not self.transport.get_write_buffer_size():
+            self.update()
+        elif self.state in (State.CLOGGED, State.CLOSING):
             self.abort()
         elif self.transport.is_closing():
             return
+        elif self.state is State.NEW and not self.reader.buffer and has_unread(self.transport):
+            return  # its first command comes in this very moment
         elif self.state in (State.IDLE, State.GREETED):
             self.close()
         else:
@@ -233,11 +239,17 @@
         self.intake.closed(self)
 
     def close(self) -> None:
-        """Close between requests, unless one has just come."""
-        if self.replies or self.closing or self.transport.is_closing() or has_unread(self.transport):
+        """Half-close between requests, unless one has just come or begun.
+
+        One that crosses it stays unread: its client hears the end and sends it again elsewhere. The socket is
+        let go of when the client's end has come too, or after a while, as a close over unread bytes resets
+        the connection, and the last answer with it (RFC 9112, section 9.6: lingering close).
+        """
+        if self.replies or self.closing or self.reader.buffer or self.transport.is_closing():
             return
-        self.closing = True
-        self.transport.close()
+        if not has_unread(self.transport):
+            self.closing = self.unread = True
+            self.flush()
 
     def abort(self) -> None:
         if self.attached:
--- a/molereach/clients/states.py
+++ b/molereach/clients/states.py
@@ -65,7 +65,7 @@
 
     @abc.abstractmethod
     def close(self) -> None:
-        """Close between requests, unless one has just come."""
+        """Half-close between requests, unless one has just come or begun."""
 
     @abc.abstractmethod
     def abort(self) -> None:
