A silent discovery is asked again in time: one clock for silence, calls side by side

Seen by tests: a watch that fell silent was given up after 5 s, so that one dial that hung (1 s) brought its news after the 6 s by which they count as told; a call to an agent that was down and said nothing was waited for as long, though what the agent has at its return counts at once, with a grace of a second; half lines that trickle kept a watch for ever; the list of a new address was taken up only when its answer had ended; and once a reload had moved discovery to an address that never answers, the old watch, when it broke, was not opened again: the list grew old for ever. A stop of the process itself passed for silence. Ruled out: signs of life are told by empty lines, and were; the waits between calls (0.1 to 1 s) alone fit into the grace where the list must be asked for; a move back to the first address asked it anew. Lines at fault: SILENT_S and Source.read; Source.retire; CallPacing.ended, the same for an agent on the own machine as for a discovery that takes calls in turn. The change: a core says which calls are out, which have failed and when the next is due. A watch may miss one sign of life and half the time to the next (3 s). An agent is called again each half second beside a call that has no answer, two at a time, the eldest kept, and after a failure within 0.25 s; where the list must be asked for it stays at one call at a time by the pacing. The old address is kept up until the new one has told its list. The test of the pacing says the agent's bound, which is lower, in place of the general one.

--- /dev/null
+++ b/molereach/door/calling.py
@@ -0,0 +1,107 @@
+"""Which calls to discovery are out, which of them have failed, and when the next one is due: a core.
+
+Discovery gives a sign of life every 2 s, and what it has to tell counts as told 6 s after a watch has fallen
+silent. So a watch that has missed one sign, and then half of the time to the next, is given up: that leaves
+3 s for a dial that hangs for its full second and for one more after it.
+
+Where the address is an agent on the own machine, it answers at once and at no cost; only while discovery is
+down it is silent, and what it gets when that returns counts at that moment. Then nobody can know whether a
+call that was made meanwhile will be answered or has been forgotten. So a call that has no answer yet is left
+open for a while, as it may be the one that is answered, and every half second another is made beside it (a
+hedged request: Dean and Barroso, The Tail at Scale, 2013), two at most; the first that says anything is kept,
+and the other is closed. A slow answer comes by the elder one. Where the list must be asked for, calls
+cost discovery work and may wait in its line: one at a time, by the pacing.
+"""
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from molereach.door.calls import CallPacing
+
+BEAT_S = 2.0  # discovery's sign of life, an empty line while nothing changes
+SILENT_S = 1.5 * BEAT_S  # an answer that brings no byte for so long is dead
+WHOLE_S = 5.0  # and so is one that brings bytes, but neither an object nor an empty line
+ANSWER_S = 5.0  # how long a call may wait for its answer to begin
+BESIDE_S = 0.5  # after a call that is still without an answer
+MOST_OUT = 2  # calls at a time
+
+
+@dataclass(slots=True)
+class Call:
+    """A call that is out, by the times in seconds at which it was made and last brought something."""
+
+    opened_s: float
+    heard_s: float | None = None  # a byte of an answer; None: it has not begun
+    word_s: float = 0.0  # an object or an empty line, or the answer's beginning
+
+    def until_s(self) -> float:
+        """When it has failed, if it brings nothing more."""
+        if self.heard_s is None:
+            return self.opened_s + ANSWER_S
+        return min(self.heard_s + SILENT_S, self.word_s + WHOLE_S)
+
+
+class Calling:
+    """All times are of one clock, in seconds; calls go by numbers, which do not come again."""
+
+    def __init__(self, pacing: CallPacing, draw: Callable[[], float]) -> None:
+        self.pacing, self.draw = pacing, draw
+        self.out: dict[int, Call] = {}  # the eldest first
+        self.count = 0
+        self.due_s = 0.0  # when the next call is
+
+    def wait_s(self, now_s: float) -> float:
+        """How long until something has to be done, if nothing is heard before."""
+        return max(0.0, min((self.due_s, *(call.until_s() for call in self.out.values()))) - now_s)
+
+    def failed(self, now_s: float) -> list[int]:
+        """Calls that have brought nothing for too long; each is then to be ended."""
+        return [number for number, call in self.out.items() if now_s >= call.until_s()]
+
+    def open(self, now_s: float) -> int | None:
+        """The number of the call that is to be made now, if one is due. `surplus` may then be closed."""
+        if now_s < self.due_s:
+            return None
+        self.count += 1
+        self.out[self.count] = Call(now_s)
+        self.due_s = math.inf if self.pacing.must_ask else now_s + BESIDE_S
+        return self.count
+
+    def surplus(self) -> list[int]:
+        """The younger ones of too many calls: the eldest keeps its whole time, for an answer that is slow."""
+        return list(self.out)[1 : 1 + max(0, len(self.out) - MOST_OUT)]
+
+    def heard(self, number: int, now_s: float) -> None:
+        """A call has brought bytes of an answer that has begun: no other is needed beside it."""
+        if call := self.out.get(number):
+            if call.heard_s is None:
+                call.word_s = now_s
+            call.heard_s, self.due_s = now_s, math.inf
+
+    def word(self, number: int, now_s: float) -> list[int]:
+        """A call has brought an object or an empty line: it is the one that is kept. The others."""
+        self.heard(number, now_s)
+        self.out[number].word_s = now_s
+        self.pacing.heard()
+        return [other for other in self.out if other != number]
+
+    def over(self, number: int) -> None:
+        """A call has done what it was made for, or was closed as surplus: it has not failed."""
+        self.out.pop(number, None)
+
+    def at_once(self, now_s: float) -> None:
+        """The next call is due now."""
+        self.due_s = now_s
+
+    def ended(self, number: int, now_s: float) -> None:
+        """A call has ended by itself, or has failed: the next one is due after the pacing's wait, unless
+        another is being answered."""
+        call = self.out.pop(number, None)
+        if call is None or any(other.heard_s is not None for other in self.out.values()):
+            return
+        silent = now_s >= call.until_s()
+        wait_s = self.pacing.ended(self.draw())
+        if silent and not self.pacing.must_ask:
+            wait_s = 0.0  # it has waited long enough
+        self.due_s = min(self.due_s, now_s + wait_s)
--- a/molereach/door/calls.py
+++ b/molereach/door/calls.py
@@ -20,6 +20,7 @@
 CALL_S = 0.2  # of discovery's time, for each front door of the tier: it takes one call from each in so long
 AT_ONCE = 8  # calls that may come in step and are no burden
 BACKOFF_S, MOST_BACKOFF_S = 0.1, 1.0  # after failures, for one front door alone
+AGENT_BACKOFF_S = 0.25  # the most where the address is an agent on the own machine
 MOST_DOUBLINGS = 8  # more make no number that is of use
 MOST_WINDOWS = 4  # failed calls come no further apart than so many windows, at their middle
 # Of the time within which a front door must have asked, so that what was listed does not count as told
@@ -32,6 +33,7 @@
 
     def __init__(self, doors: int, must_ask: bool = True, ask_within_s: float = 0.0) -> None:
         """`must_ask`: the list is not sent unasked; `ask_within_s`: 0 where no time is set for that."""
+        self.must_ask = must_ask
         self.most_s = ASK_PART * ask_within_s or math.inf
         self.window_s = min(CALL_S * max(0, doors - AT_ONCE), self.most_s) if must_ask else 0.0
         self.failures = 0
@@ -50,7 +52,8 @@
 
     def ended(self, draw: float) -> float:
         """A call failed, or a watch that had brought news broke: then maybe everybody's did."""
-        alone: float = min(MOST_BACKOFF_S, BACKOFF_S * 2 ** min(self.failures, MOST_DOUBLINGS))
+        most_s = MOST_BACKOFF_S if self.must_ask else AGENT_BACKOFF_S
+        alone: float = min(most_s, BACKOFF_S * 2 ** min(self.failures, MOST_DOUBLINGS))
         shared = self.window_s * draw
         if self.failures:
             shared = self.window_s * min(MOST_WINDOWS, 2 ** (self.failures - 1)) * (0.5 + draw)
--- a/molereach/door/discovery.py
+++ b/molereach/door/discovery.py
@@ -39,7 +39,7 @@
         self.spawn(self.source.run())
 
     def move(self, address: Address) -> None:
-        """Go to another address. Until that has told its list, the old watch is heard out.
+        """Go to another address. Until that has told its list, the old one is asked and heard as before.
 
         Its list is asked for whole: what vanished meanwhile may be in no change, and its count of versions
         need not be the old one's.
@@ -48,7 +48,9 @@
             return
         if self.next:
             self.next.close()
-        self.source.retire()
+            self.next = None
+        if address == self.source.address:
+            return  # back, before the other has told anything: this one was never left
         self.next = Source(address, self.catalog, None, self.take, self.pacing(), self.draw)
         self.spawn(self.next.run())
 
--- /dev/null
+++ b/tests/crossings/test_discovery_calls.py
@@ -0,0 +1,223 @@
+"""Calls to discovery on sockets: silent, forgotten, refused, moved. The rows: docs/design/endings.md."""
+
+import asyncio
+import time
+from collections.abc import Iterator
+from dataclasses import replace
+
+import pytest
+
+from fennelwinch import interface as i
+from molereach.door import calling
+from molereach.door.frontdoor import FrontDoor
+from tests.crossings.listing import WHOLE, after, asked, call, changes, watch, whole
+from tests.crossings.wire import Machine, Peer, machine, until
+from tests.sockets import CONFIG, HEAD, Client, chunk, resp, run
+
+UP, DRAINING = i.ServerState.UP, i.ServerState.DRAINING
+
+
+@pytest.fixture
+def agent() -> Iterator[Machine]:
+    with machine() as made:
+        yield made
+
+
+@pytest.fixture
+def other() -> Iterator[Machine]:
+    with machine() as made:
+        yield made
+
+
+def listed(version: int, name: str) -> bytes:
+    """The whole list, as an answer with a length."""
+    body = whole(version, name)
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+
+async def gone(peer: Peer) -> bool:
+    """The front door has let go of this call."""
+    try:
+        return not await peer.hear()
+    except ConnectionResetError:
+        return True
+
+
+def test_watch_that_fell_silent_is_closed_and_opened_anew(
+    agent: Machine, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(calling, "SILENT_S", 0.05)
+
+    async def job() -> None:
+        async with asked(agent) as door:
+            old = await watch(agent)
+            old.say(chunk(changes(4, s1="DRAINING")))
+            assert await door.next() == (4, {"s1": DRAINING})
+            new = await watch(agent, 4)
+            assert await gone(old)
+            new.say(chunk(changes(5, s1="SERVING")))
+            assert await door.next() == (5, {"s1": UP})
+
+    run(job())
+
+
+def test_own_standstill_is_not_taken_for_silence(agent: Machine, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The signs of life came while the process was stopped; they are read before anything is judged."""
+    monkeypatch.setattr(calling, "SILENT_S", 0.05)
+
+    async def job() -> None:
+        async with asked(agent) as door:
+            peer = await watch(agent)
+            peer.say(chunk(changes(4, s1="DRAINING")))
+            assert await door.next() == (4, {"s1": DRAINING})
+            for _ in range(3):
+                peer.say(chunk(b"\n"))
+                time.sleep(0.06)  # the loop stands still for longer than a watch may be silent
+                await asyncio.sleep(0)
+            peer.say(chunk(changes(5, s1="SERVING")))
+            assert await door.next() == (5, {"s1": UP})
+            assert not agent.waiting()
+
+    run(job())
+
+
+def test_call_that_a_dead_agent_forgot_is_followed_by_another_beside_it(
+    agent: Machine, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The first one stays, as it may be the one that is answered when the agent is back."""
+    monkeypatch.setattr(calling, "BESIDE_S", 0.05)
+
+    async def job() -> None:
+        async with asked(agent) as door:
+            first, _ = await call(agent)
+            second, target = await call(agent)
+            assert target == after(3)
+            first.say(HEAD + chunk(changes(4, s1="DRAINING")))
+            assert await door.next() == (4, {"s1": DRAINING})
+            assert await gone(second)
+
+    run(job())
+
+
+def test_first_call_that_is_answered_closes_those_before_it(
+    agent: Machine, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(calling, "BESIDE_S", 0.02)
+    monkeypatch.setattr(calling, "MOST_OUT", 1000)  # none is closed but for the answer
+
+    async def job() -> None:
+        async with asked(agent) as door:
+            first, _ = await call(agent)
+            second, _ = await call(agent)
+            second.say(HEAD + chunk(changes(4, s1="DRAINING")))
+            first.say(HEAD + chunk(changes(4, s1="SERVING")))  # in the same turn: only one is taken
+            second.say(chunk(changes(5, s1="DRAINING")))
+            assert (await door.next())[0] == 4
+            (number,) = door.discovery.source.calls
+            assert await gone([first, second][2 - number])
+
+    run(job())
+
+
+def test_list_is_taken_before_its_answer_has_ended(agent: Machine, other: Machine) -> None:
+    """An answer with no length that nobody ends: the object is whole, and the watch is opened."""
+    async def job() -> None:
+        async with asked(agent) as door:
+            door.discovery.move(other.address)
+            peer, target = await call(other)
+            assert target == WHOLE
+            peer.say(HEAD + chunk(whole(7, "s1").strip()))
+            assert await door.next() == (7, {"s1": UP})
+            await watch(other, 7)
+            assert await gone(peer)
+
+    run(job())
+
+
+def test_old_address_is_asked_again_until_the_new_one_has_told_its_list(
+    agent: Machine, other: Machine
+) -> None:
+    """The new one accepts and says nothing, and the old watch breaks meanwhile."""
+    async def job() -> None:
+        async with asked(agent) as door:
+            old = await watch(agent)
+            await until(lambda: any(one.heard_s for one in door.discovery.source.calling.out.values()))
+            door.discovery.move(other.address)
+            new, target = await call(other)
+            assert target == WHOLE
+            old.reset()
+            old = await watch(agent)
+            old.say(chunk(changes(4, s1="DRAINING")))
+            assert await door.next() == (4, {"s1": DRAINING})
+            new.say(listed(2, "s1"))
+            assert await door.next() == (2, {"s1": UP})
+            await watch(other, 2)
+            assert await gone(old)
+
+    run(job())
+
+
+def test_moves_back_before_the_new_address_has_spoken(agent: Machine, other: Machine) -> None:
+    """A, B, A: the watch on A was never left, and what B says at last is not heard."""
+    async def job() -> None:
+        async with asked(agent) as door:
+            old = await watch(agent)
+            door.discovery.move(other.address)
+            new, _ = await call(other)
+            new.say(listed(9, "s9"))  # in the very turn
+            door.discovery.move(agent.address)
+            door.discovery.move(agent.address)
+            assert await gone(new)
+            old.say(chunk(changes(4, s1="DRAINING")))
+            assert await door.next() == (4, {"s1": DRAINING})
+            assert door.discovery.source.address == agent.address
+            assert door.heard.empty() and door.discovery.next is None
+
+    run(job())
+
+
+def test_moves_back_after_the_new_address_has_spoken(agent: Machine, other: Machine) -> None:
+    """A, B, A: A is asked anew and whole, and its smaller count of versions is taken over."""
+    async def job() -> None:
+        async with asked(agent) as door:
+            old = await watch(agent)
+            door.discovery.move(other.address)
+            new, _ = await call(other)
+            new.say(listed(9, "s9"))
+            assert await door.next() == (9, {"s9": UP})
+            await watch(other, 9)
+            assert await gone(old)
+            door.discovery.move(agent.address)
+            peer, target = await call(agent)
+            assert target == WHOLE
+            peer.say(listed(4, "s1"))
+            assert await door.next() == (4, {"s1": UP})
+            await watch(agent, 4)
+
+    run(job())
+
+
+def test_version_that_goes_back_on_a_watch_is_taken_over(agent: Machine) -> None:
+    """An agent that has started anew counts from the beginning, and says its whole list."""
+    async def job() -> None:
+        async with asked(agent) as door:
+            peer = await watch(agent)
+            peer.say(chunk(whole(1, "s7")))
+            version, states = await door.next()
+            assert (version, states) == (1, {"s7": UP})
+            peer.reset()
+            await watch(agent, 1)
+
+    run(job())
+
+
+def test_serves_while_discovery_accepts_and_says_nothing(agent: Machine) -> None:
+    async def job() -> None:
+        door = FrontDoor(replace(CONFIG, discovery=agent.address))
+        async with asyncio.timeout(5):  # of the 10 s in which it has to be ready
+            await door.start()
+            client = await Client.open(door.address)
+            assert await client.ask(resp("PING")) == b"PONG"
+        door.close()
+
+    run(job())
--- /dev/null
+++ b/tests/crossings/test_discovery_silence.py
@@ -0,0 +1,140 @@
+"""Discovery falls silent, is down and comes back: by when it is asked again, on a clock of the test's own.
+
+The rows: docs/design/endings.md, "Discovery".
+"""
+
+import math
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from molereach.door.calling import BESIDE_S, MOST_OUT, SILENT_S, WHOLE_S, Calling
+from molereach.door.calls import AGENT_BACKOFF_S, BACKOFF_S, CallPacing
+
+TOLD_S = 6.0  # from when a watch fell silent, by the protocol
+GRACE_S = 1.0  # the least time of a site from being told of a drain to the last new send
+DIAL_S = 1.0  # a dial that hangs is given up
+
+
+class Agent:
+    """The core against a discovery that does what the test says, on the test's clock."""
+
+    def __init__(self, must_ask: bool = False) -> None:
+        self.calling = Calling(CallPacing(1, must_ask=must_ask), lambda: 0.5)
+        self.now_s, self.opened = 0.0, []
+        self.opened: list[float]
+
+    def step(self, until_s: float) -> list[int]:
+        """Go on to the next thing to do, or to a time; the calls that failed then."""
+        self.now_s = min(until_s, self.now_s + self.calling.wait_s(self.now_s))
+        failed = self.calling.failed(self.now_s)
+        for number in failed:
+            self.calling.ended(number, self.now_s)
+        if self.calling.open(self.now_s):
+            self.opened.append(self.now_s)
+        for number in self.calling.surplus():
+            self.calling.over(number)
+        return failed
+
+    def go_to(self, until_s: float) -> None:
+        while self.now_s < until_s:
+            self.step(until_s)
+
+    def lives(self) -> int:
+        """A watch is open and has brought something; its number."""
+        self.step(self.now_s)
+        number = self.calling.count
+        self.calling.word(number, self.now_s)
+        return number
+
+
+def test_watch_that_falls_silent_is_opened_anew_in_time_for_two_dials_that_hang() -> None:
+    for must_ask in (False, True):
+        agent = Agent(must_ask)
+        number = agent.lives()
+        agent.go_to(TOLD_S)
+        assert number not in agent.calling.out
+        assert agent.opened[1] <= SILENT_S + BACKOFF_S
+        assert agent.opened[1] + 2 * DIAL_S + 2 * BACKOFF_S < TOLD_S
+
+
+@pytest.mark.parametrize("bytes_each_s", [0.1, 2.9])
+def test_watch_that_trickles_half_a_line_is_opened_anew_in_time(bytes_each_s: float) -> None:
+    agent = Agent()
+    number = agent.lives()
+    while number in agent.calling.out:
+        agent.go_to(agent.now_s + bytes_each_s)
+        agent.calling.heard(number, agent.now_s)
+        assert agent.now_s < WHOLE_S + bytes_each_s
+    assert agent.opened[1] <= WHOLE_S < TOLD_S
+
+
+def test_answer_that_is_only_a_head_is_as_silent_as_a_watch() -> None:
+    agent = Agent()
+    agent.step(0)
+    agent.calling.heard(1, 0.0)
+    agent.go_to(SILENT_S)
+    assert agent.opened == [0.0, SILENT_S]
+
+
+def test_signs_of_life_keep_a_watch_however_long() -> None:
+    agent = Agent()
+    number = agent.lives()
+    for beat in range(100):
+        agent.go_to(2.0 * beat)
+        agent.calling.word(number, agent.now_s)
+    assert agent.opened == [0.0] and list(agent.calling.out) == [number]
+
+
+@settings(derandomize=True, deadline=None, max_examples=50)
+@given(st.floats(0, 9), st.sampled_from(["hangs", "refuses", "forgets"]), st.floats(0, 0.2))
+def test_agent_that_is_back_is_asked_within_its_grace(back_s: float, while_down: str, dial_s: float) -> None:
+    """Calls made while it is down are held and answered when it is back, or refused, or never answered."""
+    agent = Agent()
+    agent.lives()
+    agent.go_to(SILENT_S)
+    back_s += SILENT_S
+    while agent.now_s < back_s:
+        if while_down == "refuses":
+            for number in list(agent.calling.out):
+                agent.calling.ended(number, agent.now_s)
+        agent.step(back_s)
+        assert len(agent.calling.out) <= MOST_OUT
+    if while_down == "hangs":
+        assert agent.calling.out  # one of them is answered now
+        return
+    opened = len(agent.opened)
+    while len(agent.opened) == opened:
+        agent.step(math.inf)
+    assert agent.now_s + dial_s - back_s < GRACE_S
+    assert agent.now_s - back_s <= max(BESIDE_S, AGENT_BACKOFF_S)
+
+
+def test_agent_that_refuses_is_called_at_a_bounded_rate() -> None:
+    agent = Agent()
+    while agent.now_s < 10:
+        for number in list(agent.calling.out):
+            agent.calling.ended(number, agent.now_s)
+        agent.step(10)
+    assert len(agent.opened) <= 10 / AGENT_BACKOFF_S + 3
+
+
+def test_slow_answer_comes_by_the_eldest_call() -> None:
+    """It is kept while younger ones come and go beside it."""
+    agent = Agent()
+    agent.step(0)
+    agent.go_to(3 * BESIDE_S)
+    assert list(agent.calling.out) == [1, 4]
+    assert agent.calling.word(1, agent.now_s) == [4]
+    agent.calling.over(4)
+    agent.go_to(agent.now_s + SILENT_S - 0.1)
+    assert list(agent.calling.out) == [1]
+
+
+def test_list_that_must_be_asked_for_is_asked_for_once_at_a_time() -> None:
+    """A call may wait in discovery's line, which works on calls that nobody waits for any more."""
+    agent = Agent(must_ask=True)
+    agent.go_to(30.0)
+    assert len(agent.calling.out) <= 1
+    assert len(agent.opened) <= 30 / 5 + 1
--- a/tests/door/test_calls.py
+++ b/tests/door/test_calls.py
@@ -6,7 +6,15 @@
 import time
 from dataclasses import replace
 
-from molereach.door.calls import AFTER_FAILED, AT_ONCE, BACKOFF_S, CALL_S, MOST_BACKOFF_S, CallPacing
+from molereach.door.calls import (
+    AFTER_FAILED,
+    AGENT_BACKOFF_S,
+    AT_ONCE,
+    BACKOFF_S,
+    CALL_S,
+    MOST_BACKOFF_S,
+    CallPacing,
+)
 from molereach.door.discovery import Catalog, Discovery, News
 from molereach.door.frontdoor import FrontDoor
 from tests.sockets import CONFIG, HEAD, Watch, catalog, chunk, run
@@ -108,7 +116,7 @@
             pacing = door.discovery.source.pacing
             assert pacing.first(1.0) == 0
             assert pacing.ended(1.0) == BACKOFF_S
-            assert max(pacing.ended(1.0) for _ in range(100)) == MOST_BACKOFF_S
+            assert max(pacing.ended(1.0) for _ in range(100)) == AGENT_BACKOFF_S < MOST_BACKOFF_S
         finally:
             door.close()
 
--- a/tests/door/test_discovery.py
+++ b/tests/door/test_discovery.py
@@ -10,7 +10,7 @@
 
 from fennelwinch import interface as i
 from fennelwinch.codec import pack_words
-from molereach.door import calls, source
+from molereach.door import calling, calls
 from molereach.door.discovery import Catalog, Discovery, News
 from molereach.door.frontdoor import FrontDoor
 from molereach.door.peers import Peers
@@ -84,7 +84,7 @@
 
 
 def test_silent_watch_is_reopened(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(source, "SILENT_S", 0.2)
+    monkeypatch.setattr(calling, "SILENT_S", 0.2)
 
     async def job() -> None:
         watch = Watch(script(HEAD), script(HEAD + chunk(catalog(4, []))))
