A home that starts again takes the set's word for the store also after a request of its own

Seen in a set of three whose home is killed with the customer's store empty: where the home's own request came before the first word of another, 51 requests went out in 4 s at a quota of 4 a second; 20 where a word came first. The guard (Admission.hear_word: level is the lower of both) held for customers that were new with that word alone. Ruled out: the asker's part, and asks counted twice. It is now the first word of the set that counts, whoever opened the account.

--- a/fennelwinch/rules/admission.py
+++ b/fennelwinch/rules/admission.py
@@ -116,14 +116,15 @@
 
     def hear_word(self, now: int, sender: int, key: i.Key, word: i.Word) -> None:
         """The home adds up what its set asks and spends, or takes over at its start, and answers."""
-        new, customer = key not in self.customers.known, self.customers.get(now, key)
+        customer = self.customers.get(now, key)
         if word.is_answer:
             customer.heard_us, customer.level, customer.asked_us = now, word.level, NEVER
             customer.others = max(0.0, word.demand - customer.own)
             customer.part = min(customer.part, max(0.0, word.level / customer.size))
             self.end_waits(now, customer if word.asked else None, word.granted, word.inside)
         elif customer.home == self.set.me:
-            customer.level = min(customer.level, word.level) if new else customer.level
+            if not customer.told:  # a home that has just started is full again; the store need not be
+                customer.told, customer.level = True, min(customer.level, word.level)
             customer.others += word.demand
             limits = self.customers.limits
             counted = limits is not None and limits.counts(sender)
--- a/fennelwinch/rules/store.py
+++ b/fennelwinch/rules/store.py
@@ -21,7 +21,7 @@
     """A customer's part of quota and ceiling here, and what is known of its whole set: all, at its home."""
 
     __slots__ = ("asked_us", "at", "ceiling", "given", "heard_us", "home", "key", "level", "others", "out",
-                 "own", "part", "plan", "pool", "pooled", "reach", "size", "spent", "split", "untold")
+                 "own", "part", "plan", "pool", "pooled", "reach", "size", "spent", "split", "told", "untold")
 
     def __init__(
         self, plan: i.Plan, key: i.Key, set_: i.Settings, now: int, since: int,
@@ -41,6 +41,7 @@
         self.pooled = 1.0 - self.split  # at the home: its share of the ceiling, and a store for the whole set
         self.pool = min(self.most_pooled, filled * self.pooled)
         self.heard_us, self.out = -NEVER, 0
+        self.told = False  # whether others of its set have said what they know of its level
         self.untold = self.spent = 0.0  # demand and spending that the home has not been told of
         self.asked_us = NEVER  # the first ask that its home has not answered
 
--- /dev/null
+++ b/tests/crossings/test_peers_home.py
@@ -0,0 +1,124 @@
+"""A customer's home that dies, starts again with its stores full, is silent, or says things late or twice."""
+
+import zlib
+from dataclasses import replace
+
+import pytest
+
+from fennelwinch import interface as i
+from tests.helpers import MS, SETTINGS, S, Set, World, of, servers
+
+PAIR = replace(SETTINGS, gateways=2)
+
+
+def customer_of(world: World, home: int) -> str:
+    """A customer of both, whose home is that one."""
+    return next(f"c{n}" for n in range(99) if zlib.crc32(f"c{n}".encode()) % 2 == home)
+
+
+def answers_to(world: World, name: str) -> list[i.Action]:
+    """Final answers and sends for a request."""
+    return [action for _, action in world.log
+            if isinstance(action, i.Send | i.Refuse | i.Fail) and action.id == name]
+
+
+def restart(gates: Set, me: int, settings: i.Settings) -> None:
+    """It is killed, and starts again from nothing: what it had is gone, and so are its stores."""
+    fresh = World(replace(settings, me=me, gateways=len(gates.worlds), seed=99 + me), servers(4))
+    fresh.now = gates.worlds[me].now
+    fresh.log, fresh.timers = [], []
+    fresh.gateway = type(fresh.gateway)(replace(settings, me=me, gateways=len(gates.worlds), seed=99 + me))
+    gates.worlds[me] = fresh
+    fresh.tell(i.ServerList(i.ListKind.SAVED, 1, servers(4)))
+
+
+@pytest.mark.parametrize("own_first", [False, True])
+def test_home_that_starts_again_goes_by_what_the_set_knows_of_the_store(own_first: bool) -> None:
+    """Its store is full again, the customer's is not. Where its own request came first, before the first word
+    of another, the whole burst was let in once more."""
+    settings = replace(SETTINGS, plans=(i.Plan(rate=4.0, burst=40.0),))
+    gates = Set(3, settings)
+    home = zlib.crc32(b"c") % 3
+    for n in range(300):  # three times what the plan gives: the store is empty
+        gates.ask(n % 3, f"a{n}")
+        gates.run(80 * MS)
+    gates.run(S)
+    restart(gates, home, settings)
+    before = gates.sent()
+    if own_first:
+        gates.ask(home, "own")
+    for n in range(60):
+        gates.ask((home + 1 + n) % 3, f"b{n}")
+        gates.run(50 * MS)
+    gates.run(S)
+    # 4 s at 4 a second, and what came back in the second of rest; a fresh burst of 40 would take all 60.
+    assert gates.sent() - before <= 16 + 4 + 8
+
+
+def test_home_that_dies_while_it_is_asked_costs_no_request_its_time() -> None:
+    """It is asked again, as words may be lost; then what is known here must do."""
+    world = World(PAIR)
+    name = customer_of(world, home=1)
+    for number in range(11):  # the eleventh is past this one's part of the burst
+        world.ask(f"a{number}", customer=name, set_size=2, left_us=2 * S)
+    assert not answers_to(world, "a10")
+    world.run(S - 40 * MS)  # a refusal after half of the time would come too late
+    assert len(answers_to(world, "a10")) == 1
+    words = [word for _, action in world.log if isinstance(action, i.Tell) for word in action.words]
+    assert sum(word.asked > 0 for word in words) == 3
+
+
+@pytest.mark.parametrize("inside", [False, True])
+def test_word_that_comes_after_the_answer_changes_nothing_for_the_request(inside: bool) -> None:
+    """Late, and then twice: one final answer all the same, and nothing is sent again."""
+    world = World(PAIR)
+    name = customer_of(world, home=1)
+    for number in range(11):
+        world.ask(f"a{number}", customer=name, set_size=2, left_us=2 * S)
+    world.run(S)
+    said = answers_to(world, "a10")
+    key = zlib.crc32(name.encode()), 0, 0, 2
+    late = i.Word(*key, True, asked=1.0, level=-2.0, granted=True, inside=inside)
+    for _ in range(2):
+        assert not of(i.Send, world.tell(i.PeerMessage(1, (late,))))
+    world.run(S)
+    assert answers_to(world, "a10") == said and len(said) == 1
+    (customer,) = world.gateway.customers.known.values()
+    assert not customer.given  # nobody waited for the units that it brought
+
+
+def test_word_that_comes_for_a_client_that_has_gone() -> None:
+    world = World(PAIR)
+    name = customer_of(world, home=1)
+    for number in range(11):
+        world.ask(f"a{number}", customer=name, set_size=2, left_us=2 * S)
+    world.tell(i.ClientGone("a10"))
+    answer = i.Word(zlib.crc32(name.encode()), 0, 0, 2, True, asked=1.0, level=5.0, inside=True)
+    world.tell(i.PeerMessage(1, (answer,)))
+    (customer,) = world.gateway.customers.known.values()
+    assert customer.level == 5.0  # and it costs the customer nothing
+    world.run(S)
+    assert not answers_to(world, "a10")
+
+
+def test_older_word_that_comes_last_holds_until_the_next_one_only() -> None:
+    world = World(PAIR)
+    name = customer_of(world, home=1)
+    key = zlib.crc32(name.encode()), 0, 0, 2
+    for level in (-5.0, 15.0):  # the second was sent first
+        world.tell(i.PeerMessage(1, (i.Word(*key, True, level=level),)))
+    customer = world.gateway.customers.known[key]
+    assert customer.part <= 15.0 / 2 and customer.level == 15.0
+    world.tell(i.PeerMessage(1, (i.Word(*key, True, level=-5.0),)))
+    assert customer.level == -5.0 and customer.part == 0.0
+
+
+def test_silent_home_is_known_again_by_its_first_word() -> None:
+    world = World(PAIR)
+    name, peers = customer_of(world, home=1), world.gateway.admission.peers
+    for number in range(11):
+        world.ask(f"a{number}", customer=name, set_size=2)
+    world.run(600 * MS)
+    assert peers.is_silent(world.now, 1)
+    world.tell(i.PeerMessage(1, (i.Word(7, 0, 0, 2, True),)))
+    assert not peers.is_silent(world.now, 1)
