A lost ask is repeated by the wait of its own class, also where aims are short

With an aim of 100 ms a request waits 33 ms for word from its customer's home, and whether there is time for another ask was judged by the longest wait, 160 ms (Admission.end_waits): one lost word, and what is known here had to do. Where a third of the aim is 160 ms or more nothing changes. The test saw one ask before, sees three now.

--- a/fennelwinch/rules/admission.py
+++ b/fennelwinch/rules/admission.py
@@ -21,6 +21,11 @@
 ASK_SHARE = 0.5  # part of a gateway's intake that the asks for one customer may take
 
 
+def wait_us(job: Job) -> int:
+    """For one word from home."""
+    return min(ASK_US, job.rule.aim_us // ASK_PART)
+
+
 class Admission:
     """Those that wait for word; `decide` is told of each request once its chance is known, in turn."""
 
@@ -70,8 +75,8 @@
         job.asked_us = now
         self.peers.ask(now, job.customer.home)
         job.customer.asked_us = min(job.customer.asked_us, now)
-        wait, job.asks = min(ASK_US, job.rule.aim_us // ASK_PART), job.asks + 1
-        job.decide_us = min(now + wait, job.end_us - 4 * TICK_US, job.half_us - 2 * TICK_US)
+        job.asks += 1
+        job.decide_us = min(now + wait_us(job), job.end_us - 4 * TICK_US, job.half_us - 2 * TICK_US)
         self.waits.append(job)
         self.words.tell(job.customer.home, job.customer, job.req.units, job.let_in or None)
 
@@ -84,7 +89,7 @@
         self.waits = [job for job in self.waits if job not in ready]
         for job in [job for job in ready if not job.over]:
             last = min(job.end_us - 4 * TICK_US, job.half_us - 2 * TICK_US)
-            if told is None and job.asks < ASKS and now + ASK_US < last:
+            if told is None and job.asks < ASKS and now + wait_us(job) < last:
                 self.ask(now, job)  # words may be lost
                 continue
             if granted and job.customer is told:
--- /dev/null
+++ b/tests/crossings/test_settings_short.py
@@ -0,0 +1,58 @@
+"""Deployments whose times are far shorter than usual: what is waited for scales with them."""
+
+import zlib
+from dataclasses import replace
+
+import pytest
+
+from fennelwinch import interface as i
+from tests.helpers import MS, SETTINGS, World
+
+SHORT = i.RequestClass(aim_us=100 * MS, deadline_us=400 * MS)
+PAIR = replace(SETTINGS, gateways=2, classes=(SHORT,))
+LEFT_US = SHORT.deadline_us - 25 * MS
+
+
+def other_home(world: World) -> str:
+    return next(f"c{n}" for n in range(99) if zlib.crc32(f"c{n}".encode()) % 2)
+
+
+def asks(world: World) -> list[int]:
+    return [at for at, action in world.log if isinstance(action, i.Tell)
+            for word in action.words if word.asked]
+
+
+def test_word_that_was_lost_is_asked_for_again_where_the_wait_is_short() -> None:
+    """The wait is a third of the aim; whether there is time for another was judged by the longest wait."""
+    world = World(PAIR)
+    name = other_home(world)
+    for number in range(11):  # the eleventh is past this one's part of the burst
+        world.ask(f"a{number}", customer=name, set_size=2, left_us=LEFT_US)
+    world.run(LEFT_US // 2)
+    assert len(asks(world)) == 3
+    assert [action for at, action in world.log if isinstance(action, i.Send | i.Refuse) and action.id == "a10"]
+
+
+@pytest.mark.parametrize("effect", list(i.Effect))
+@pytest.mark.parametrize(("aim_us", "deadline_us"), [(100 * MS, 400 * MS), (60 * MS, 200 * MS)])
+def test_each_request_has_one_answer_in_time(effect: i.Effect, aim_us: int, deadline_us: int) -> None:
+    """Servers that answer nothing, and a home that is silent: the final answer comes before the deadline."""
+    rule = i.RequestClass(aim_us, deadline_us, effect=effect, window_us=aim_us // 2, group=i.Group.CELL)
+    world = World(replace(PAIR, classes=(rule,), max_attempts=2))
+    came = {}
+    for number in range(40):
+        came[f"a{number}"] = world.now
+        world.ask(f"a{number}", customer=other_home(world), set_size=2, left_us=deadline_us - 25 * MS)
+        for _ in range(2):
+            world.run(10 * MS)
+            for (name, attempt), (_, sent, wait) in list(world.out.items()):
+                if wait and world.now - sent >= wait:
+                    world.answer(name, i.Result.TIMEOUT, attempt)
+    for _ in range(deadline_us // (10 * MS)):
+        world.run(10 * MS)
+        for (name, attempt), (_, sent, wait) in list(world.out.items()):
+            if wait and world.now - sent >= wait:
+                world.answer(name, i.Result.TIMEOUT, attempt)
+    ended = [(at, action.id) for at, action in world.log if isinstance(action, i.Refuse | i.Fail)]
+    assert sorted(name for _, name in ended) == sorted(came)
+    assert all(at - came[name] < deadline_us for at, name in ended)
