A control period is never shorter than the tick that ends it

The second of a deployment follows from its aims; with aims under 30 ms it fell below a tick, and with one of a few microseconds (or a wrong unit in the settings) each tick ended thousands of periods over all servers: a start that never came to serve. Aims of 30 ms and more are as before. The test failed before and passes now.

--- a/fennelwinch/rules/cap.py
+++ b/fennelwinch/rules/cap.py
@@ -28,7 +28,8 @@
 
     def __init__(self, settings: i.Settings) -> None:
         aims = [rule.aim_us for rule in settings.classes]
-        self.second = round(S * min(1.0, sum(aims) / max(1, len(aims)) / USUAL_AIM_US))  # of this deployment
+        second = round(S * min(1.0, sum(aims) / max(1, len(aims)) / USUAL_AIM_US))  # of this deployment
+        self.second = max(TICK_US, second)  # a tick ends each period that is over: they must not be many
         self.gateways, self.period_us, self.cc_us = settings.gateways, -1, self.second
         self.n_past: int | None = None  # no N: the cap is lifted
         self.overhead, self.accepted = 1.0, 0
--- a/tests/crossings/test_settings_short.py
+++ b/tests/crossings/test_settings_short.py
@@ -6,6 +6,8 @@
 import pytest
 
 from fennelwinch import interface as i
+from fennelwinch.rules.cap import Cap
+from fennelwinch.rules.times import TICK_US
 from tests.helpers import MS, SETTINGS, World
 
 SHORT = i.RequestClass(aim_us=100 * MS, deadline_us=400 * MS)
@@ -56,3 +58,11 @@
     ended = [(at, action.id) for at, action in world.log if isinstance(action, i.Refuse | i.Fail)]
     assert sorted(name for _, name in ended) == sorted(came)
     assert all(at - came[name] < deadline_us for at, name in ended)
+
+
+def test_periods_are_no_shorter_than_the_steps_that_end_them() -> None:
+    """With an aim of a millisecond a period was 667 us, and a tick ended thirty; of 1 us, thousands."""
+    for aim_us in (1, 1000, 29 * MS):
+        rule = i.RequestClass(aim_us, 400 * MS)
+        assert Cap(replace(SETTINGS, classes=(rule,))).cc_us == TICK_US
+    assert Cap(replace(SETTINGS, classes=(SHORT,))).cc_us == pytest.approx(66_667)
