--- a/tests/crossings/test_settings_short.py
+++ b/tests/crossings/test_settings_short.py
@@ -32,7 +32,7 @@
         world.ask(f"a{number}", customer=name, set_size=2, left_us=LEFT_US)
     world.run(LEFT_US // 2)
     assert len(asks(world)) == 3
-    assert [action for at, action in world.log if isinstance(action, i.Send | i.Refuse) and action.id == "a10"]
+    assert [at for at, action in world.log if isinstance(action, i.Send | i.Refuse) and action.id == "a10"]
 
 
 @pytest.mark.parametrize("effect", list(i.Effect))
