--- a/molereach/door/frontdoor.py
+++ b/molereach/door/frontdoor.py
@@ -15,14 +15,18 @@
 from fennelwinch import interface as i
 from fennelwinch.codec import Form
 from fennelwinch.rules import Gateway
-from molereach.backends.pools import Attempt, Backends
+from molereach.backends.attempt import Attempt
+from molereach.backends.pools import Backends
+from molereach.clients.commands import Command, CommandParser
 from molereach.clients.intake import Intake
+from molereach.clients.replies import Reply
 from molereach.clients.requests import CommandError
-from molereach.clients.resp import FAILED, ClientConnection, Command, CommandParser, Reply
+from molereach.clients.resp import FAILED, ClientConnection
 from molereach.clock import now_us
 from molereach.door.calls import CallPacing
 from molereach.door.config import Address, Config
 from molereach.door.discovery import Catalog, Discovery, News
+from molereach.door.draining import drain
 from molereach.door.ending import Ending
 from molereach.door.peers import Peers
 
@@ -33,8 +37,6 @@
 BACKSTOP_US = 15_000  # how much later than the module a request is ended here, should it not do so
 FIRST_LIST_S = 0.3  # how long the start waits for a list that is newer than the known one
 RING_AGAIN_US = 20_000  # how soon a timer comes again on which the module failed
-ENDING_LOOK_S = 0.05  # between two looks at whether it is time to let clients go
-LAST_WRITES_S = 1.0  # how long clients may take to read their last answers, or to ask at last
 CALLS_SEED = 0x5CA11  # the chance of calls is not that of the module
 BYES = 2  # last words to each peer, as they may be lost
 SPARE_SOCKETS = 32  # for listening, discovery, peers, the loop and log
@@ -47,13 +49,14 @@
 class Exchange:
     """A request from its arrival until its answer, with the attempts that are out."""
 
-    __slots__ = ("attempts", "command", "end_us", "out", "reply", "timer")
+    __slots__ = ("attempts", "command", "end_us", "known", "out", "reply", "timer")
 
     def __init__(self, command: Command, reply: Reply, end_us: int) -> None:
         self.command, self.reply, self.end_us = command, reply, end_us
         self.attempts = 0
         self.out: dict[int, Attempt] = {}
         self.timer: asyncio.TimerHandle | None = None
+        self.known = False  # the module has heard that it is over
 
 
 class FrontDoor:
@@ -66,7 +69,9 @@
         self.counted: list[Callable[[], dict[str, int]]] = []  # counters of what stands beside
         self.last: list[Callable[[], Awaitable[None]]] = []  # what ends after all clients
         self.open: dict[str, Exchange] = {}  # requests that are owed an answer
-        self.ended: dict[str, Exchange] = {}  # those answered with attempts still out
+        # Those that are over, until no attempt is out and the module has heard it: what it asks for until
+        # then is counted among their attempts, or it would wait for the outcome of one that never was.
+        self.ended: dict[str, Exchange] = {}
         self.held_bytes = 0
         self.ending: Ending | None = None  # from when it was told to end
         self.address = config.listen
@@ -139,19 +144,24 @@
     async def drain(self) -> None:
         """Take and answer what comes while there is time for it, then close what is idle, and answer all."""
         self.ending = Ending(now_us(), (rule.deadline_us for rule in self.settings.classes))
-        while not self.ending.over(now_us()):
-            await asyncio.sleep(ENDING_LOOK_S)
-        self.clients.drain()
-        while not await self.clients.left(LAST_WRITES_S):
-            if not self.open:  # a request may still come on a connection that has had none
-                log.warning("%d clients stay without a request", len(self.clients.connections))
-                break
+        self.hurry(self.ending.answers_by_us)
+        await drain(self.ending, self.clients, self.open)
         for peer, word in self.gateway.limits.bye() * BYES if self.gateway.limits else ():
             self.peers.tell(i.Tell(peer, (word,)))
         for end in self.last:
             await end()
         self.close()
 
+    def hurry(self, by_us: int) -> None:
+        """Have what is open answered by then, however much longer its clients would wait."""
+        for name, exchange in self.open.items():
+            if exchange.end_us <= by_us:
+                continue
+            exchange.end_us = by_us
+            if exchange.timer:
+                exchange.timer.cancel()
+            exchange.timer = self.loop.call_later((by_us - now_us()) / 1e6, self.give_up, name)
+
     def close(self) -> None:
         """Let go of all sockets."""
         self.peers.close()
@@ -168,16 +178,20 @@
     def run_batch(self) -> None:
         now, events, self.inbox = now_us(), self.inbox, []
         for event in events:
-            try:
-                actions = self.gateway.handle(now, event)
-            except Exception:
-                log.exception("the module failed on %r", event)
-                self.give_up(getattr(event, "id", ""))
-                if isinstance(event, i.Timer):  # the module lives by it: it comes again
-                    self.set_timer(i.SetTimer(RING_AGAIN_US, event.token))
-                continue
-            for action in actions:
+            for action in self.decide(now, event):
                 self.act(action)
+            if isinstance(event, i.ClientGone) or (isinstance(event, i.Outcome) and event.over):
+                self.let_go(event.id, known=True)
+
+    def decide(self, now: int, event: i.Event) -> list[i.Action]:
+        try:
+            return self.gateway.handle(now, event)
+        except Exception:
+            log.exception("the module failed on %r", event)
+            self.give_up(getattr(event, "id", ""))
+            if isinstance(event, i.Timer):  # the module lives by it: it comes again
+                self.set_timer(i.SetTimer(RING_AGAIN_US, event.token))
+            return []
 
     def act(self, action: i.Action) -> None:
         try:
@@ -245,7 +259,7 @@
         timeout = min(left, action.timeout_us) if action.timeout_us > 0 else left
         number, exchange.attempts = exchange.attempts, exchange.attempts + 1
         payload = exchange.command.payload(timeout)
-        attempt = Attempt(action.id, number, action.server, payload, self.attempt_done)
+        attempt = Attempt(action.id, number, action.server, payload, self.attempt_done, action.whole_by_us)
         exchange.out[number] = attempt
         self.backends.send(attempt, timeout)
 
@@ -260,8 +274,7 @@
         exchange = self.ended.get(name) if over else self.open[name]
         if exchange:
             exchange.out.pop(attempt.number, None)
-            if over and not exchange.out:
-                del self.ended[name]
+            self.let_go(name)
         took = now_us() - attempt.sent_us
         self.post(i.Outcome(name, over, attempt.number, attempt.server, result, took, report=report))
 
@@ -274,9 +287,11 @@
     def refuse(self, action: i.Refuse) -> None:
         wait_ms = action.retry_after_us // 1000
         self.answer(action.id, b"-BUSY %d\r\n" % wait_ms if wait_ms > 0 else b"-BUSY\r\n")
+        self.let_go(action.id, known=True)
 
     def fail(self, action: i.Fail) -> None:
         self.answer(action.id, FAILED)
+        self.let_go(action.id, known=True)
 
     def answer(self, name: str, data: bytes) -> None:
         if exchange := self.settle(name):
@@ -290,10 +305,16 @@
         self.held_bytes -= exchange.command.size + REQUEST_BYTES
         if exchange.timer:
             exchange.timer.cancel()
-        if exchange.out:
-            self.ended[name] = exchange
+        self.ended[name] = exchange
         return exchange
 
+    def let_go(self, name: str, known: bool = False) -> None:
+        """Forget what is over once nothing about it can come any more, from backends or from the module."""
+        if exchange := self.ended.get(name):
+            exchange.known = exchange.known or known
+            if exchange.known and not exchange.out:
+                del self.ended[name]
+
     def set_timer(self, action: i.SetTimer) -> None:
         self.ring(now_us() + action.delay_us, action.token)
 
