The drain ends all it holds before the kill, in order, and its listener last

Cause, by the lines of the drain: it waited in steps of 1 s for whoever was left, from 0.2 s (deadlines of 3 s) or 0.4 s (of 0.3 s) before the first moment of the kill, with no look at the clock. So a client within a command, one that rests on a connection that it had just opened, and one that always has a request on its way (its connection is never idle, as bytes are unread when its answer leaves) were found by SIGKILL. The listener closed over whoever waited to be accepted: the machine had taken their requests, and the close reset them. Ruled out: requests taken in time (answered by answers_by_us), idle connections (closed, unless a request has come), half a command that goes on. Now, when the answers are due or nobody asks, the drain takes in who has connected and closes the listener, hears these, and then ends every connection behind its answers (Intake.end): what was read is answered, a client that may have begun to ask is told, and nothing more is read. An order to take connections again opens no listener after that.

Seen failing on the drain as it was: a client that stops within a command, one that always asks, who has connected at the listener's close.

--- a/molereach/clients/intake.py
+++ b/molereach/clients/intake.py
@@ -203,6 +203,33 @@
                 await asyncio.wait_for(self.empty.wait(), within_s)
         return not self.sockets
 
+    def stop_listening(self) -> None:
+        """Take in who has come, and then nobody more: a listener's close resets those that wait for it."""
+        self.ended = True
+        listener, self.listener = self.listener, None
+        if listener is None:
+            return
+        self.loop.remove_reader(listener)
+        for _ in range(BACKLOG):
+            try:
+                accepted, _ = listener.accept()
+            except (InterruptedError, ConnectionAbortedError):
+                continue
+            except OSError:  # nobody waits any more, or there are no descriptors for them
+                break
+            if self.sockets >= self.most:
+                turn_away(accepted)
+                continue
+            accepted.setblocking(False)
+            self.sockets += 1
+            self.spawn(self.attach(accepted))
+        listener.close()
+
+    def end(self) -> None:
+        """End each connection behind the answers that it is owed; nothing more is read."""
+        for connection in list(self.connections):
+            connection.end()
+
     def close(self) -> None:
         """End all connections, whatever is open on them."""
         self.ended = True
--- a/molereach/clients/resp.py
+++ b/molereach/clients/resp.py
@@ -20,6 +20,7 @@
 MOST_PIPELINED = 16  # requests open on a connection; further commands wait unread
 MOST_ERRORS = 16  # wrong commands in a row on a connection, then it is closed
 FAILED = b"-ERR failed\r\n"
+ENDS = b"-ERR the front door ends\r\n"
 
 
 class ClientConnection(Connection, asyncio.BufferedProtocol):
@@ -205,6 +206,19 @@
         self.closing = True
         self.transport.close()
 
+    def end(self) -> None:
+        """The front door ends. What was read and not taken yet fails; so does a command of which only a part
+        was read, and a first one that was not read, as they may be whole by now."""
+        if self.closing or self.transport.is_closing():
+            return
+        word = ENDS if self.state is State.NEW else b""
+        try:
+            while self.reader.next() is not None:
+                self.replies.append(Reply(self, FAILED))
+        except ProtocolError:
+            word = ENDS
+        self.finish(ENDS if self.reader.buffer else word)
+
     def abort(self) -> None:
         if self.attached:
             self.transport.abort()
--- a/molereach/clients/states.py
+++ b/molereach/clients/states.py
@@ -63,6 +63,10 @@
     def close(self) -> None:
         """Close between requests, unless one has just come."""
 
+    @abc.abstractmethod
+    def end(self) -> None:
+        """Answer what has been read, and end our side behind that; nothing more is read."""
+
     @abc.abstractmethod
     def abort(self) -> None:
         """Close at once, whatever is open on it."""
--- a/molereach/door/draining.py
+++ b/molereach/door/draining.py
@@ -10,17 +10,28 @@
 
 log = logging.getLogger(__name__)
 
-LOOK_S = 0.05  # between two looks at whether it is time to let clients go
+LOOK_S = 0.05  # between two looks at whether it is time for the next step
 LAST_WRITES_S = 1.0  # how long clients may take to read their last answers, or to ask at last
 
 
 async def drain(ending: Ending, clients: Intake, requests: Sized) -> None:
-    """Take what comes while there is time for it, then close what is idle; until no client is left that is
-    owed something. `requests` are those that are open."""
+    """Take what comes while there is time for it, then close what is idle, then all; until no client is left
+    or the kill is near. `requests` are those that are open."""
     while not ending.over(now_us()):
         await asyncio.sleep(LOOK_S)
     clients.drain()
-    while not await clients.left(LAST_WRITES_S):
-        if not requests:  # one may still come on a connection that has had none
-            log.warning("%d clients stay without a request", len(clients.connections))
+    while not await clients.left(within(LAST_WRITES_S, ending.answers_by_us)):
+        if not requests or now_us() >= ending.answers_by_us:
+            break  # one may still come on a connection that has had none
+    # Who has connected by now may have asked already: it is heard, and told, before its connection ends.
+    clients.stop_listening()
+    while not await clients.left(within(LOOK_S, ending.reads_until_us)):
+        if not requests or now_us() >= ending.reads_until_us:
             break
+    clients.end()
+    if not await clients.left(within(LAST_WRITES_S, ending.ends_us)):
+        log.warning("%d clients stay to the end", clients.sockets)
+
+
+def within(most_s: float, until_us: int) -> float:
+    return max(0.0, min(most_s, (until_us - now_us()) / 1e6))
--- a/tests/crossings/test_sigterm_listener.py
+++ b/tests/crossings/test_sigterm_listener.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from tests.crossings.sigterm import before, dial_and_ask, drained, is_answer, shorten
+from molereach.clients import intake
+from tests.crossings.sigterm import ENDS, before, dial_and_ask, drained, is_answer, shorten
 from tests.crossings.wire import Peer, until
 from tests.sockets import Backend, front_door, query, run
 
@@ -14,6 +15,40 @@
     shorten(monkeypatch)
 
 
+def test_who_has_connected_when_the_listener_closes_is_answered() -> None:
+    """More than are accepted in one turn, their whole requests sent. Who comes later is refused."""
+    asked: list[Peer] = []
+
+    async def job() -> None:
+        async with front_door(Backend()) as (door, address):
+            before(door.clients, "stop_listening",
+                   lambda: asked.extend(dial_and_ask(address, f"r{number}") for number in range(40)))
+            await drained(door)
+            answers = [await client.hear_all() for client in asked]
+            assert len(answers) == 40 and all(map(is_answer, answers))
+            with pytest.raises(ConnectionRefusedError):
+                Peer.dial(address)
+
+    run(job())
+
+
+def test_who_has_connected_and_finds_all_places_taken_is_told_so() -> None:
+    """The bound on sockets holds in the last turn too. Those that say nothing are told of the end."""
+    came: list[Peer] = []
+    held: list[int] = []
+
+    async def job() -> None:
+        async with front_door(Backend()) as (door, address):
+            door.clients.most = 4
+            before(door.clients, "stop_listening", lambda: came.extend(Peer.dial(address) for _ in range(10)))
+            before(door.clients, "end", lambda: held.append(door.clients.sockets))
+            await drained(door)
+            heard = [await client.hear_all() for client in came]
+            assert heard == [ENDS] * 4 + [intake.CROWDED] * 6 and held == [4]
+
+    run(job())
+
+
 def test_who_is_accepted_in_the_turn_in_which_draining_begins_is_answered() -> None:
     """It is not attached to the loop yet: no connection is left, and one is on its way."""
     came: list[Peer] = []
@@ -32,6 +67,21 @@
     run(job())
 
 
+def test_order_to_take_connections_again_opens_no_listener_that_has_closed_for_good() -> None:
+    """An order that ends while the front door does: whoever came now would be lost."""
+
+    async def job() -> None:
+        async with front_door(Backend()) as (door, address):
+            door.clients.hold(True)
+            door.clients.stop_listening()
+            door.clients.hold(False)
+            assert door.clients.listener is None
+            with pytest.raises(ConnectionRefusedError):
+                Peer.dial(address)
+
+    run(job())
+
+
 def test_first_command_that_comes_a_while_after_its_connection_is_answered() -> None:
     """A new connection is not idle: it is looked at while draining, and kept."""
 
