--- a/molereach/clients/resp.py
+++ b/molereach/clients/resp.py
@@ -9,7 +9,7 @@
 from collections import deque
 from typing import cast
 
-from molereach.clients.intake import WAITS_US, Connection, Intake, State
+from molereach.clients.intake import READ_BYTES, WAITS_US, Connection, Intake, State
 from molereach.clients.replies import Front, Reply
 from molereach.clients.requests import CommandError
 from molereach.clock import now_us
@@ -18,6 +18,7 @@
 log = logging.getLogger(__name__)
 
 MOST_PIPELINED = 16  # requests open on a connection; further commands wait unread
+DISCARD_BYTES = 256 * 1024  # read of what follows a last answer; then the client has to wait
 MOST_ERRORS = 16  # wrong commands in a row on a connection, then it is closed
 FAILED = b"-ERR failed\r\n"
 ENDS = b"-ERR the front door ends\r\n"
@@ -32,6 +33,7 @@
         self.replies: deque[Reply] = deque()
         self.closing, self.reading, self.clogged, self.processing = False, True, False, False
         self.known, self.asked, self.errors = False, False, 0  # it has sent a good command; a request
+        self.unread, self.discarded = False, 0  # closing: what comes stays unread, or so much was thrown away
         self.more = self.scheduled = False  # whole commands may wait to be taken; that is due
         self.state, self.since_us = State.NEW, now_us()
         self.until_us = self.since_us + WAITS_US[State.NEW]
@@ -44,10 +46,34 @@
         return self.intake.read_buffer
 
     def buffer_updated(self, count: int) -> None:
-        if not self.closing:
-            self.reader.feed(self.intake.read_buffer[:count])
+        if self.closing:
+            self.discarded += count
+            self.update()
+            return
+        self.reader.feed(self.intake.read_buffer[:count])
+        if self.state is State.NEW and count < READ_BYTES:
+            # A burst of clients that ask and leave at once is not sent on: their ends are heard first.
+            self.more = True
+            self.process_soon()
+        elif not self.scheduled:
             self.process()
 
+    def eof_received(self) -> None:
+        """An end is all that is seen of a close. What is written still leaves, in bounded time."""
+        self.gone()
+        self.enter(State.CLOGGED)
+
+    def peer_ended(self) -> None:
+        self.gone()
+        self.abort()
+
+    def gone(self) -> None:
+        """The client has left: what is still open for it is for nobody."""
+        self.closing, replies = True, [reply for reply in self.replies if reply.data is None]
+        self.replies.clear()
+        for reply in replies:
+            self.front.client_gone(reply)
+
     def process(self) -> None:
         """Take the commands that are whole, as many as may be open at once; others come in between."""
         self.processing, taken, self.more = True, 0, False
@@ -123,14 +149,14 @@
         self.update()
 
     def finish(self, data: bytes) -> None:
-        """A last answer, then close. What still comes is not read."""
+        """A last answer, then close. What still comes is thrown away, so that no reset takes the answer."""
         self.closing = True
         self.replies.append(Reply(self, data))
         self.flush()
 
     def hang_up(self) -> None:
         """End our side; the rest follows when the client has had time to read."""
-        if self.state is not State.CLOSING and self.transport.can_write_eof():
+        if self.transport.can_write_eof():
             self.transport.write_eof()
 
     def fail_all(self) -> None:
@@ -139,26 +165,39 @@
             reply.send(FAILED)
 
     def update(self) -> None:
-        """Read no further ahead than what fits, and set the time until which it may stay as it is."""
+        """Read on or not, and set the time until which it may stay as it is."""
         if self.transport.is_closing():
             return
-        wanted = not (self.closing or self.more or self.clogged or len(self.replies) >= MOST_PIPELINED)
+        wanted = self.wants_more()
         if wanted and not self.reading:
             self.transport.resume_reading()
+            self.intake.ends.let_go(self)
         elif self.reading and not wanted:
             self.transport.pause_reading()
+            self.intake.ends.watch(self)
         self.reading = wanted
         state = self.current_state()
         if state is not self.state:
-            self.state = state
-            if state is not State.NEW:
-                self.since_us = now_us()
-                self.until_us = self.since_us + WAITS_US[state]
-            self.intake.moved(self)
+            self.enter(state)
+
+    def wants_more(self) -> bool:
+        """Whether to read on: somewhat ahead of what can be taken, as the client's end stands behind it."""
+        if self.closing:
+            return not self.unread and self.discarded < DISCARD_BYTES
+        full = self.more or self.clogged or len(self.replies) >= MOST_PIPELINED
+        return not full or len(self.reader.buffer) < READ_BYTES
+
+    def enter(self, state: State) -> None:
+        self.state = state
+        if state is not State.NEW:
+            self.since_us = now_us()
+            self.until_us = self.since_us + WAITS_US[state]
+        self.intake.moved(self)
 
     def current_state(self) -> State:
         if self.closing and not self.replies:
-            return State.CLOSING
+            # Its time to read the last answer begins when that has left.
+            return State.CLOGGED if self.transport.get_write_buffer_size() else State.CLOSING
         if self.clogged:
             return State.CLOGGED
         if self.replies:
@@ -176,35 +215,42 @@
 
     def resume_writing(self) -> None:
         self.clogged = False
-        if self.closing or self.processing:
-            return
-        self.process()
+        if self.closing:
+            self.flush()
+        elif not self.processing:
+            self.process()
 
     def overdue(self) -> None:
         """It has been as it is for too long."""
-        if self.transport.is_closing():
-            return
-        if self.state in (State.IDLE, State.GREETED):
-            self.close()
+        if self.state is State.CLOGGED and not self.transport.get_write_buffer_size():
+            self.update()
         elif self.state in (State.CLOGGED, State.CLOSING):
             self.abort()
+        elif self.transport.is_closing():
+            return
+        elif self.state is State.NEW and not self.reader.buffer and has_unread(self.transport):
+            return  # its first command comes in this very moment
+        elif self.state in (State.IDLE, State.GREETED):
+            self.close()
         else:
             self.finish(b"-ERR timed out\r\n")
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.closing = True
-        for reply in self.replies:
-            if reply.data is None:
-                self.front.client_gone(reply)
-        self.replies.clear()
+        self.gone()
         self.intake.closed(self)
 
     def close(self) -> None:
-        """Close between requests, unless one has just come."""
-        if self.replies or self.closing or self.transport.is_closing() or has_unread(self.transport):
+        """Half-close between requests, unless one has just come or begun.
+
+        One that crosses it stays unread: its client hears the end and sends it again elsewhere. The socket is
+        let go of when the client's end has come too, or after a while, as a close over unread bytes resets
+        the connection, and the last answer with it (RFC 9112, section 9.6: lingering close).
+        """
+        if self.replies or self.closing or self.reader.buffer or self.transport.is_closing():
             return
-        self.closing = True
-        self.transport.close()
+        if not has_unread(self.transport):
+            self.closing = self.unread = True
+            self.flush()
 
     def end(self) -> None:
         """The front door ends. What was read and not taken yet fails; so does a command of which only a part
