--- a/molereach/clients/intake.py
+++ b/molereach/clients/intake.py
@@ -198,12 +198,16 @@
     def sweep(self) -> None:
         """End what has been as it is for too long, and again in a while."""
         now = now_us()
+        self.loop.call_later(SWEEP_S, self.sweep)  # whatever becomes of this one
         for connection in [connection for connection in self.connections if connection.until_us <= now]:
-            connection.overdue()
+            try:
+                connection.overdue()
+            except Exception:
+                log.exception("a client's connection cannot be ended in order")
+                connection.abort()
         if self.draining:
             self.close_idle()
         self.bound_bytes()
-        self.loop.call_later(SWEEP_S, self.sweep)
 
     def bound_bytes(self) -> None:
         """What clients have not read or not sent whole is bounded over all; those with the most go first."""
--- a/molereach/clients/requests.py
+++ b/molereach/clients/requests.py
@@ -21,6 +21,10 @@
     """A well-formed command that is wrong; the connection lives."""
 
 
+class NoRoomError(CommandError):
+    """A command that is good, and that there is no room for now."""
+
+
 def whole(text: str, name: str, least: int, most: int) -> int:
     if not (text.isascii() and text.isdigit()) or len(text) > 12 or not least <= int(text) <= most:
         raise CommandError(f"invalid {name}")
--- a/molereach/clients/resp.py
+++ b/molereach/clients/resp.py
@@ -11,7 +11,7 @@
 
 from molereach.clients.intake import READ_BYTES, WAITS_US, Connection, Intake, State
 from molereach.clients.replies import Front, Reply
-from molereach.clients.requests import CommandError
+from molereach.clients.requests import CommandError, NoRoomError
 from molereach.clients.states import CROWDED
 from molereach.clock import now_us
 from molereach.resp import CommandReader, ProtocolError, has_unread
@@ -93,6 +93,7 @@
             else:
                 self.more = not self.closing
         except ProtocolError as error:
+            log.warning("a client sends what cannot be read: %s", error)
             self.finish(b"-ERR Protocol error: %b\r\n" % str(error).encode())
         except Exception:
             # A fault of ours costs this connection, not the front door, and still answers what it owes.
@@ -124,6 +125,9 @@
             else:
                 self.front.take(words, reply)
                 self.asked = True
+        except NoRoomError as error:  # no fault of the client's
+            self.known, self.asked, self.state = True, True, State.CHANGED
+            reply.send(b"-ERR %b\r\n" % str(error).encode())
         except CommandError as error:
             self.errors += 1
             reply.send(b"-ERR %b\r\n" % str(error).encode())
--- a/molereach/door/frontdoor.py
+++ b/molereach/door/frontdoor.py
@@ -19,7 +19,7 @@
 from molereach.clients.commands import Command, CommandParser
 from molereach.clients.intake import Intake
 from molereach.clients.replies import Reply
-from molereach.clients.requests import CommandError
+from molereach.clients.requests import CommandError, NoRoomError
 from molereach.clients.resp import FAILED, ClientConnection
 from molereach.clock import now_us
 from molereach.door.calls import CallPacing
@@ -218,7 +218,7 @@
         if request.id in self.open or request.id in self.ended:
             raise CommandError("this id is in use")
         if len(self.open) >= self.config.max_open or self.held_bytes > self.most_held:
-            raise CommandError("too many requests are open")
+            raise NoRoomError("too many requests are open")
         if self.ending:
             request = replace(request, left_us=self.ending.take(now_us(), request.left_us))
         exchange = Exchange(command, reply, now_us() + request.left_us)
