--- a/molereach/clients/resp.py
+++ b/molereach/clients/resp.py
@@ -11,7 +11,8 @@
 
 from molereach.clients.intake import READ_BYTES, WAITS_US, Connection, Intake, State
 from molereach.clients.replies import Front, Reply
-from molereach.clients.requests import CommandError
+from molereach.clients.requests import CommandError, NoRoomError
+from molereach.clients.states import CROWDED
 from molereach.clock import now_us
 from molereach.resp import CommandReader, ProtocolError, has_unread
 
@@ -41,6 +42,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport, self.attached = cast(asyncio.Transport, transport), True
         self.intake.opened(self)
+        if self.crowded:
+            self.finish(CROWDED)
 
     def get_buffer(self, sizehint: int) -> memoryview:
         return self.intake.read_buffer
@@ -91,6 +94,7 @@
             else:
                 self.more = not self.closing
         except ProtocolError as error:
+            log.warning("a client sends what cannot be read: %s", error)
             self.finish(b"-ERR Protocol error: %b\r\n" % str(error).encode())
         except Exception:
             # A fault of ours costs this connection, not the front door, and still answers what it owes.
@@ -122,6 +126,9 @@
             else:
                 self.front.take(words, reply)
                 self.asked = True
+        except NoRoomError as error:  # no fault of the client's
+            self.known, self.asked, self.state = True, True, State.CHANGED
+            reply.send(b"-ERR %b\r\n" % str(error).encode())
         except CommandError as error:
             self.errors += 1
             reply.send(b"-ERR %b\r\n" % str(error).encode())
@@ -263,7 +270,21 @@
                 self.replies.append(Reply(self, FAILED))
         except ProtocolError:
             word = ENDS
-        self.finish(ENDS if self.reader.buffer else word)
+        if word or self.reader.buffer:
+            self.finish(ENDS)
+        else:  # what crosses this stays unread, as with any other close between requests
+            self.closing = self.unread = True
+            self.flush()
+
+    def on_its_way(self) -> bool:
+        """A command unread, a good one not taken yet, or an answer that has not left."""
+        return self.scheduled or self.transport.get_write_buffer_size() > 0 or has_unread(self.transport)
+
+    def give_way(self) -> None:
+        if self.state in (State.IDLE, State.GREETED):
+            self.close()
+        else:
+            self.finish(CROWDED)  # a request that crosses this has its answer
 
     def abort(self) -> None:
         if self.attached:
