What waits for a dial goes elsewhere once its server drains or has restarted

Seen by reading, and forced: Pool.update (Backends.update) on DRAINING closed idle connections and left the attempts in Pool.waiting, to be written whenever the dial came up, which may be long after the drain's grace of 1 s; only `retire` handed them back. A server that restarts under its name and address kept its pool: a dial begun to the old one served the attempt, and resting connections of the old process were used again. What `retire` handed back was posted before the list itself, so the module decided with the old list and wasted attempts on the same server. A request decided in the same turn as the list still went to the pool.

A pool that is not wanted withdraws what waits and takes nothing; a new start makes a new pool, as a new address does; the list is posted before what the backends hand back because of it.

Tests: the five in test_attempts_drain.py fail without the change and pass with it. Taken out one by one, each seen to fail: the withdrawal, the look at `wanted`, the compared start, the order of the two in FrontDoor.hear.

--- a/molereach/backends/pool.py
+++ b/molereach/backends/pool.py
@@ -20,8 +20,8 @@
 class Pool:
     """The connections to one backend."""
 
-    def __init__(self, owner: "Backends", name: str, address: Address) -> None:
-        self.owner, self.name, self.address = owner, name, address
+    def __init__(self, owner: "Backends", name: str, address: Address, started_us: int = 0) -> None:
+        self.owner, self.name, self.address, self.started_us = owner, name, address, started_us
         self.connections: dict[Connection, None] = {}  # all that hold a socket, until it is let go of
         self.idle: list[Connection] = []  # the one used last at the end, so that spare ones grow old
         self.waiting: deque[Attempt] = deque()
@@ -29,6 +29,9 @@
 
     def start(self, attempt: Attempt) -> None:
         attempt.pool = self
+        if not self.wanted:  # decided before the news of it were known
+            attempt.finish(i.Result.CONNECT_FAILED)
+            return
         if connection := self.take_idle():
             connection.send(attempt)
             return
@@ -121,8 +124,8 @@
         while self.idle and (before_us is None or self.idle[0].idle_since < before_us):
             self.idle.pop(0).close()
 
-    def retire(self) -> None:
-        """Its backend is not at this address any more: what is not yet written there goes elsewhere."""
+    def stop(self) -> None:
+        """Nothing new goes there: what still waits for a dial goes elsewhere, whenever that comes up."""
         self.wanted = False
         self.close_idle()
         while self.waiting:
--- a/molereach/backends/pools.py
+++ b/molereach/backends/pools.py
@@ -1,7 +1,8 @@
 """Connections to the backends: a pool for each, and exactly one outcome for every attempt."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Mapping
+from types import MappingProxyType
 
 from fennelwinch import interface as i
 from molereach.backends.attempt import Attempt
@@ -24,26 +25,33 @@
         self.reuse, self.fades_us = Reuse(), 0
 
     def update(
-        self, states: dict[str, i.ServerState], addresses: dict[str, Address], whole: bool
+        self, states: dict[str, i.ServerState], addresses: dict[str, Address], whole: bool,
+        started: Mapping[str, int] = MappingProxyType({}),
     ) -> None:
-        """Take over news of the list: the whole of it, or those whose state or address changed."""
+        """Take over news of the list: the whole of it, or those whose state, start or address changed.
+
+        One that has started again is another one, also under the old address: what rests, and dials that are
+        under way, may be the old one's, and end as a reset under the next request.
+        """
         for name in [name for name in self.pools if whole and name not in states]:
             self.retire(name)
         for name, state in states.items():
-            pool, address = self.pools.get(name), addresses.get(name)
-            if state is i.ServerState.GONE or (pool and address and pool.address != address):
+            pool = self.pools.get(name)
+            address = addresses.get(name) or (pool and pool.address)
+            start = started.get(name, pool.started_us if pool else 0)
+            if state is i.ServerState.GONE or (pool and (pool.address, pool.started_us) != (address, start)):
                 self.retire(name)
             if state is not i.ServerState.GONE and address and name not in self.pools:
-                self.pools[name] = Pool(self, name, address)
+                self.pools[name] = Pool(self, name, address, start)
             if pool := self.pools.get(name):
                 pool.wanted = state is i.ServerState.UP
                 if not pool.wanted:
-                    pool.close_idle()
+                    pool.stop()
 
     def retire(self, name: str) -> None:
         if pool := self.pools.pop(name, None):
             self.old.append(pool)
-            pool.retire()
+            pool.stop()
 
     def send(self, attempt: Attempt, timeout_us: int) -> None:
         pool = self.pools.get(attempt.server)
--- a/molereach/door/frontdoor.py
+++ b/molereach/door/frontdoor.py
@@ -200,8 +200,9 @@
         """News of the list as the module is to have them, and the addresses that are new with them."""
         whole = event.kind is not i.ListKind.CHANGES
         states = {server.name: server.state for server in event.servers}
-        self.backends.update(states, addresses, whole)
-        self.post(event)
+        started = {server.name: server.started_us for server in event.servers}
+        self.post(event)  # first: what the backends hand back because of it is decided with the new list
+        self.backends.update(states, addresses, whole, started)
 
     def take(self, words: list[bytes], reply: Reply) -> None:
         """A client's command; one that is wrong is a CommandError."""
