A further attempt of a request whose client has gone is accounted for under its own number

Seen by a test of the crossing "client gone between two tries": the outcome of the first try and the client's end in one turn. The module decides the second try before it hears of the end; FrontDoor.send finds no exchange and answered MOOT for attempt 0, which the module knows to be over, so that the second one stayed out for good: the job, its place under the cap (Attempts.out) and its customer's and server's counts were never given back.

A Send carries the attempt's number, and the outcome of one that finds no exchange carries it back.

Test: fails without the change (the job stays in the module), passes with it.

--- a/fennelwinch/interface/actions.py
+++ b/fennelwinch/interface/actions.py
@@ -10,13 +10,14 @@
     """Start an attempt; a time-out of 0 lasts until the client gives up.
 
     Its last byte is sent before `whole_by_us`, on the clock of the events, or never: it may wait for a
-    connection, and be taken slowly. 0 is no such bound.
+    connection, and be taken slowly. 0 is no such bound. `attempt` is its number among the request's.
     """
 
     id: str
     server: str
     timeout_us: int = 0
     whole_by_us: int = 0
+    attempt: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/fennelwinch/rules/attempts.py
+++ b/fennelwinch/rules/attempts.py
@@ -57,7 +57,7 @@
         server.sent_us, server.credit, whole_by_us = now, 0.0, job.whole_by_us()
         if job.ran_on is None:
             job.ran_on, job.ran_us = server, now
-        return i.Send(job.req.id, server.entry.name, self.time_out(now, job), whole_by_us)
+        return i.Send(job.req.id, server.entry.name, self.time_out(now, job), whole_by_us, number)
 
     def time_out(self, now: int, job: Job) -> int:
         """For the attempt that leaves now."""
--- a/molereach/door/frontdoor.py
+++ b/molereach/door/frontdoor.py
@@ -238,7 +238,7 @@
         exchange = self.open.get(action.id)
         if exchange is None or exchange.attempts >= self.settings.max_attempts:
             ended = exchange or self.ended.get(action.id)
-            number = ended.attempts if ended else 0
+            number = ended.attempts if ended else action.attempt  # the module waits for just that one's end
             if ended:
                 ended.attempts += 1
             self.post(i.Outcome(action.id, exchange is None, number, action.server, i.Result.MOOT, 0))
