An attempt that is not sent yet is withdrawn with its request, whatever the settings allow

Suspect confirmed: Gateway.drop calls attempts off only where settings allow `cancel` and the class is not streamed. One that still waited for its dial, or was written in part, was then written on after its client had gone. Whether it has been sent is known by the shell alone, so FrontDoor.settle takes back what is not; the module hears of it as called off. What may run already is still the settings' matter.

--- a/molereach/door/frontdoor.py
+++ b/molereach/door/frontdoor.py
@@ -294,6 +294,8 @@
             exchange.timer.cancel()
         if exchange.out:
             self.ended[name] = exchange
+        for attempt in list(exchange.out.values()):
+            attempt.withdraw(i.Result.CANCELLED)  # not sent yet: no settings are needed to take it back
         return exchange
 
     def set_timer(self, action: i.SetTimer) -> None:
--- a/tests/crossings/test_attempts_gone.py
+++ b/tests/crossings/test_attempts_gone.py
@@ -4,10 +4,18 @@
 """
 
 import asyncio
+import socket
+from dataclasses import replace
 
+import pytest
+
+from fennelwinch import interface as i
 from molereach.door.frontdoor import FrontDoor
-from tests.crossings.wire import Peer, machine, turns, until
-from tests.sockets import front_door, run, submit
+from tests.crossings.wire import Dials, Peer, machine, narrow, turns, until
+from tests.sockets import CLASSES, SETTINGS, front_door, run, submit
+
+STREAMED = replace(SETTINGS, classes=tuple(replace(rule, streamed=True) for rule in CLASSES))
+KEPT = replace(SETTINGS, may_cancel=False)
 
 
 async def asked(door: FrontDoor, body: bytes = b"BODY", wait_ms: int = 3000) -> Peer:
@@ -18,6 +26,50 @@
     return client
 
 
+@pytest.mark.parametrize("settings", [SETTINGS, KEPT, STREAMED])
+def test_attempt_that_waits_for_its_dial_is_withdrawn_with_its_client(settings: i.Settings) -> None:
+    async def job() -> None:
+        with machine() as held:
+            async with front_door(
+                addresses=[held.address], settings=settings, connect_timeout_us=5_000_000
+            ) as (door, _):
+                with Dials() as dials:
+                    client = await asked(door)
+                    await dials.came.wait()
+                    client.close()
+                    await until(lambda: not door.open)
+                    await turns()
+                    assert not door.ended and not door.gateway.attempts.jobs
+                    dials.let_go()
+                    peer = await held.accept()
+                    pool = door.backends.pools["s0"]
+                    await until(lambda: bool(pool.idle))  # the connection is kept for others
+                    assert peer.pending() == b"" and not pool.waiting
+
+    run(job())
+
+
+@pytest.mark.parametrize("settings", [SETTINGS, KEPT])
+def test_attempt_that_is_written_in_part_is_withdrawn_with_its_client(
+    settings: i.Settings, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    narrow(monkeypatch)
+
+    async def job() -> None:
+        with machine() as held:
+            held.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+            async with front_door(addresses=[held.address], settings=settings) as (door, _):
+                client = await asked(door, body=b"x" * 65_000 + b"BODY")
+                peer = await held.accept()
+                await peer.hear(1)
+                client.close()
+                await until(lambda: not door.open)
+                heard = await peer.hear_all()  # it is ended, and not whole
+                assert not heard.endswith(b"BODY\r\n") and not door.ended
+
+    run(job())
+
+
 def test_client_that_goes_between_two_tries_has_no_second_one() -> None:
     """The outcome of the first try and the client's end are read in one turn, in that order."""
 
@@ -37,3 +89,26 @@
                 assert not door.open and not door.ended and not door.gateway.attempts.jobs
 
     run(job())
+
+
+def test_attempt_that_waits_for_its_dial_is_withdrawn_when_its_request_is_answered() -> None:
+    """The backstop answers for a module that has nothing to say: its attempt must not run afterwards."""
+
+    async def job() -> None:
+        with machine() as held:
+            async with front_door(
+                addresses=[held.address], settings=KEPT, connect_timeout_us=5_000_000
+            ) as (door, _):
+                with Dials() as dials:
+                    client = await asked(door)
+                    await dials.came.wait()
+                    door.overdue("a1")
+                    assert await client.hear_until(b"-ERR failed\r\n")
+                    await turns()
+                    assert not door.ended
+                    dials.let_go()
+                    peer = await held.accept()
+                    await until(lambda: bool(door.backends.pools["s0"].idle))
+                    assert peer.pending() == b""
+
+    run(job())
