--- a/molereach/clients/intake.py
+++ b/molereach/clients/intake.py
@@ -255,11 +255,12 @@
             except OSError:  # nobody waits any more, or there are no descriptors for them
                 break
             if self.sockets >= self.most:
-                turn_away(accepted)
+                refuse(accepted)
                 continue
             accepted.setblocking(False)
+            taken = self.places_taken()
             self.sockets += 1
-            self.spawn(self.attach(accepted))
+            self.spawn(self.turn_away(accepted) if taken else self.attach(accepted))
         listener.close()
 
     def end(self) -> None:
--- a/molereach/door/frontdoor.py
+++ b/molereach/door/frontdoor.py
@@ -49,14 +49,13 @@
 class Exchange:
     """A request from its arrival until its answer, with the attempts that are out."""
 
-    __slots__ = ("attempts", "command", "end_us", "known", "out", "reply", "timer")
+    __slots__ = ("attempts", "command", "end_us", "out", "reply", "timer")
 
     def __init__(self, command: Command, reply: Reply, end_us: int) -> None:
         self.command, self.reply, self.end_us = command, reply, end_us
         self.attempts = 0
         self.out: dict[int, Attempt] = {}
         self.timer: asyncio.TimerHandle | None = None
-        self.known = False  # the module has heard that it is over
 
 
 class FrontDoor:
@@ -69,9 +68,7 @@
         self.counted: list[Callable[[], dict[str, int]]] = []  # counters of what stands beside
         self.last: list[Callable[[], Awaitable[None]]] = []  # what ends after all clients
         self.open: dict[str, Exchange] = {}  # requests that are owed an answer
-        # Those that are over, until no attempt is out and the module has heard it: what it asks for until
-        # then is counted among their attempts, or it would wait for the outcome of one that never was.
-        self.ended: dict[str, Exchange] = {}
+        self.ended: dict[str, Exchange] = {}  # those answered with attempts still out
         self.held_bytes = 0
         self.ending: Ending | None = None  # from when it was told to end
         self.address = config.listen
@@ -180,8 +177,6 @@
         for event in events:
             for action in self.decide(now, event):
                 self.act(action)
-            if isinstance(event, i.ClientGone) or (isinstance(event, i.Outcome) and event.over):
-                self.let_go(event.id, known=True)
 
     def decide(self, now: int, event: i.Event) -> list[i.Action]:
         try:
@@ -213,8 +208,9 @@
         """News of the list as the module is to have them, and the addresses that are new with them."""
         whole = event.kind is not i.ListKind.CHANGES
         states = {server.name: server.state for server in event.servers}
-        self.backends.update(states, addresses, whole)
-        self.post(event)
+        started = {server.name: server.started_us for server in event.servers}
+        self.post(event)  # first: what the backends hand back because of it is decided with the new list
+        self.backends.update(states, addresses, whole, started)
 
     def take(self, words: list[bytes], reply: Reply) -> None:
         """A client's command; one that is wrong is a CommandError."""
@@ -250,7 +246,7 @@
         exchange = self.open.get(action.id)
         if exchange is None or exchange.attempts >= self.settings.max_attempts:
             ended = exchange or self.ended.get(action.id)
-            number = ended.attempts if ended else 0
+            number = ended.attempts if ended else action.attempt  # the module waits for just that one's end
             if ended:
                 ended.attempts += 1
             self.post(i.Outcome(action.id, exchange is None, number, action.server, i.Result.MOOT, 0))
@@ -274,7 +270,8 @@
         exchange = self.ended.get(name) if over else self.open[name]
         if exchange:
             exchange.out.pop(attempt.number, None)
-            self.let_go(name)
+            if over and not exchange.out:
+                del self.ended[name]
         took = now_us() - attempt.sent_us
         self.post(i.Outcome(name, over, attempt.number, attempt.server, result, took, report=report))
 
@@ -287,11 +284,9 @@
     def refuse(self, action: i.Refuse) -> None:
         wait_ms = action.retry_after_us // 1000
         self.answer(action.id, b"-BUSY %d\r\n" % wait_ms if wait_ms > 0 else b"-BUSY\r\n")
-        self.let_go(action.id, known=True)
 
     def fail(self, action: i.Fail) -> None:
         self.answer(action.id, FAILED)
-        self.let_go(action.id, known=True)
 
     def answer(self, name: str, data: bytes) -> None:
         if exchange := self.settle(name):
@@ -305,16 +300,12 @@
         self.held_bytes -= exchange.command.size + REQUEST_BYTES
         if exchange.timer:
             exchange.timer.cancel()
-        self.ended[name] = exchange
+        if exchange.out:
+            self.ended[name] = exchange
+        for attempt in list(exchange.out.values()):
+            attempt.withdraw(i.Result.CANCELLED)  # not sent yet: no settings are needed to take it back
         return exchange
 
-    def let_go(self, name: str, known: bool = False) -> None:
-        """Forget what is over once nothing about it can come any more, from backends or from the module."""
-        if exchange := self.ended.get(name):
-            exchange.known = exchange.known or known
-            if exchange.known and not exchange.out:
-                del self.ended[name]
-
     def set_timer(self, action: i.SetTimer) -> None:
         self.ring(now_us() + action.delay_us, action.token)
 
