Connections that rest are closed when their server has started anew

Seen by a test: a server that crashed and came back under its name and address, with a new start and without a drain said, kept the connections that rested from its former life; the next request on one ends as a reset, which an unsafe class cannot repeat. Ruled out: a drain, a deletion or a new address closes them already; what attempts of the former life still bring is not held against the new one; the decisions send nothing to a server that is away, in whatever order it is said, and take it up again with the same start or a new one. Lines at fault: FrontDoor.hear told the pools states and addresses alone. Tests: test_connections_that_rest_are_closed_when_their_server_started_anew fails without the change and passes with it; the others of test_discovery_lists.py hold what held already.

--- a/molereach/door/frontdoor.py
+++ b/molereach/door/frontdoor.py
@@ -199,6 +199,10 @@
         """News of the list as the module is to have them, and the addresses that are new with them."""
         whole = event.kind is not i.ListKind.CHANGES
         states = {server.name: server.state for server in event.servers}
+        for server in event.servers:
+            known = self.gateway.fleet.servers.get(server.name)
+            if known and known.entry.started_us != server.started_us:
+                self.backends.close_idle(server.name)  # they lead to a process that has ended
         self.backends.update(states, addresses, whole)
         self.post(event)
 
--- a/tests/crossings/test_discovery_lists.py
+++ b/tests/crossings/test_discovery_lists.py
@@ -1,14 +1,21 @@
 """What a list says, and what it cannot take back. The rows: docs/design/endings.md, "Discovery"."""
 
+import asyncio
+import contextlib
 import math
+from collections.abc import AsyncIterator
+from dataclasses import replace
 from typing import Any
 
 import pytest
 
 from fennelwinch import interface as i
+from fennelwinch.rules import Gateway
 from molereach.door.catalog import Catalog
-from tests.crossings.listing import AT
-from tests.sockets import CONFIG, entry
+from molereach.door.frontdoor import FrontDoor
+from tests.crossings.listing import AT, after, call
+from tests.crossings.wire import Machine, Peer, machine, until
+from tests.sockets import CONFIG, HEAD, SETTINGS, Client, catalog, chunk, entry, query, run, value
 
 UP, DRAINING, GONE = i.ServerState.UP, i.ServerState.DRAINING, i.ServerState.GONE
 
@@ -34,3 +41,140 @@
 def test_entry_that_makes_no_sense_is_passed_over_alone(odd: object) -> None:
     bad = {**entry("s1", AT), **odd} if isinstance(odd, dict) and odd else odd
     assert read(entry("s0", AT), bad, entry("s2", AT)) == ({"s0": UP, "s2": UP}, {"s0": AT, "s2": AT})
+
+
+# --- a server that comes back under its name ---
+
+S = 1_000_000
+
+
+def server(name: str = "s1", state: i.ServerState = UP, started_us: int = 0) -> i.Server:
+    return i.Server(name, 0, 0, 0, state, 1.0, started_us)
+
+
+class Told:
+    """The decisions, as they are told of one server."""
+
+    def __init__(self) -> None:
+        self.gateway, self.now, self.count = Gateway(SETTINGS), S, 0
+        self.say(server(), kind=i.ListKind.FULL)
+
+    def say(self, *servers: i.Server, kind: i.ListKind = i.ListKind.CHANGES) -> None:
+        self.now += 1
+        self.gateway.handle(self.now, i.ServerList(kind, 1, servers))
+
+    def ask(self) -> list[i.Send]:
+        """A request comes: where it is sent at once."""
+        self.now, self.count = self.now + 1, self.count + 1
+        actions = self.gateway.handle(self.now, i.Request(f"r{self.count}", 2, 0, "c", S))
+        return [action for action in actions if isinstance(action, i.Send)]
+
+    def end(self, send: i.Send, result: i.Result) -> None:
+        self.now += 1
+        self.gateway.handle(self.now, i.Outcome(send.id, False, 0, send.server, result, 1))
+
+
+@pytest.mark.parametrize("away", [
+    [(server(state=DRAINING),)], [(server(state=GONE),)], [(server(state=DRAINING),), (server(state=GONE),)],
+    [(server(), server(state=GONE))],
+])
+@pytest.mark.parametrize("started_us", [0, S])
+def test_server_gets_nothing_while_away_and_work_once_it_is_back(
+    away: list[tuple[i.Server, ...]], started_us: int
+) -> None:
+    told = Told()
+    assert told.ask()
+    for news in away:
+        told.say(*news)
+        assert not told.ask()
+    told.say(server(started_us=started_us))
+    assert told.ask()
+
+
+def test_whole_list_takes_away_what_it_does_not_name_and_a_failed_call_nothing() -> None:
+    told = Told()
+    told.say(kind=i.ListKind.FAILED)
+    assert told.ask()
+    told.say(server("s2"), kind=i.ListKind.FULL)
+    assert [send.server for send in told.ask()] == ["s2"]
+
+
+def test_what_its_former_life_still_owes_is_not_held_against_a_server_that_started_anew() -> None:
+    told = Told()
+    sent = [send for _ in range(3) for send in told.ask()]
+    told.say(server(state=DRAINING))
+    told.say(server(started_us=S))
+    for send in sent:
+        told.end(send, i.Result.TIMEOUT)
+    assert told.ask() and not told.gateway.fleet.servers["s1"].fails
+    told.say(server(started_us=S))  # said once more: it is the same one
+    assert len(told.gateway.fleet.servers["s1"].out) == 1
+
+
+class Door:
+    """A front door with one backend and an agent of discovery, both by hand."""
+
+    def __init__(self, door: FrontDoor, backend: Machine, watch: Peer, client: Client) -> None:
+        self.door, self.backend, self.watch, self.client = door, backend, watch, client
+
+    def say(self, version: int, *entries: dict[str, Any], reset: bool = False) -> None:
+        self.watch.say(chunk(catalog(version, entries, reset)))
+
+    async def serve(self, name: str) -> Peer:
+        """A request that a new connection to the backend brings; it rests there afterwards."""
+        self.client.send(query(name))
+        peer = await self.backend.accept()
+        await peer.hear_until(name.encode())
+        peer.say(value(b"ok"))
+        assert await self.client.answer() == b"ok"
+        return peer
+
+
+@contextlib.asynccontextmanager
+async def one_backend() -> AsyncIterator[Door]:
+    with machine() as backend, machine() as agent:
+        known = {"generation": 3, "reset": True, "instances": [entry("s1", backend.address)]}
+        door = FrontDoor(replace(CONFIG, discovery=agent.address, known=known))
+        starting = asyncio.create_task(door.start())
+        watch, target = await call(agent)
+        assert target == after(3)
+        watch.say(HEAD + chunk(catalog(4, [], reset=False)))
+        await starting
+        try:
+            yield Door(door, backend, watch, await Client.open(door.address))
+        finally:
+            door.close()
+
+
+def test_connections_that_rest_are_closed_when_their_server_started_anew() -> None:
+    """Same name and address, and nothing was said of its end: they lead to a process that is no more, and the
+    next request on one would be reset, which an unsafe class cannot repeat."""
+    async def job() -> None:
+        async with one_backend() as made:
+            peer = await made.serve("r1")
+            made.say(5, entry("s1", made.backend.address, started_ms=1))
+            assert await peer.hear() == b""
+            again = await made.serve("r2")
+            made.say(6, entry("s1", made.backend.address, started_ms=1))  # the same start: it stays
+            made.say(7, entry("s2", AT, "DRAINING"))
+            await until(lambda: made.door.discovery.version == 7)
+            assert again.pending() == b"" and made.door.backends.pools["s1"].idle
+
+    run(job())
+
+
+def test_server_that_comes_back_at_another_address_is_not_sent_anything_at_its_old_one() -> None:
+    async def job() -> None:
+        async with one_backend() as made:
+            old = await made.serve("r1")
+            first = made.backend
+            made.say(5, entry("s1", first.address, "DRAINING"))
+            assert await old.hear() == b""
+            with machine() as second:
+                made.say(6, entry("s1", second.address, started_ms=1))
+                await until(lambda: made.door.discovery.version == 6)
+                made.backend = second
+                await made.serve("r2")
+                assert not first.waiting()
+
+    run(job())
