--- a/tests/crossings/test_discovery_lists.py
+++ b/tests/crossings/test_discovery_lists.py
@@ -87,6 +87,7 @@
     for news in away:
         told.say(*news)
         assert not told.ask()
+        assert ("s1" in told.gateway.fleet.servers) is (news[-1].state is DRAINING)  # else it is forgotten
     told.say(server(started_us=started_us))
     assert told.ask()
 
@@ -96,7 +97,7 @@
     told.say(kind=i.ListKind.FAILED)
     assert told.ask()
     told.say(server("s2"), kind=i.ListKind.FULL)
-    assert [send.server for send in told.ask()] == ["s2"]
+    assert [send.server for send in told.ask()] == ["s2"] == list(told.gateway.fleet.servers)
 
 
 def test_what_its_former_life_still_owes_is_not_held_against_a_server_that_started_anew() -> None:
