Objects that came before one that makes no sense are handed on

Seen by a test: a chunk that held a whole list and then what can be no object lost the list as well; an agent that always sends such a chunk would never be heard. Lines at fault: Documents.feed gave its objects all at once, after the error. The change: it hands them on one by one. An answer with no length that ends within an object is told of in the log.

--- a/molereach/door/documents.py
+++ b/molereach/door/documents.py
@@ -13,6 +13,7 @@
 
 import json
 import re
+from collections.abc import Iterator
 
 MOST_BYTES = 1 << 20  # of one object
 MOST_DEPTH = 64  # levels of an object; the parser's own recursion is bounded only by a crash
@@ -44,23 +45,25 @@
         """Whether an object has begun and not ended."""
         return self.depth > 0
 
-    def feed(self, data: bytes | bytearray) -> list[bytes]:
-        """The objects that these bytes complete; b"" for each line's end outside of them."""
+    def feed(self, data: bytes | bytearray) -> Iterator[bytes]:
+        """The objects that these bytes complete; b"" for each line's end outside of them.
+
+        An error comes after the objects before it, which count.
+        """
         self.buffer += data
-        found: list[bytes] = []
         while self.at < len(self.buffer):
             if self.depth:
                 if not self.inside():
                     break
                 if not self.depth:
-                    found.append(bytes(self.buffer[: self.at]))
+                    whole = bytes(self.buffer[: self.at])
                     self.cut()
+                    yield whole
             elif self.outside():
-                found.append(b"")
+                yield b""
         if len(self.buffer) > self.most_bytes:
             raise DocumentError("an object without an end")
         self.check()
-        return found
 
     def cut(self) -> None:
         del self.buffer[: self.at]
--- a/tests/crossings/test_discovery_answers.py
+++ b/tests/crossings/test_discovery_answers.py
@@ -46,6 +46,24 @@
     run(job())
 
 
+@pytest.mark.parametrize(("cut", "said"), [(1, True), (2, True), (0, False)])
+def test_answer_with_no_length_that_ends_within_an_object_is_told_of_in_the_log(
+    cut: int, said: bool, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Its end looks clean: nothing else tells whoever runs it that lists come in part."""
+    async def job() -> None:
+        with machine() as agent:
+            async with asked(agent):
+                peer, _ = await call(agent)
+                text = changes(4, s1="DRAINING").strip()
+                peer.say(PLAIN_HEAD + text[: len(text) - cut])
+                peer.close()
+                await watch(agent, 3 if said else 4)
+        assert any("ends within an object" in line for line in caplog.messages) is said
+
+    run(job())
+
+
 def test_answer_with_no_length_that_is_reset_is_not_complete() -> None:
     """What was whole before counts; what was not is dropped, and asked for again."""
     async def job() -> None:
@@ -139,13 +157,14 @@
     run(job())
 
 
-def test_nothing_more_is_taken_from_a_call_that_was_closed() -> None:
-    """Objects behind one that makes no sense, in the same chunk: their order is lost."""
+@pytest.mark.parametrize("senseless", [b"{}\n", b"nonsense\n", b'{"a\n'])
+def test_what_came_before_an_object_that_makes_no_sense_counts_and_nothing_after_it(senseless: bytes) -> None:
+    """All in one chunk. Else what always comes with such a one would never be heard."""
     async def job() -> None:
         with machine() as agent:
             async with asked(agent) as door:
                 peer = await watch(agent)
-                peer.say(chunk(changes(4, s1="DRAINING") + b"{}\n" + changes(9, s2="DRAINING")))
+                peer.say(chunk(changes(4, s1="DRAINING") + senseless + changes(9, s2="DRAINING")))
                 assert await door.next() == (4, {"s1": DRAINING})
                 await turns()
                 _, target = await call(agent)
--- a/tests/crossings/test_discovery_documents.py
+++ b/tests/crossings/test_discovery_documents.py
@@ -40,10 +40,10 @@
 
 def test_each_empty_line_is_told_of_and_half_an_object_is_not() -> None:
     cut = Documents()
-    assert cut.feed(b"\n\r\n") == [b"", b""]
-    assert cut.feed(b'{"a":\n"}') == [] and cut.unfinished
-    assert cut.feed(b'\\"\\') == []
-    assert cut.feed(b'\\"}\n') == [b'{"a":\n"}\\"\\\\"}', b""]
+    assert list(cut.feed(b"\n\r\n")) == [b"", b""]
+    assert list(cut.feed(b'{"a":\n"}')) == [] and cut.unfinished
+    assert list(cut.feed(b'\\"\\')) == []
+    assert list(cut.feed(b'\\"}\n')) == [b'{"a":\n"}\\"\\\\"}', b""]
 
 
 @pytest.mark.parametrize("bad", [
@@ -61,7 +61,7 @@
     cut = Documents(most_bytes=100)
     with pytest.raises(DocumentError):
         for _ in range(20):
-            cut.feed(b'{"a":"b",  ')
+            list(cut.feed(b'{"a":"b",  '))
     assert len(cut.buffer) <= 111
 
 
