A limit on sockets that a front door cannot keep is a wrong configuration

It spares 32 for itself and deals out at least 16: with fewer than 48 it would pass the limit that it was told. The test failed before (0 alone was refused).

--- a/molereach/door/config.py
+++ b/molereach/door/config.py
@@ -13,6 +13,7 @@
 Address = tuple[str, int]
 Section = TypeVar("Section", dict[str, Any], list[Any])
 
+LEAST_SOCKETS = 48  # with fewer, those that a front door needs for itself would pass the limit
 SEED = re.compile(r"[0-9a-fA-F]{1,64}")
 
 
@@ -123,7 +124,7 @@
         conn_idle_us=pairs.whole("ceilings.conn-idle-us", 30_000_000, 1),
         connect_timeout_us=pairs.whole("ceilings.connect-timeout-us", 250_000, 1),
         max_open=pairs.whole("ceilings.max-open", 20_000, 1),
-        sockets=limits.whole("sockets", 1024, 1),
+        sockets=limits.whole("sockets", 1024, LEAST_SOCKETS),
         memory_mb=limits.whole("memory_mb", 64, 1),
         known=values.get("known") or {},  # what is wrong there must not keep it from a start
         peer_listen=None if values.get("peer_listen") in (None, "") else address(values, "peer_listen"),
--- a/tests/crossings/test_settings_wrong.py
+++ b/tests/crossings/test_settings_wrong.py
@@ -131,7 +131,7 @@
     (("settings", "categories", 1, "name"), "read"), (("settings", "zones", 1), "a"),
     (("settings", "categories", 0, "idempotency"), "sometimes"),
     (("settings", "categories", 1, "group"), "rack"),
-    (("limits", "sockets"), 0), (("limits", "memory_mb"), 0), (("seed",), "0xg"), (("seed",), ""),
+    (("limits", "sockets"), 47), (("limits", "memory_mb"), 0), (("seed",), "0xg"), (("seed",), ""),
     (("listen",), "127.0.0.1"), (("discovery",), "127.0.0.1:70000"), (("peers", 1), "x:y"),
 ])
 def test_value_out_of_its_range_is_named(tmp_path: Path, at: Path_, wrong: object) -> None:
