What crosses the drain's last step stays unread, as at any close

Cause: Intake.end let a connection between requests be read on and thrown away after its half-close. A request that crosses it was read and never answered; unread, its client hears the end and sends it again. Only where we gave a word that answers a command on its way is the rest thrown away.

test_request_that_comes_after_the_end_of_our_sending_is_never_sent_on fails without it and passes with it.

--- a/molereach/__main__.py
+++ b/molereach/__main__.py
@@ -77,8 +77,8 @@
 
 def front_door(log_level: str = "INFO", attach: Attach | None = None) -> int:
     """Run one front door until it is told to end; its exit code."""
-    # Whoever reloads too early is not to kill us; the start reads the file in any case. The deploy file's line
-    # sees to that from before the interpreter and its imports.
+    # Whoever reloads too early is not to kill us; the start reads the file in any case. While this is still
+    # being imported the line in the deploy file sees to it.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     logging.basicConfig(
         stream=sys.stderr, level=log_level, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
--- a/molereach/clients/resp.py
+++ b/molereach/clients/resp.py
@@ -254,16 +254,18 @@
 
     def end(self) -> None:
         """The front door ends. What was read and not taken yet fails; so does a command of which only a part
-        was read, and a first one that was not read, as they may be whole by now."""
+        was read, and a first one that was not read, as they may be whole by now. Else what crosses the end
+        stays unread, as at a close."""
         if self.closing or self.transport.is_closing():
             return
-        word = ENDS if self.state is State.NEW else b""
         try:
             while self.reader.next() is not None:
                 self.replies.append(Reply(self, FAILED))
         except ProtocolError:
-            word = ENDS
-        self.finish(ENDS if self.reader.buffer else word)
+            pass  # it stays in the buffer
+        begun = self.state is State.NEW or bool(self.reader.buffer)
+        self.unread = not begun
+        self.finish(ENDS if begun else b"")
 
     def abort(self) -> None:
         if self.attached:
--- a/tests/crossings/test_sigterm_ends.py
+++ b/tests/crossings/test_sigterm_ends.py
@@ -9,6 +9,7 @@
 from molereach.clients.resp import MOST_PIPELINED
 from molereach.door import draining, ending
 from molereach.door.frontdoor import FrontDoor
+from molereach.resp import has_unread
 from tests.crossings.sigterm import ENDS, FAILED, OK, before, drained, is_answer, shorten
 from tests.crossings.wire import Peer, turns, until
 from tests.sockets import Backend, front_door, query, resp, run, value
@@ -57,6 +58,7 @@
             assert await client.hear_all() == b""  # it rests until the front door ends it: an end, no reset
             client.say(query("a1"))
             await turns()
+            assert has_unread(next(iter(door.clients.connections)).transport)
             await drained(door)
             assert not taken and len(backend.commands) == 1
 
