The end counts from the signal, also where it came while the front door started

Cause: serve kept only that it was told to end, and FrontDoor.drain took its own beginning for that moment. Told while it waits for the first list (0.3 s) or for orders, a front door gave answers until after the kill. Ruled out: a signal while it serves, or further ones (one moment is kept, the first). The handler keeps the moment, drain goes by it.

test_time_of_the_end_counts_from_the_signal_also_while_it_starts fails without it and passes with it.

--- a/molereach/__main__.py
+++ b/molereach/__main__.py
@@ -10,6 +10,7 @@
 
 import uvloop
 
+from molereach.clock import now_us
 from molereach.door.config import Config, ConfigError, load, reload
 from molereach.door.frontdoor import FrontDoor
 
@@ -55,10 +56,15 @@
 
 async def serve(config: Config, attach: Attach | None = None) -> None:
     """Serve until SIGTERM or SIGINT, then drain; on SIGHUP take over the configuration."""
-    stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
+    told: asyncio.Future[int] = loop.create_future()  # when it was told to end; further words change nothing
+
+    def end() -> None:
+        if not told.done():
+            told.set_result(now_us())
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopped.set)
+        loop.add_signal_handler(number, end)
     door = FrontDoor(config)
     loop.add_signal_handler(signal.SIGHUP, take_over, door)
     detach = await attach(door) if attach else None
@@ -67,9 +73,9 @@
     gc.collect()
     gc.freeze()
     log.info("%s serves at %s:%d", config.name, *config.listen)
-    await stopped.wait()
+    told_us = await told
     log.info("%s drains", config.name)
-    await door.drain()
+    await door.drain(told_us)
     if detach:
         detach()
     log.info("%s ends", config.name)
--- a/molereach/door/frontdoor.py
+++ b/molereach/door/frontdoor.py
@@ -140,9 +140,11 @@
         log.info("takes over the configuration: discovery at %s:%d", *config.discovery)
         self.discovery.move(config.discovery)
 
-    async def drain(self) -> None:
-        """Take and answer what comes while there is time for it, then close what is idle, and answer all."""
-        self.ending = Ending(now_us(), (rule.deadline_us for rule in self.settings.classes))
+    async def drain(self, told_us: int | None = None) -> None:
+        """Take and answer what comes while there is time for it, then close what is idle, and answer all. The
+        kill counts from when it was told to end, which may have been while it started."""
+        deadlines_us = (rule.deadline_us for rule in self.settings.classes)
+        self.ending = Ending(now_us() if told_us is None else told_us, deadlines_us)
         self.hurry(self.ending.answers_by_us)
         await drain(self.ending, self.clients, self.open)
         for peer, word in self.gateway.limits.bye() * BYES if self.gateway.limits else ():
--- a/tests/crossings/test_sigterm_process.py
+++ b/tests/crossings/test_sigterm_process.py
@@ -11,13 +11,20 @@
 import signal
 import sys
 import tomllib
+from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
 
-from tests.crossings.wire import Peer, machine, until
-from tests.sockets import CUSTOMER, HOST, Backend, catalog, entry, refusing_address, resp, run, value
-from tests.test_program import ROOT, config, write
+from molereach.__main__ import serve
+from molereach.clock import now_us
+from molereach.door.ending import Ending
+from molereach.door.frontdoor import FrontDoor
+from tests.crossings.sigterm import shorten
+from tests.crossings.wire import Peer, machine, turns, until
+from tests.sockets import CONFIG, CUSTOMER, HOST, Backend, catalog, entry, refusing_address, resp, run, value
+from tests.test_program import ROOT, SETTINGS, config, write
 
 RUN = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
 # Python imports this by its name before the program begins.
@@ -49,7 +56,11 @@
     """The program by the line that the platform runs, held at that place."""
     listen, silent = refusing_address(), refusing_address()
     known = json.loads(catalog(4, [entry("s1", backend)]))
-    values = config(listen=f"{HOST}:{listen[1]}", discovery=f"{HOST}:{silent[1]}", known=known)
+    # A held program is asked nothing: short deadlines make its drain short.
+    rules = [{**rule, "deadline-us": 100_000} if held_at else rule for rule in SETTINGS["categories"]]
+    settings = {**SETTINGS, "categories": rules}
+    values = config(listen=f"{HOST}:{listen[1]}", discovery=f"{HOST}:{silent[1]}", known=known,
+                    settings=settings)
     env = {**os.environ, **write(path, values)}
     if held_at:
         (path / "sitecustomize.py").write_text(HOLD)
@@ -111,6 +122,26 @@
     run(job())
 
 
+def test_time_of_the_end_counts_from_the_signal_also_while_it_starts(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The kill does: a start that waits for a list, or for orders, would else answer after it."""
+    shorten(monkeypatch)
+    doors: list[FrontDoor] = []
+    heard: list[int] = []
+
+    async def attach(door: FrontDoor) -> Callable[[], None]:
+        os.kill(os.getpid(), signal.SIGTERM)
+        await turns(20)
+        heard.append(now_us())
+        await asyncio.sleep(0.02)  # so much must lie between for the two to differ
+        doors.append(door)
+        return lambda: None
+
+    run(serve(replace(CONFIG, discovery=refusing_address()), attach))
+    assert doors[0].ending
+    longest_us = max(rule.deadline_us for rule in CONFIG.settings.classes)
+    assert doors[0].ending.answers_by_us <= Ending(heard[0], (longest_us,)).answers_by_us
+
+
 def test_reload_while_it_starts_is_taken_when_it_has_started(tmp_path: Path) -> None:
     """The address of discovery that the file names by then is gone to."""
 
