--- a/tests/crossings/test_clients_gone.py
+++ b/tests/crossings/test_clients_gone.py
@@ -235,3 +235,17 @@
             assert not door.open
 
     run(job())
+
+
+def test_greeting_that_comes_with_the_end_is_answered() -> None:
+    """It needs no backend: whoever only looks whether we serve may end its side at once."""
+
+    async def job() -> None:
+        async with front_door() as (door, address):
+            peer = Peer.dial(address)
+            peer.say(resp("PING"))
+            peer.finish()
+            assert await peer.hear_all() == b"+PONG\r\n"
+            assert await door.clients.left(10)
+
+    run(job())
