A command that is given up in part is never whole: its socket takes nothing more at once

Seen by a forced order: a command written in part and given up (cancel, end of its window, client gone, an answer or an end before its last byte) still came whole to the backend, though its outcome said that it never ran; an unsafe request may be sent again after that. Cause: `transport.abort` is carried out by the loop in its next turn, and in the rest of this one uvloop writes what is left where the backend has made room, in the same event that brought the answer (libuv reads, then writes). `eof_received` and part of an answer likewise.

Where bytes are left, the socket is shut down before the abort, so that the kernel takes no more; the first byte of an answer before the command is whole ends the attempt. Ruled out: `written` itself. uvloop writes at once, and pauses exactly while bytes are left.

--- a/molereach/backends/connection.py
+++ b/molereach/backends/connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import socket
 from typing import TYPE_CHECKING, cast
 
 from fennelwinch import interface as i
@@ -17,6 +18,18 @@
 log = logging.getLogger(__name__)
 
 
+def refuse_writes(transport: asyncio.Transport) -> None:
+    """The kernel takes nothing more on this connection; what it has, it delivers."""
+    own = transport.get_extra_info("socket")
+    handle = socket.socket(own.family, own.type, own.proto, own.fileno())
+    try:
+        handle.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        pass  # the peer has reset it
+    finally:
+        handle.detach()  # the descriptor is the loop's
+
+
 class Connection(asyncio.Protocol):
     """A connection to a backend with at most one command on it."""
 
@@ -57,6 +70,9 @@
         if attempt is None:
             self.abort()  # nothing was asked: it came behind an answer, and belongs to nobody
             return
+        if not attempt.written:  # answered before it was whole, if only in part: it must not get whole now
+            attempt.give_up(i.Result.CONNECT_FAILED)
+            return
         self.reader.feed(data)
         try:
             answer = self.reader.next()
@@ -66,14 +82,11 @@
         if answer is None:
             return
         self.attempt = attempt.connection = None
-        if self.reader.buffer or not attempt.written:
+        if self.reader.buffer:
             self.abort()
         else:
             self.pool.rest(self)
-        if attempt.written:
-            attempt.finish(*outcome_of(answer))
-        else:
-            attempt.finish(i.Result.CONNECT_FAILED)  # answered before it was whole: never begun
+        attempt.finish(*outcome_of(answer))
 
     def spoilt(self, attempt: Attempt, error: ProtocolError) -> None:
         """An answer that cannot be read: the request has run, and the rest of the stream is worth nothing.
@@ -83,14 +96,14 @@
         log.warning("spoilt answer from %s: %s", self.pool.name, error)
         self.attempt = attempt.connection = None
         self.abort()
-        attempt.finish(i.Result.SPOILT if attempt.written else i.Result.CONNECT_FAILED)
+        attempt.finish(i.Result.SPOILT)
 
     def eof_received(self) -> None:
         """No answer can come any more. Without the abort the loop would wait until all is written."""
-        assert self.transport is not None
-        self.transport.abort()
+        self.cut()
 
     def connection_lost(self, error: Exception | None) -> None:
+        self.transport = None
         self.pool.lost(self)
         attempt, self.attempt = self.attempt, None
         if attempt:
@@ -110,5 +123,12 @@
     def abort(self) -> None:
         """Close at once; `close` would first send what is still buffered, and so let the attempt run."""
         self.pool.stop_using(self)
+        self.cut()
+
+    def cut(self) -> None:
+        """End the connection now. The loop carries out an abort in its next turn, and may write in this one:
+        what is left of a command would make it whole after it was given up as one that never ran."""
         if self.transport:
+            if self.paused:
+                refuse_writes(self.transport)
             self.transport.abort()
