A keyed repeat stays in the group that its first server was in when it may have run there

Cause: Job.may_run_on compared with the first server's entry as the list has it now (Fleet.learn replaces the entry in place), so that a server whose cell or zone changes while its attempt is out drew the repeat to where no repeats of it are dropped. A restart under the same name was no fault: that makes a new Server.

The job keeps the entry as of the first attempt. A test of the fleet that set the job's state by hand sets that too, and asks the same.

--- a/fennelwinch/rules/attempts.py
+++ b/fennelwinch/rules/attempts.py
@@ -56,7 +56,7 @@
         job.customer.out, self.out = job.customer.out + 1, self.out + 1
         server.sent_us, server.credit, whole_by_us = now, 0.0, job.whole_by_us()
         if job.ran_on is None:
-            job.ran_on, job.ran_us = server, now
+            job.ran_on, job.ran_as, job.ran_us = server, server.entry, now
         return i.Send(job.req.id, server.entry.name, self.time_out(now, job), whole_by_us, number)
 
     def time_out(self, now: int, job: Job) -> int:
--- a/fennelwinch/rules/job.py
+++ b/fennelwinch/rules/job.py
@@ -10,8 +10,8 @@
     """A request from its event to its last attempt's end; times are those of the events."""
 
     __slots__ = ("aim_us", "asked_us", "asks", "customer", "decide_us", "end_us", "half_us", "in_quota",
-                 "let_in", "out", "over", "ran_on", "ran_us", "req", "rule", "servers", "unrun", "unsent",
-                 "worth")
+                 "let_in", "out", "over", "ran_as", "ran_on", "ran_us", "req", "rule", "servers", "unrun",
+                 "unsent", "worth")
 
     def __init__(
         self, req: i.Request, rule: i.RequestClass, customer: Customer, now: int, gone_us: int
@@ -25,6 +25,7 @@
         self.servers: list[Server] = []  # of its attempts, in order
         self.out: dict[int, int] = {}  # attempts out and when each was sent
         self.ran_on: Server | None = None  # where it may first have run, and since when
+        self.ran_as: i.Server | None = None  # what the list said of it then; that may change
         self.over, self.in_quota, self.ran_us, self.unrun = False, False, 0, 0  # unrun: proven so
         self.unsent = 0  # attempts that never came whole to a server
         self.decide_us, self.asks = NEVER, 0  # until when it waits for word of its quota
@@ -44,9 +45,9 @@
 
     def may_run_on(self, now: int, server: Server) -> bool:
         """A keyed request that may have run stays where its repeats are dropped, while they are."""
-        rule, first = self.rule, self.ran_on
-        if first is None or rule.effect is i.Effect.SAFE:
+        rule, first = self.rule, self.ran_as
+        if self.ran_on is None or rule.effect is i.Effect.SAFE:
             return True
         place = "zone" if rule.group is i.Group.ZONE else "cell"
-        same = rule.group is i.Group.ALL or getattr(server.entry, place) == getattr(first.entry, place)
+        same = rule.group is i.Group.ALL or getattr(server.entry, place) == getattr(first, place)
         return same and rule.effect is i.Effect.KEYED and now < self.whole_by_us()
--- a/tests/fennelwinch/rules/test_fleet.py
+++ b/tests/fennelwinch/rules/test_fleet.py
@@ -63,7 +63,8 @@
 
 def test_request_that_may_have_run_stays_where_its_repeats_are_dropped() -> None:
     fleet, keyed = fleet_of(servers(4)), job(KEYED)
-    keyed.ran_on, keyed.ran_us = fleet.servers["s1"], NOW
+    first = fleet.servers["s1"]
+    keyed.ran_on, keyed.ran_as, keyed.ran_us = first, first.entry, NOW
     chosen = {fleet.choose(NOW, keyed) for _ in range(40)}
     assert chosen <= {fleet.servers["s1"], fleet.servers["s3"]}
     assert fleet.choose(NOW + 3 * S, keyed) is None
