A connection that is ended before a byte is written to it never ran the request

Seen by a forced order: a backend that takes a connection and ends or resets it at once, before our dial is told to be up, was written to all the same; the attempt ended as a reset, in doubt, and an unsafe request was failed though nothing of it had been sent. Likewise a write that the kernel refuses (a reset that comes between the last look and the write) counted as written, as nothing was left in the buffer.

Pool.connect looks for what is unread on a new connection as `take_idle` does on one that rested; a write that closed the connection was no write.

--- a/molereach/backends/connection.py
+++ b/molereach/backends/connection.py
@@ -52,7 +52,7 @@
         self.attempt, attempt.connection = attempt, self
         self.age = Reuse.age(None if self.fresh else now_us() - self.idle_since)
         self.transport.write(attempt.payload)
-        attempt.written = not self.paused
+        attempt.written = not self.paused and self.usable()  # a write that fails closes it, and took nothing
 
     def pause_writing(self) -> None:
         self.paused = True
--- a/molereach/backends/pool.py
+++ b/molereach/backends/pool.py
@@ -72,7 +72,10 @@
             self.connections.pop(connection, None)
         finally:
             self.connecting -= 1
-        connected = connection.usable()  # a backend that is full takes a connection and ends it at once
+        connected = connection.usable()
+        if connected and connection.transport and has_unread(connection.transport):
+            connection.abort()  # a backend that is full takes a connection and ends it at once
+            connected = False
         self.drop_over()
         if connected and self.waiting:
             connection.send(self.waiting.popleft())
--- a/tests/crossings/test_attempts_part.py
+++ b/tests/crossings/test_attempts_part.py
@@ -13,28 +13,13 @@
 
 from fennelwinch import interface as i
 from molereach.backends.attempt import Attempt
-from molereach.backends.pools import Backends
-from tests.crossings.wire import Machine, Peer, machine, narrow, until
+from tests.crossings.attempts import Sender
+from tests.crossings.wire import Peer, machine, narrow, until
 from tests.sockets import run, value
 
-S = 1_000_000
 LONG = b"x" * 65_000 + b"LAST"
 
 
-class Sender:
-    """Attempts on one backend, and how they ended."""
-
-    def __init__(self, held: Machine) -> None:
-        self.backends = Backends(30 * S, 5 * S, 50)
-        self.backends.update({"s": i.ServerState.UP}, {"s": held.address}, whole=True)
-        self.ended: list[i.Result] = []
-
-    def send(self, payload: bytes = LONG, timeout_us: int = 5 * S) -> Attempt:
-        attempt = Attempt("a", 0, "s", payload, lambda _, result, *more: self.ended.append(result))
-        self.backends.send(attempt, timeout_us)
-        return attempt
-
-
 @contextlib.asynccontextmanager
 async def in_part(monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[tuple[Sender, Attempt, Peer]]:
     """An attempt whose first bytes are written, and the backend's end, which has read nothing."""
@@ -42,7 +27,7 @@
     with machine() as held:
         held.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
         sender = Sender(held)
-        attempt = sender.send()
+        attempt = sender.send(LONG)
         peer = await held.accept()
         await until(lambda: attempt.connection is not None)
         assert not attempt.written
