A fault in the watch's own steps is logged and gone on from

The look for unread bytes stood outside of the guard. Tests: the fault, the status before the body, and an agent that refuses; each fails with its guard taken out.

--- a/molereach/door/source.py
+++ b/molereach/door/source.py
@@ -55,25 +55,29 @@
             self.close()
 
     def go_on(self, now_s: float) -> float:
-        """End what has failed and make the call that is due; how long until there is more to do."""
-        if self.calling.wait_s(now_s):
-            return self.calling.wait_s(now_s)
-        if any(connection.unread() for _, connection in self.calls.values()):
-            return TURN_S  # it is this process that stood still, and not discovery
+        """Do what is due; how long until there is more to do. A fault must not let the list grow old unseen."""
         try:
-            for number in self.calling.failed(now_s):
-                log.warning("discovery is silent")
-                self.drop(number)
-                self.calling.ended(number, now_s)
-            if opened := self.calling.open(now_s):
-                self.call(opened)
-            for number in self.calling.surplus():
-                self.drop(number)
-                self.calling.over(number)
+            self.step(now_s)
         except Exception:
-            log.exception("the watch on discovery failed")  # without it the list would grow old unseen
+            log.exception("the watch on discovery failed")
             return FAULT_S
-        return self.calling.wait_s(now_s)
+        return max(TURN_S, self.calling.wait_s(now_s))
+
+    def step(self, now_s: float) -> None:
+        """End what has failed and make the call that is due."""
+        if self.calling.wait_s(now_s):
+            return
+        if any(connection.unread() for _, connection in self.calls.values()):
+            return  # it is this process that stood still, and not discovery: the loop reads first
+        for number in self.calling.failed(now_s):
+            log.warning("discovery is silent")
+            self.drop(number)
+            self.calling.ended(number, now_s)
+        if opened := self.calling.open(now_s):
+            self.call(opened)
+        for number in self.calling.surplus():
+            self.drop(number)
+            self.calling.over(number)
 
     def call(self, number: int) -> None:
         whole = self.version is None
--- a/molereach/door/watch.py
+++ b/molereach/door/watch.py
@@ -64,8 +64,7 @@
             self.begun = True
         if isinstance(event, h11.Data):
             for word in self.documents.feed(event.data):
-                if not self.closed:
-                    self.word(word)
+                self.word(word)
         if isinstance(event, h11.EndOfMessage) and self.documents.unfinished:
             raise ValueError("the answer ends within an object")
         if isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
--- a/tests/crossings/test_discovery_answers.py
+++ b/tests/crossings/test_discovery_answers.py
@@ -116,7 +116,11 @@
     run(job())
 
 
+REFUSAL = changes(9, s9="DRAINING")  # whatever it is, the status goes before it
+
+
 @pytest.mark.parametrize("answer", [
+    b"HTTP/1.1 500 Oops\r\nContent-Length: %d\r\n\r\n" % len(REFUSAL) + REFUSAL,
     b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n{}\n",
     b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]", b"nonsense\r\n\r\n", HEAD + chunk(b"\n{not json\n"),
     HEAD + chunk(b'{"generation": 1e999, "instances": []}\n'),
--- a/tests/crossings/test_discovery_calls.py
+++ b/tests/crossings/test_discovery_calls.py
@@ -8,7 +8,8 @@
 import pytest
 
 from fennelwinch import interface as i
-from molereach.door import calling
+from molereach.door import calling, source
+from molereach.door.calls import AGENT_BACKOFF_S
 from molereach.door.frontdoor import FrontDoor
 from tests.crossings.listing import WHOLE, after, asked, call, changes, watch, whole
 from tests.crossings.wire import Machine, Peer, machine, until
@@ -221,3 +222,37 @@
         door.close()
 
     run(job())
+
+
+def test_fault_of_its_own_does_not_end_the_watching(agent: Machine, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(source, "FAULT_S", 0.01)
+    step, faults = source.Source.step, [ZeroDivisionError()]
+
+    def fail_once(self: source.Source, now_s: float) -> None:
+        if faults:
+            raise faults.pop()
+        step(self, now_s)
+
+    monkeypatch.setattr(source.Source, "step", fail_once)
+
+    async def job() -> None:
+        async with asked(agent):
+            await watch(agent)
+
+    run(job())
+
+
+def test_agent_that_refuses_is_asked_again_soon_however_long_it_was_down(agent: Machine) -> None:
+    """What it has at its return counts at once, with a grace of a second."""
+    async def job() -> None:
+        async with asked(agent) as door:
+            pacing = door.discovery.source.pacing
+            for _ in range(100):
+                pacing.ended(1.0)
+            peer, _ = await call(agent)
+            peer.reset()
+            await until(lambda: not door.discovery.source.calls)
+            assert door.discovery.source.calling.wait_s(time.monotonic()) <= AGENT_BACKOFF_S
+            await watch(agent)
+
+    run(job())
