--- a/molereach/door/source.py
+++ b/molereach/door/source.py
@@ -55,7 +55,7 @@
             self.close()
 
     def go_on(self, now_s: float) -> float:
-        """Do what is due; how long until there is more to do. A fault must not let the list grow old unseen."""
+        """Do what is due; how long until there is more to do. A fault must not let the list grow old."""
         try:
             self.step(now_s)
         except Exception:
