A dial that comes up in the turn of its time-out is no connection

Cause: the dial's time is over in the turn after connection_made; the loop lets go of the socket (create_connection is cancelled) with no connection_lost, and is_closing stays false. Pool.connect took usable() for the dial's success, so the attempt waited out its whole time, or the dead connection rested in the pool and failed each request that was sent on it. Ruled out: a reset (it is told as connection_lost), the pool's own close (it takes a connection out of the list). The dial's own end now says whether it came up.

--- a/molereach/backends/pool.py
+++ b/molereach/backends/pool.py
@@ -62,17 +62,25 @@
             connection.abort()
         return None
 
-    async def connect(self, connection: Connection) -> None:
-        """Open a connection for whoever waits longest; bounded, as a machine that is cut off says nothing."""
+    async def dial(self, connection: Connection) -> bool:
+        """Whether it came up; bounded, as a machine that is cut off says nothing."""
         try:
             async with asyncio.timeout(self.owner.connect_s):
                 await asyncio.get_running_loop().create_connection(lambda: connection, *self.address)
         except (OSError, TimeoutError):
+            # One that came up in the turn of its time-out has said so, and the loop has let go of its socket
+            # all the same, without a word: it would rest here for good, and fail whoever is sent on it.
             connection.abort()
+            connection.transport = None
             self.connections.pop(connection, None)
+            return False
         finally:
             self.connecting -= 1
-        connected = connection.usable()
+        return connection.usable()
+
+    async def connect(self, connection: Connection) -> None:
+        """Open a connection for whoever waits longest."""
+        connected = await self.dial(connection)
         if connected and connection.transport and has_unread(connection.transport):
             connection.abort()  # a backend that is full takes a connection and ends it at once
             connected = False
