--- a/molereach/clients/ends.py
+++ b/molereach/clients/ends.py
@@ -31,10 +31,10 @@
         self.watched.pop(connection, None)
 
     def look(self) -> None:
-        self.due = False
+        self.due = bool(self.watched)
+        if self.due:
+            self.loop.call_later(LOOK_S, self.look)  # whatever becomes of this one
         watched = [each for each in self.watched if not each.transport.is_closing()]
         for connection, ended in zip(watched, have_ended(each.transport for each in watched), strict=True):
             if ended:
                 connection.peer_ended()
-        for connection in list(self.watched):
-            self.watch(connection)
