--- a/tests/crossings/test_clients_bounds.py
+++ b/tests/crossings/test_clients_bounds.py
@@ -82,26 +82,27 @@
 
 
 @pytest.mark.parametrize("known", [True, False])
-def test_command_that_comes_a_byte_at_a_time_has_one_time_for_all(
-    monkeypatch: pytest.MonkeyPatch, known: bool
-) -> None:
+def test_command_that_comes_a_byte_at_a_time_has_one_time_for_all(known: bool) -> None:
     """Each byte does not begin it anew."""
-    monkeypatch.setattr(intake, "SWEEP_S", 0.01)
-    for state in (State.NEW, State.PARTIAL):
-        monkeypatch.setitem(intake.WAITS_US, state, 100_000)
 
     async def job() -> None:
-        async with front_door(Backend()) as (_, address):
-            peer, heard = Peer.dial(address), b""
+        async with front_door(Backend()) as (door, address):
+            peer = Peer.dial(address)
             if known:
                 peer.say(resp("PING"))
                 assert await peer.hear_until(b"\r\n") == b"+PONG\r\n"
-            for byte in submit("a1", body=b"x" * 60_000):
+            await until(lambda: len(door.clients.connections) == 1)
+            (connection,) = door.clients.connections
+            times = set()
+            for count, byte in enumerate(query("a1")[:20], start=1):
                 peer.say(bytes([byte]))
-                await asyncio.sleep(0.001)
-                if heard := peer.pending():
-                    break
-            assert heard == b"-ERR timed out\r\n"
+                await until(lambda: len(connection.reader.buffer) == count)  # noqa: B023
+                await turns()
+                times.add(connection.until_us)
+            assert len(times) == 1 and connection.state is (State.PARTIAL if known else State.NEW)
+            connection.until_us = 0
+            door.clients.sweep()
+            assert await peer.hear_all() == b"-ERR timed out\r\n"
 
     run(job())
 
