An attempt that is given up leaves the wait for a dial at once

Seen by a forced order: of two attempts that waited for a dial each, the second was cancelled, the first dial failed, and the first attempt was ended as CONNECT_FAILED though the second dial was under way for it. Cause: one given up stayed in Pool.waiting until it came to stand first, so that `len(waiting) > connecting` counted it. That a late dial writes it was ruled out: `drop_over` passed over those at the head.

--- a/molereach/backends/attempt.py
+++ b/molereach/backends/attempt.py
@@ -72,6 +72,8 @@
             self.give_up(result)
 
     def give_up(self, result: i.Result) -> None:
+        if self.pool:
+            self.pool.waiting.pop(self, None)  # its dial, should it come up, is another's
         connection, self.connection = self.connection, None
         if connection and connection.attempt is self:
             connection.attempt = None
--- a/molereach/backends/pool.py
+++ b/molereach/backends/pool.py
@@ -1,7 +1,6 @@
 """The connections to one backend, and the attempts that wait for one."""
 
 import asyncio
-from collections import deque
 from typing import TYPE_CHECKING
 
 from fennelwinch import interface as i
@@ -24,7 +23,7 @@
         self.owner, self.name, self.address, self.started_us = owner, name, address, started_us
         self.connections: dict[Connection, None] = {}  # all that hold a socket, until it is let go of
         self.idle: list[Connection] = []  # the one used last at the end, so that spare ones grow old
-        self.waiting: deque[Attempt] = deque()
+        self.waiting: dict[Attempt, None] = {}  # for a dial, the longest first
         self.connecting, self.heard_us, self.wanted = 0, 0, True
 
     def start(self, attempt: Attempt) -> None:
@@ -38,7 +37,7 @@
         if not self.owner.may_open():
             attempt.finish(i.Result.MOOT)  # a shortage of ours, which is not to be held against the backend
             return
-        self.waiting.append(attempt)
+        self.waiting[attempt] = None
         self.connecting += 1
         connection = Connection(self)
         self.connections[connection] = None  # at once, as the bound counts those that are still connecting
@@ -76,20 +75,24 @@
         if connected and connection.transport and has_unread(connection.transport):
             connection.abort()  # a backend that is full takes a connection and ends it at once
             connected = False
-        self.drop_over()
-        if connected and self.waiting:
-            connection.send(self.waiting.popleft())
+        attempt = self.first_waiting()
+        if connected and attempt:
+            del self.waiting[attempt]
+            connection.send(attempt)
         elif connected and self.wanted:
             self.rest(connection)
         elif connected:
             connection.close()
-        elif len(self.waiting) > self.connecting:
-            self.waiting.popleft().finish(i.Result.CONNECT_FAILED)
+        elif attempt and len(self.waiting) > self.connecting:
+            attempt.give_up(i.Result.CONNECT_FAILED)
 
-    def drop_over(self) -> None:
-        """Leave out who waits no more, and whose time to be written is over."""
-        while self.waiting and (self.waiting[0].over or self.waiting[0].is_late()):
-            self.waiting.popleft().withdraw(i.Result.MOOT)
+    def first_waiting(self) -> Attempt | None:
+        """Who waits longest; one whose time to be written is over waits no more."""
+        while attempt := next(iter(self.waiting), None):
+            if not attempt.is_late():
+                break
+            attempt.withdraw(i.Result.MOOT)
+        return attempt
 
     def rest(self, connection: Connection) -> None:
         """A connection has nothing to do: it is kept for a while."""
@@ -131,5 +134,5 @@
         """Nothing new goes there: what still waits for a dial goes elsewhere, whenever that comes up."""
         self.wanted = False
         self.close_idle()
-        while self.waiting:
-            self.waiting.popleft().finish(i.Result.CONNECT_FAILED)
+        for attempt in list(self.waiting):
+            attempt.give_up(i.Result.CONNECT_FAILED)
