A keyed request that may have run is refused only while its repeats are dropped

Found in the review of keyed repeats: Job.may_refuse took group 'all' alone for harmless, so a request whose window had ended was answered 'come again', and the client's next try would have run a second time. Ruled out: other groups (never refused after they may have run), safe classes. After the window it now fails, which promises nothing. The new test fails without the change (may_refuse knew no time) and passes with it.

--- a/fennelwinch/rules/job.py
+++ b/fennelwinch/rules/job.py
@@ -32,10 +32,11 @@
         self.asked_us = 0  # its last ask
         self.let_in = False  # drawn here: it asks for units of the ceiling alone
 
-    def may_refuse(self) -> bool:
-        """Whether trying again is harmless, for all that is known of its attempts."""
-        keyed_ok = self.rule.effect is i.Effect.KEYED and self.rule.group is i.Group.ALL
-        return self.ran_on is None or self.rule.effect is i.Effect.SAFE or keyed_ok
+    def may_refuse(self, now: int) -> bool:
+        """Whether trying again is harmless, for all that is known of its attempts: a refusal says so."""
+        dropped = self.rule.effect is i.Effect.KEYED and self.rule.group is i.Group.ALL
+        repeatable = self.rule.effect is i.Effect.SAFE or (dropped and now < self.whole_by_us())
+        return self.ran_on is None or repeatable
 
     def whole_by_us(self) -> int:
         """Until when a further attempt may still begin to run; 0 where it may at any time. The window counts
--- a/tests/fennelwinch/rules/test_attempts.py
+++ b/tests/fennelwinch/rules/test_attempts.py
@@ -46,12 +46,21 @@
     for result, ran in ((i.Result.FULL, False), (i.Result.CONNECT_FAILED, False), (i.Result.RESET, True)):
         attempts, job = attempts_of(keyed)
         attempts.begin(NOW, job, Server(servers(1)[0]))
-        assert not job.may_refuse() and not job.may_run_on(NOW, Server(servers(4)[3]))
+        assert not job.may_refuse(NOW) and not job.may_run_on(NOW, Server(servers(4)[3]))
         attempts.end(NOW, outcome(result))
-        assert job.may_refuse() is not ran and job.may_run_on(NOW, Server(servers(4)[3])) is not ran
+        assert job.may_refuse(NOW) is not ran and job.may_run_on(NOW, Server(servers(4)[3])) is not ran
         assert job.unsent == (result is i.Result.CONNECT_FAILED)
 
 
+def test_refusal_of_what_may_have_run_ends_with_the_window_of_its_repeats() -> None:
+    """A refusal says that trying again is harmless: only for as long as servers know the first."""
+    keyed = i.RequestClass(2 * S, 6 * S, effect=i.Effect.KEYED, group=i.Group.ALL, window_us=S)
+    attempts, job = attempts_of(keyed)
+    attempts.begin(NOW, job, Server(servers(1)[0]))
+    attempts.end(NOW, outcome(i.Result.RESET))
+    assert job.may_refuse(NOW + S - 1) and not job.may_refuse(NOW + S)
+
+
 def test_attempt_is_given_up_while_another_can_meet_the_aim() -> None:
     attempts, job = attempts_of()
     attempts.mean_us = [200.0 * MS]
