Tests of discovery tell what an early list and a deep object would let through

Two guards had been taken out unseen: the list of a whole answer is whole whether or not it says so, nothing behind it is heard, and levels are bounded. Each test now fails without its guard.

--- a/tests/crossings/test_discovery_calls.py
+++ b/tests/crossings/test_discovery_calls.py
@@ -120,17 +120,21 @@
     run(job())
 
 
-def test_list_is_taken_before_its_answer_has_ended(agent: Machine, other: Machine) -> None:
-    """An answer with no length that nobody ends: the object is whole, and the watch is opened."""
+def test_list_is_taken_before_its_answer_has_ended(
+    agent: Machine, other: Machine, caplog: pytest.LogCaptureFixture
+) -> None:
+    """The object is whole, also where it does not say so, and the watch is opened; the rest is not heard."""
     async def job() -> None:
         async with asked(agent) as door:
             door.discovery.move(other.address)
             peer, target = await call(other)
             assert target == WHOLE
-            peer.say(HEAD + chunk(whole(7, "s1").strip()))
-            assert await door.next() == (7, {"s1": UP})
-            await watch(other, 7)
-            assert await gone(peer)
+            peer.say(HEAD + chunk(changes(7, s1="SERVING") + changes(8, s1="DRAINING")))
+            event = (await door.heard.get()).event
+            assert (event.kind, event.version) == (i.ListKind.FULL, 7)
+            kept = await watch(other, 7)
+            assert await gone(peer) and door.heard.empty() and not kept.pending()
+        assert not [line for line in caplog.messages if "no sense" in line]
 
     run(job())
 
--- a/tests/crossings/test_discovery_documents.py
+++ b/tests/crossings/test_discovery_documents.py
@@ -47,7 +47,7 @@
 
 
 @pytest.mark.parametrize("bad", [
-    b"not json", b"[1]", b'{"a', b"{not json", b'{"a":1,}', b"{" * (MOST_DEPTH + 1), b"[" * 9,
+    b"not json", b"[1]", b'{"a', b"{not json", b'{"a":1,}', b'{"a":' * (MOST_DEPTH + 1), b"[" * 9,
     b'{"a":{"b":[1}]},\n"c" 1',
 ])
 def test_what_can_never_be_an_object_is_an_error_at_its_lines_end(bad: bytes) -> None:
