Classes and plans may have names that are not ASCII

The settings are JSON, in which names are any text; a command's list was decoded as ASCII, so that every request of such a class or plan was -ERR and never sent (CommandParser.parse). Values are UTF-8 now, the protocol's own names stay ASCII. The test failed before for such a name, and passes for it and for others with spaces, signs and digits.

--- a/molereach/clients/commands.py
+++ b/molereach/clients/commands.py
@@ -41,11 +41,11 @@
         if len(words) != 4 + is_write:
             raise CommandError("wrong number of arguments")
         try:
-            parts = [part.partition("=") for part in words[3].decode("ascii").split(",")]
+            parts = [part.partition("=") for part in words[3].decode().split(",")]
         except UnicodeDecodeError:
             raise CommandError("invalid fields") from None
         values = {name: value for name, _, value in parts}
-        if not all(name and sign for name, sign, _ in parts):
+        if not all(name and sign and name.isascii() for name, sign, _ in parts):
             raise CommandError("invalid fields")
         if len(values) != len(parts):
             raise CommandError("a field is given twice")
