A connection that is asked to give way and has a command just then keeps its place

make_room took it off the list of those that may leave and counted it as left, though give_way did nothing where a command had come after the first look: it would rest there past any drain. Now the next one is asked. The test fails without that (nobody leaves until the time for resting is over) and passes with it.

--- a/molereach/clients/intake.py
+++ b/molereach/clients/intake.py
@@ -156,9 +156,14 @@
         now = now_us()
         for state, least_us in GIVE_WAY:
             for connection in list(islice(self.leaving[state], MOST_LOOKS)):
-                if now - connection.since_us >= least_us and not connection.on_its_way():
+                if now - connection.since_us < least_us or connection.on_its_way():
+                    continue
+                if not lingers:
                     del self.leaving[state][connection]
-                    connection.give_way() if lingers else connection.abort()
+                    connection.abort()
+                    return True
+                connection.give_way()
+                if connection.state is not state:  # else a command has come in this very moment
                     return True
         return False
 
--- a/tests/crossings/test_clients_gone.py
+++ b/tests/crossings/test_clients_gone.py
@@ -145,8 +145,7 @@
 
 
 def test_client_that_goes_behind_a_command_that_cannot_be_read() -> None:
-    """The garbled one is answered after the one before it; till then the connection is closing, and its end
-    is heard."""
+    """That is answered after the one before it; till then the connection is closing, and its end is heard."""
 
     async def job() -> None:
         async with front_door(Backend(lambda words: None)) as (door, address):
--- a/tests/crossings/test_clients_places.py
+++ b/tests/crossings/test_clients_places.py
@@ -200,3 +200,32 @@
                     late.close()
 
     run(job())
+
+
+def test_command_that_comes_in_the_moment_of_giving_way_has_another_one_leave(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """After the first look and before the half-close: it is served, and the place is found elsewhere."""
+
+    async def job() -> None:
+        async with front_door(Backend()) as (door, address):
+            door.clients.most = 16
+            peers = await rested(door, address, 14)
+
+            def look(transport: asyncio.BaseTransport) -> bool:
+                found = has_unread(transport)
+                monkeypatch.undo()
+                peers[0].say(query("a1"))
+                return found
+
+            monkeypatch.setattr(clients, "has_unread", look)
+            late = Peer.dial(address)
+            late.say(query("a2"))
+            assert await peers[1].hear_all() == b""
+            assert await peers[0].hear_until(OK) == OK
+            assert await late.hear_until(OK) == OK
+            peers[1].close()
+            await until(lambda: door.clients.sockets == 14)
+            assert len(door.clients.leaving[State.IDLE]) == 14
+
+    run(job())
--- a/tests/crossings/test_clients_tries.py
+++ b/tests/crossings/test_clients_tries.py
@@ -1,9 +1,10 @@
-"""A client that goes in the turn in which its next try is decided: nothing is left of it."""
+"""A request that is over in the turn in which its next try is decided: nothing is left of it."""
 
 import asyncio
 
+from fennelwinch import interface as i
 from tests.crossings.wire import Peer, machine, until
-from tests.sockets import front_door, query, run
+from tests.sockets import Backend, front_door, query, resp, run, value
 
 
 def test_client_that_goes_between_two_tries_has_no_second_one() -> None:
@@ -32,3 +33,34 @@
                     each.cancel()
 
     run(job())
+
+
+def test_try_that_is_asked_for_while_the_answer_comes_has_an_outcome_of_its_own() -> None:
+    """The module asks for one in the turn in which the value of the first goes out: what it hears of it bears
+    the number that it counts it by."""
+
+    async def job() -> None:
+        backend = Backend(lambda words: None)
+        async with front_door(backend) as (door, address):
+            peer, other = Peer.dial(address), Peer.dial(address)
+            other.say(resp("PING"))
+            assert await other.hear_until(b"\r\n") == b"+PONG\r\n"
+            peer.say(query("a1"))
+            await backend.came.wait()
+            told: list[i.Event] = []
+            handle = door.gateway.handle
+
+            def ask_again(now: int, event: i.Event) -> list[i.Action]:
+                told.append(event)
+                return [i.Send("a1", "s0")] if isinstance(event, i.Request) else handle(now, event)
+
+            door.gateway.handle = ask_again
+            other.say(query("b1"))
+            backend.writers[0].write(value(b"ok"))
+            assert await peer.hear_until(b"ok\r\n")
+            await until(lambda: sum(isinstance(event, i.Outcome) for event in told) == 2)
+            outcomes = [(event.attempt, event.result) for event in told if isinstance(event, i.Outcome)]
+            assert outcomes == [(0, i.Result.OK), (1, i.Result.MOOT)]
+            assert not door.ended
+
+    run(job())
