--- a/molereach/resp.py
+++ b/molereach/resp.py
@@ -37,8 +37,7 @@
     poll, numbers = select.poll(), [each.get_extra_info("socket").fileno() for each in transports]
     for number in numbers:
         poll.register(number, select.POLLRDHUP)
-    ends = select.POLLRDHUP | select.POLLHUP | select.POLLERR
-    ended = {number for number, told in poll.poll(0) if told & ends}
+    ended = {number for number, told in poll.poll(0) if told & select.POLLRDHUP}
     return (number in ended for number in numbers)
 
 
