A discovery that must be asked is given two signs of life before a new call

Weighed again: signs of life come 'while nothing changes', so a change may stand in one's place, and the gap be near 4 s. To an agent a needless call costs nothing; where the list must be asked for it costs discovery work and the watch meanwhile.

--- a/molereach/door/calling.py
+++ b/molereach/door/calling.py
@@ -1,8 +1,10 @@
 """Which calls to discovery are out, which of them have failed, and when the next one is due: a core.
 
 Discovery gives a sign of life every 2 s, and what it has to tell counts as told 6 s after a watch has fallen
-silent. So a watch that has missed one sign, and then half of the time to the next, is given up: that leaves
-3 s for a dial that hangs for its full second and for one more after it.
+silent. A call to an agent on the own machine costs nothing: its watch is given up when it has missed one sign
+and half of the time to the next, which leaves 3 s for a dial that hangs for its full second and for one more.
+Where the list must be asked for, a call costs discovery work, and none is made on a guess: two signs must be
+missed, and half a second more, which leaves time for one dial that hangs.
 
 Where the address is an agent on the own machine, it answers at once and at no cost; only while discovery is
 down it is silent, and what it gets when that returns counts at that moment. Then nobody can know whether a
@@ -20,7 +22,8 @@
 from molereach.door.calls import CallPacing
 
 BEAT_S = 2.0  # discovery's sign of life, an empty line while nothing changes
-SILENT_S = 1.5 * BEAT_S  # an answer that brings no byte for so long is dead
+SILENT_S = 1.5 * BEAT_S  # an answer of an agent that brings no byte for so long is dead
+ASKED_SILENT_S = 2 * BEAT_S + 0.5  # one of a discovery that must be asked
 WHOLE_S = 5.0  # and so is one that brings bytes, but neither an object nor an empty line
 ANSWER_S = 5.0  # how long a call may wait for its answer to begin
 BESIDE_S = 0.5  # after a call that is still without an answer
@@ -35,11 +38,11 @@
     heard_s: float | None = None  # a byte of an answer; None: it has not begun
     word_s: float = 0.0  # an object or an empty line, or the answer's beginning
 
-    def until_s(self) -> float:
+    def until_s(self, silent_s: float) -> float:
         """When it has failed, if it brings nothing more."""
         if self.heard_s is None:
             return self.opened_s + ANSWER_S
-        return min(self.heard_s + SILENT_S, self.word_s + WHOLE_S)
+        return min(self.heard_s + silent_s, self.word_s + WHOLE_S)
 
 
 class Calling:
@@ -50,14 +53,16 @@
         self.out: dict[int, Call] = {}  # the eldest first
         self.count = 0
         self.due_s = 0.0  # when the next call is
+        self.silent_s = ASKED_SILENT_S if pacing.must_ask else SILENT_S
 
     def wait_s(self, now_s: float) -> float:
         """How long until something has to be done, if nothing is heard before."""
-        return max(0.0, min((self.due_s, *(call.until_s() for call in self.out.values()))) - now_s)
+        ends_s = [call.until_s(self.silent_s) for call in self.out.values()]
+        return max(0.0, min([self.due_s, *ends_s]) - now_s)
 
     def failed(self, now_s: float) -> list[int]:
         """Calls that have brought nothing for too long; each is then to be ended."""
-        return [number for number, call in self.out.items() if now_s >= call.until_s()]
+        return [number for number, call in self.out.items() if now_s >= call.until_s(self.silent_s)]
 
     def open(self, now_s: float) -> int | None:
         """The number of the call that is to be made now, if one is due. `surplus` may then be closed."""
@@ -100,7 +105,7 @@
         call = self.out.pop(number, None)
         if call is None or any(other.heard_s is not None for other in self.out.values()):
             return
-        silent = now_s >= call.until_s()
+        silent = now_s >= call.until_s(self.silent_s)
         wait_s = self.pacing.ended(self.draw())
         if silent and not self.pacing.must_ask:
             wait_s = 0.0  # it has waited long enough
--- a/tests/crossings/listing.py
+++ b/tests/crossings/listing.py
@@ -76,3 +76,17 @@
     assert target == after(version)
     peer.say(HEAD)
     return peer
+
+
+def listed(version: int, name: str) -> bytes:
+    """The whole list, as an answer with a length."""
+    body = whole(version, name)
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+
+async def gone(peer: Peer) -> bool:
+    """The front door has let go of this call."""
+    try:
+        return not await peer.hear()
+    except ConnectionResetError:
+        return True
