Test of a try in the turn of an answer sends the number that the module counts it by

A Send carries its number since two mends of one fault were joined; the test made one by hand without it. It asks the same: the outcome bears the number of the try.

--- a/tests/crossings/test_clients_tries.py
+++ b/tests/crossings/test_clients_tries.py
@@ -52,7 +52,7 @@
 
             def ask_again(now: int, event: i.Event) -> list[i.Action]:
                 told.append(event)
-                return [i.Send("a1", "s0")] if isinstance(event, i.Request) else handle(now, event)
+                return [i.Send("a1", "s0", attempt=1)] if isinstance(event, i.Request) else handle(now, event)
 
             door.gateway.handle = ask_again
             other.say(query("b1"))
