--- a/tests/crossings/test_peers_home.py
+++ b/tests/crossings/test_peers_home.py
@@ -122,3 +122,16 @@
     assert peers.is_silent(world.now, 1)
     world.tell(i.PeerMessage(1, (i.Word(7, 0, 0, 2, True),)))
     assert not peers.is_silent(world.now, 1)
+
+
+def test_set_of_two_of_two_hundred_that_goes_round_the_end() -> None:
+    """The last front door and the first: the one at home answers the other, and nobody else counts."""
+    world = World(replace(SETTINGS, gateways=200))  # it is the first
+    name = customer_of(world, home=1)  # the second of its set
+    key = zlib.crc32(name.encode()), 0, 199, 2
+    actions = world.tell(i.PeerMessage(199, (i.Word(*key, demand=1.0, asked=1.0, level=20.0),)))
+    (told,) = of(i.Tell, actions)
+    assert isinstance(told, i.Tell) and told.peer == 199 and told.words[0].is_answer and told.words[0].inside
+    others = [action for first in (0, 1, 198) for action in of(i.Tell, world.tell(
+        i.PeerMessage(5, (i.Word(key[0], 0, first, 1, demand=1.0, asked=1.0),))))]
+    assert len(others) == 1  # of the set that is this one alone
