--- a/tests/crossings/test_peers_home.py
+++ b/tests/crossings/test_peers_home.py
@@ -135,3 +135,4 @@
     others = [action for first in (0, 1, 198) for action in of(i.Tell, world.tell(
         i.PeerMessage(5, (i.Word(key[0], 0, first, 1, demand=1.0, asked=1.0),))))]
     assert len(others) == 1  # of the set that is this one alone
+    assert len(world.gateway.customers.known) == 2
