--- a/tests/crossings/test_sigterm_ends.py
+++ b/tests/crossings/test_sigterm_ends.py
@@ -7,6 +7,7 @@
 import pytest
 
 from molereach.clients.resp import MOST_PIPELINED
+from molereach.clients.states import NEVER, WAITS_US, State
 from molereach.door import draining, ending
 from molereach.door.frontdoor import FrontDoor
 from molereach.resp import has_unread
@@ -198,6 +199,7 @@
 ) -> None:
     """It can tell that what it gets of the last value is not whole."""
     monkeypatch.setattr(draining, "LAST_WRITES_S", 60.0)
+    monkeypatch.setitem(WAITS_US, State.CLOGGED, NEVER)  # not by the time that it has to read
 
     async def job() -> None:
         async with front_door(Backend(lambda words: LARGE)) as (door, address):
