--- a/tests/crossings/test_clients_tries.py
+++ b/tests/crossings/test_clients_tries.py
@@ -1,10 +1,20 @@
 """A request that is over in the turn in which its next try is decided: nothing is left of it."""
 
-import asyncio
-
 from fennelwinch import interface as i
+from molereach.door.frontdoor import FrontDoor
 from tests.crossings.wire import Peer, machine, until
-from tests.sockets import Backend, front_door, query, resp, run, value
+from tests.sockets import Backend, front_door, query, run, value
+
+
+def written(door: FrontDoor, name: str) -> bool:
+    return name in door.open and any(each.written for each in door.open[name].out.values())
+
+
+def heard_from(door: FrontDoor, name: str, answer: bytes) -> None:
+    """A backend's answer to the first try, in this turn and at this place among what else comes in it."""
+    connection = door.open[name].out[0].connection
+    assert connection
+    connection.data_received(answer)
 
 
 def test_client_that_goes_between_two_tries_has_no_second_one() -> None:
@@ -16,21 +26,17 @@
             async with front_door(addresses=[one.address, other.address]) as (door, address):
                 peer = Peer.dial(address)
                 peer.say(query("a1"))
-                first, second = (asyncio.create_task(each.accept()) for each in (one, other))
-                done, _ = await asyncio.wait((first, second), return_when=asyncio.FIRST_COMPLETED)
-                backend = done.pop().result()
-                await backend.hear_until(b"a1")
+                await until(lambda: written(door, "a1"))
                 sent: list[str] = []
                 start = door.backends.send
                 door.backends.send = lambda attempt, timeout: (sent.append(attempt.request_id),
                                                                start(attempt, timeout))
-                backend.say(b"-BUSY\r\n")
-                peer.close()
+                (connection,) = door.clients.connections
+                heard_from(door, "a1", b"-BUSY\r\n")
+                connection.eof_received()
                 await until(lambda: not door.open and not door.gateway.attempts.jobs)
                 assert sent == [] and not door.ended
                 assert not any(server.out for server in door.gateway.fleet.servers.values())
-                for each in (first, second):
-                    each.cancel()
 
     run(job())
 
@@ -40,23 +46,21 @@
     the number that it counts it by."""
 
     async def job() -> None:
-        backend = Backend(lambda words: None)
-        async with front_door(backend) as (door, address):
-            peer, other = Peer.dial(address), Peer.dial(address)
-            other.say(resp("PING"))
-            assert await other.hear_until(b"\r\n") == b"+PONG\r\n"
+        async with front_door(Backend(lambda words: None)) as (door, address):
+            peer = Peer.dial(address)
             peer.say(query("a1"))
-            await backend.came.wait()
+            await until(lambda: written(door, "a1"))
             told: list[i.Event] = []
+            asks = i.Timer(-1)  # none of the module's own
             handle = door.gateway.handle
 
             def ask_again(now: int, event: i.Event) -> list[i.Action]:
                 told.append(event)
-                return [i.Send("a1", "s0", attempt=1)] if isinstance(event, i.Request) else handle(now, event)
+                return [i.Send("a1", "s0", attempt=1)] if event == asks else handle(now, event)
 
             door.gateway.handle = ask_again
-            other.say(query("b1"))
-            backend.writers[0].write(value(b"ok"))
+            door.post(asks)
+            heard_from(door, "a1", value(b"ok"))
             assert await peer.hear_until(b"ok\r\n")
             await until(lambda: sum(isinstance(event, i.Outcome) for event in told) == 2)
             outcomes = [(event.attempt, event.result) for event in told if isinstance(event, i.Outcome)]
