A refusal holds for the moment at which its client is told to come again

Seen: the test of a dial that comes up after the window had two verdicts on a busy machine ('-BUSY 750' or '-ERR failed'), as a timer of the loop may be early by a part of a millisecond, just before the window's end. Cause: whether trying again is harmless was asked of now, while the client comes back when told to. It is asked of that moment now, from the settings' max-retry-after.

--- a/fennelwinch/rules/gateway.py
+++ b/fennelwinch/rules/gateway.py
@@ -134,11 +134,15 @@
     def may_pass(self, job: Job) -> bool:
         return self.customers.below_ceiling(self.now, job.customer, job.req.units)
 
+    def may_refuse(self, job: Job) -> bool:
+        """Whether trying again is harmless at the time at which the client is told to come."""
+        return job.may_refuse(self.now + self.set.max_retry_after_us)
+
     def expire(self, job: Job, means: float) -> bool:
         """A held request is ended in time: refused when its aim is out of reach, where that is allowed, and
         before half of its time is over while nothing of it has been sent."""
         needed = min(means * self.attempts.mean_us[job.req.class_index], job.rule.aim_us / 2)
-        late = job.may_refuse(self.now) and self.now + needed >= job.aim_us
+        late = self.may_refuse(job) and self.now + needed >= job.aim_us
         late = late or (job.unsent == len(job.servers) and self.now + TICK_US >= job.half_us)
         if not job.over and (late or self.now + 2 * TICK_US >= job.end_us):
             self.end(job, self.why_held(job) if means == NEEDED_HELD and not job.servers else "late")
@@ -198,7 +202,7 @@
     def end(self, job: Job, why: str) -> None:
         self.ended[why] += 1
         wait = self.set.max_retry_after_us
-        self.actions.append(i.Refuse(job.req.id, wait) if job.may_refuse(self.now) else i.Fail(job.req.id))
+        self.actions.append(i.Refuse(job.req.id, wait) if self.may_refuse(job) else i.Fail(job.req.id))
         self.drop(job)
 
     def on_end(self, event: i.ClientGone | i.StreamStarted) -> None:
--- a/fennelwinch/rules/job.py
+++ b/fennelwinch/rules/job.py
@@ -32,10 +32,10 @@
         self.asked_us = 0  # its last ask
         self.let_in = False  # drawn here: it asks for units of the ceiling alone
 
-    def may_refuse(self, now: int) -> bool:
-        """Whether trying again is harmless, for all that is known of its attempts: a refusal says so."""
+    def may_refuse(self, again_us: int) -> bool:
+        """Whether trying again then is harmless, for all that is known of its attempts: a refusal says so."""
         dropped = self.rule.effect is i.Effect.KEYED and self.rule.group is i.Group.ALL
-        repeatable = self.rule.effect is i.Effect.SAFE or (dropped and now < self.whole_by_us())
+        repeatable = self.rule.effect is i.Effect.SAFE or (dropped and again_us < self.whole_by_us())
         return self.ran_on is None or repeatable
 
     def whole_by_us(self) -> int:
