Endings: the rows of attempts, and of clients whose attempt waits or is between two tries

Each row names its test and the guard that was taken out to see it fail. The test of resets after the last byte now asks that an unsafe request is not dialled again at all: with every end counted as a failed connect it had passed before, slowly.

--- a/tests/crossings/test_attempts_reset.py
+++ b/tests/crossings/test_attempts_reset.py
@@ -98,6 +98,7 @@
                         door.hear(news, {"other": await other.start()})
                     end(peer)
                     assert await client.answer() == answer
+                    assert not held.waiting()  # an unsafe one is not tried again anywhere
                     assert await client.ask(b"*1\r\n$4\r\nPING\r\n") == b"PONG"  # nothing else came
                     assert not door.open and not door.ended
                 assert len(other.commands) == 1
