--- a/molereach/door/documents.py
+++ b/molereach/door/documents.py
@@ -21,8 +21,8 @@
 
 BLANK = re.compile(rb"[ \t\r]*+")
 FLAT = rb'(?:[^"{}\[\]]++|"(?:[^"\\\n]++|\\[^\n])*+")*+'  # to a brace or to half a string
-# Further, over whole objects and lists with nothing within them: the entries of a list are such, and a step of
-# ours for each would be most of the cost. What is not whole is looked at once more, and no more than that.
+# Further, over whole objects and lists with nothing within them: the entries of a list are such, and a step
+# of ours for each would be most of the cost. What is not whole is looked at once more, and no more than that.
 PLAIN = re.compile(rb"(?:%b(?:\{%b\}|\[%b\])?+)++" % (FLAT, FLAT, FLAT))
 TEXT = re.compile(rb'(?:[^"\\\n]++|\\[^\n])*+')  # within a string
 QUOTE, BACKSLASH, LINE_END, OPENING = b'"'[0], b"\\"[0], b"\n"[0], b"{["
--- a/molereach/door/frontdoor.py
+++ b/molereach/door/frontdoor.py
@@ -247,18 +247,17 @@
     def send(self, action: i.Send) -> None:
         exchange = self.open.get(action.id)
         if exchange is None or exchange.attempts >= self.settings.max_attempts:
-            ended = exchange or self.ended.get(action.id)
-            number = ended.attempts if ended else action.attempt  # the module waits for just that one's end
-            if ended:
-                ended.attempts += 1
-            self.post(i.Outcome(action.id, exchange is None, number, action.server, i.Result.MOOT, 0))
+            over = exchange is None
+            self.post(i.Outcome(action.id, over, action.attempt, action.server, i.Result.MOOT, 0))
             return
         left = max(1, exchange.end_us - now_us())
         timeout = min(left, action.timeout_us) if action.timeout_us > 0 else left
-        number, exchange.attempts = exchange.attempts, exchange.attempts + 1
+        exchange.attempts += 1
         payload = exchange.command.payload(timeout)
-        attempt = Attempt(action.id, number, action.server, payload, self.attempt_done, action.whole_by_us)
-        exchange.out[number] = attempt
+        attempt = Attempt(
+            action.id, action.attempt, action.server, payload, self.attempt_done, action.whole_by_us
+        )
+        exchange.out[attempt.number] = attempt
         self.backends.send(attempt, timeout)
 
     def attempt_done(
