An order that closes the listener takes in who has connected, as the drain does

Cause: of two ways by which the listener closes only the drain's took in who waits; Intake.hold closed over them, and the machine had taken their requests (a reset, seen with 40 clients). And a socket whose client was gone before it was attached was counted off without a word, so the drain waited for it until its time was over. Ruled out: the loop's accept, which goes on. Change: both ways go through close_listener, and every socket ends through let_go, which says when none is left.

--- a/molereach/clients/intake.py
+++ b/molereach/clients/intake.py
@@ -86,10 +86,8 @@
 
     def hold(self, on: bool) -> None:
         """Take no new connections, so that clients are refused and go elsewhere; or take them again."""
-        if on and self.listener:
-            self.loop.remove_reader(self.listener)
-            self.listener.close()
-            self.listener = None
+        if on:
+            self.close_listener()
         elif self.held and not on and self.address and not self.ended:
             try:
                 self.open_listener(self.address)
@@ -143,7 +141,7 @@
         finally:
             if not connection.attached:
                 accepted.close()
-                self.sockets -= 1
+                self.let_go()
 
     def places_taken(self) -> bool:
         """Whether one has to give way to a new one. Those that are closing have sockets of their own."""
@@ -191,14 +189,18 @@
         if connection.state in self.leaving:
             self.leaving[connection.state][connection] = None
 
-    def closed(self, connection: Connection) -> None:
+    def let_go(self) -> None:
+        """A socket is closed, whether or not a connection was attached to it."""
         self.sockets -= 1
+        if not self.sockets:
+            self.empty.set()
+
+    def closed(self, connection: Connection) -> None:
         self.connections.pop(connection, None)
         self.ends.let_go(connection)
         for connections in self.leaving.values():
             connections.pop(connection, None)
-        if not self.connections:
-            self.empty.set()
+        self.let_go()
 
     def sweep(self) -> None:
         """End what has been as it is for too long, and again in a while."""
@@ -246,8 +248,12 @@
         return not self.sockets
 
     def stop_listening(self) -> None:
-        """Take in who has come, and then nobody more: a listener's close resets those that wait for it."""
+        """Take in who has come, and then nobody more, for good."""
         self.ended = True
+        self.close_listener()
+
+    def close_listener(self) -> None:
+        """Take in who has come first: a listener's close resets those that wait, who may have asked."""
         listener, self.listener = self.listener, None
         if listener is None:
             return
--- a/tests/crossings/test_sigterm_listener.py
+++ b/tests/crossings/test_sigterm_listener.py
@@ -67,6 +67,38 @@
     run(job())
 
 
+def test_who_has_connected_when_an_order_closes_the_listener_is_answered() -> None:
+    """The door serves on; it only takes nobody new."""
+
+    async def job() -> None:
+        async with front_door(Backend()) as (door, address):
+            asked = [dial_and_ask(address, f"r{number}") for number in range(40)]
+            door.clients.hold(True)
+            answers = [await client.hear_until(b"ok\r\n") for client in asked]
+            assert len(answers) == 40 and all(map(is_answer, answers))
+            with pytest.raises(ConnectionRefusedError):
+                Peer.dial(address)
+
+    run(job())
+
+
+def test_last_socket_that_ends_unattached_is_heard_of_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Its client was gone before it was taken in: the drain must not wait for it until its time is over."""
+
+    async def job() -> None:
+        async with front_door(Backend()) as (door, address):
+
+            async def gone(*_: object) -> None:
+                raise OSError("gone")
+
+            monkeypatch.setattr(door.clients.loop, "connect_accepted_socket", gone)
+            Peer.dial(address)
+            door.clients.accept()
+            assert door.clients.sockets == 1 and await door.clients.left(60)
+
+    run(job())
+
+
 def test_order_to_take_connections_again_opens_no_listener_that_has_closed_for_good() -> None:
     """An order that ends while the front door does: whoever came now would be lost."""
 
