Tests of a gateway and of backends' pools split by what they test

Change: the first is five files by what they test (cap, quotas, ceilings, attempts, servers) with what they share apart; of the second, answers and reuse stand beside their modules.

--- /dev/null
+++ b/tests/fennelwinch/test_gateway_attempts.py
@@ -0,0 +1,133 @@
+"""Attempts and answers of a gateway: what may go again, and by when each request is answered."""
+
+from dataclasses import replace
+
+from fennelwinch import interface as i
+from tests.fennelwinch.gateways import UNSAFE, with_class
+from tests.helpers import MS, SAFE, SETTINGS, S, World, of, servers
+
+KEYED = i.RequestClass(2 * S, 6 * S, effect=i.Effect.KEYED, group=i.Group.ZONE, window_us=3 * S)
+
+
+def test_no_time_left_is_answered_at_once() -> None:
+    world = World(fleet=())
+    assert of(i.Refuse, world.ask("a", left_us=0))
+
+
+def test_deadline_of_an_unsafe_request_fails_it() -> None:
+    world = World(with_class(UNSAFE))
+    world.ask("a")
+    world.run(6 * S)
+    actions = world.answer("a", i.Result.TIMEOUT)
+    assert actions == [i.Fail("a")]
+    assert world.tell(i.ClientGone("a")) == []
+
+
+def test_unsafe_goes_again_only_if_it_never_ran() -> None:
+    world = World(with_class(UNSAFE))
+    world.ask("a")
+    assert of(i.Send, world.answer("a", i.Result.FULL))
+    assert of(i.Send, world.answer("a", i.Result.CONNECT_FAILED, attempt=1))
+    assert world.answer("a", i.Result.RESET, attempt=2) == [i.Fail("a")]
+
+
+def test_unsafe_proven_unrun_to_the_end_is_refused() -> None:
+    world = World(with_class(UNSAFE))
+    world.ask("a")
+    for attempt in range(3):
+        actions = world.answer("a", i.Result.FULL, attempt)
+    assert of(i.Refuse, actions)
+
+
+def test_keyed_stays_in_its_zone_and_window() -> None:
+    world = World(with_class(KEYED))
+    world.ask("a")
+    first = world.out[("a", 0)][0]
+    again = of(i.Send, world.answer("a", i.Result.RESET))
+    assert int(again[0].server[1:]) % 2 == int(first[1:]) % 2
+    world.run(3 * S)
+    assert world.answer("a", i.Result.RESET, attempt=1) == [i.Fail("a")]
+
+
+def test_slow_attempt_is_given_up_while_another_can_meet_the_aim() -> None:
+    world = World()
+    world.ask("a")
+    assert world.out[("a", 0)][2] < 2 * S - 500 * MS
+    world.run(S)
+    assert len(of(i.Send, world.answer("a", i.Result.TIMEOUT))) == 1
+    world = World(with_class(UNSAFE))
+    world.ask("a")
+    assert world.out[("a", 0)][2] == 6 * S
+
+
+def test_time_out_on_a_server_that_answers_others_is_no_sign() -> None:
+    world = World(replace(SETTINGS, plans=(i.Plan(),)), servers(1))
+    for n in range(4):
+        world.ask(f"r{n}")
+    for n in range(2):
+        world.ask(f"ok{n}")
+    world.run(1 * S)
+    world.answer("ok0")
+    world.run(10 * MS)
+    for n in range(4):
+        world.answer(f"r{n}", i.Result.TIMEOUT)
+    assert world.gateway.fleet.servers["s0"].on_trial is False
+
+
+def test_further_attempts_are_few() -> None:
+    world = World(replace(SETTINGS, plans=(i.Plan(),)))
+    for n in range(100):
+        for action in of(i.Send, world.ask(f"r{n}")):
+            more = of(i.Send, world.answer(action.id, i.Result.ERROR))
+            while more:
+                attempt = world.tries[action.id] - 1
+                more = of(i.Send, world.answer(action.id, i.Result.ERROR, attempt))
+        world.run(10 * MS)
+    assert len(of(i.Send, [action for _, action in world.log])) <= 100 * 1.1 + 8
+
+
+def test_stream_is_the_clients_once_begun() -> None:
+    world = World(with_class(replace(SAFE, streamed=True)))
+    world.ask("a")
+    assert world.tell(i.StreamStarted("a", 0, world.out[("a", 0)][0], 5)) == []
+    assert of(i.Refuse, world.answer("a", i.Result.RESET)) == []
+
+
+def test_request_of_which_nothing_was_sent_is_refused_before_half_of_its_time() -> None:
+    for fleet in ((), servers(1)):
+        world = World(fleet=fleet)
+        world.gateway.attempts.mean_us = [50.0 * MS]  # so that the aim alone would let it wait for longer
+        start = world.now
+        world.ask("a", left_us=S)
+        if fleet:  # a failed connect has sent nothing
+            world.gateway.fleet.up.clear()
+            world.answer("a", i.Result.CONNECT_FAILED)
+        world.run(S)
+        refused = [at for at, action in world.log if isinstance(action, i.Refuse)]
+        assert len(refused) == 1
+        assert 400 * MS < refused[0] - start < 500 * MS
+
+
+def test_request_that_was_sent_whole_may_wait_for_longer() -> None:
+    world = World()
+    world.ask("a", left_us=S)
+    world.run(900 * MS)
+    assert of(i.Refuse, world.run(0)) == [] and world.out
+
+
+def test_retry_that_comes_after_the_aim_of_its_first_try_is_refused_at_once() -> None:
+    world = World()
+    world.ask("first", left_us=6 * S)
+    assert of(i.Send, world.ask("soon", left_us=5 * S, is_repeat=True))
+    late = world.ask("late", left_us=4 * S, is_repeat=True)  # asked first 2 s ago, as long as the aim is
+    assert of(i.Refuse, late) and not of(i.Send, late)
+    worth = World(replace(SETTINGS, classes=(replace(SAFE, late_worth=0.5),)))
+    worth.ask("first", left_us=6 * S)
+    assert of(i.Send, worth.ask("late", left_us=4 * S, is_repeat=True))
+
+
+def test_clients_that_wait_for_different_times_are_no_reason_to_refuse_retries() -> None:
+    world = World()
+    for number, left in enumerate([6 * S, 3 * S, 6 * S, 3 * S]):
+        world.ask(f"first{number}", left_us=left)
+    assert of(i.Send, world.ask("retry", left_us=2 * S, is_repeat=True))
