Test worlds of readings and of upkeep: who plays and what is played stand apart

Change: those stand in players.py and plays.py; nothing behaves otherwise. What is left of each file is one class.

--- a/tests/cache/test_histories.py
+++ b/tests/cache/test_histories.py
@@ -7,7 +7,8 @@
 from molereach.cache.door import Door
 from molereach.cache.purge.machine import Purges
 from tests.cache.mutants import DOORS, MACHINES
-from tests.cache.world import BrokenError, Cores, World
+from tests.cache.players import BrokenError, Cores
+from tests.cache.world import World
 
 HISTORIES, STEPS, CALM_EVERY = 2000, 160, 4
 MOST_TRIED = 600  # histories, until one finds a mutation
--- a/tests/upkeep/mutants.py
+++ b/tests/upkeep/mutants.py
@@ -16,7 +16,7 @@
 from molereach.upkeep.rules.scene import Off, Scene, Stop, Taken
 from molereach.upkeep.rules.seasons import within
 from molereach.upkeep.rules.settings import MonthDay, Season, UpkeepSettings
-from tests.upkeep.world import Cores
+from tests.upkeep.players import Cores
 
 
 class BeforeTheLastWord(Upkeep):
--- a/tests/upkeep/test_histories.py
+++ b/tests/upkeep/test_histories.py
@@ -16,7 +16,9 @@
 from molereach.upkeep.rules.settings import MonthDay, Season, UpkeepSettings
 from tests.upkeep.made import doors, scene, work
 from tests.upkeep.mutants import MUTANTS, panel_without_those_that_drain, within_without_the_last_day
-from tests.upkeep.world import SETTINGS, BrokenError, Cores, World, ask, history
+from tests.upkeep.players import SETTINGS, BrokenError, Cores
+from tests.upkeep.plays import ask, history
+from tests.upkeep.world import World
 
 AT_ONCE = 20
 MOST_HISTORIES = 150  # in which a mutant must be found
--- a/tests/upkeep/world.py
+++ b/tests/upkeep/world.py
@@ -31,15 +31,14 @@
 from molereach.upkeep.door import Began, Ended
 from molereach.upkeep.driver import Driver
 from molereach.upkeep.permits.accounting import Accounting
-from molereach.upkeep.permits.bodies import Ask, Move, Out, Word, decode, encode
+from molereach.upkeep.permits.bodies import Move, Out, Word, decode, encode
 from molereach.upkeep.permits.proof import needed
 from molereach.upkeep.permits.record import Record
 from molereach.upkeep.permits.telling import Measured
 from molereach.upkeep.permits.way import GONE, LEAVING, UNSENDABLE, State, Step
-from molereach.upkeep.requests.work import Work
 from molereach.upkeep.rules.facts import Facts
 from tests.upkeep.logged import LoneSessions
-from tests.upkeep.made import NOON_MS, server, work
+from tests.upkeep.made import NOON_MS, server
 from tests.upkeep.players import REAL, SETTINGS, STEP_US, BrokenError, Cores, Door, Held, Server
 
 TURN_US = S // 100
@@ -363,48 +362,3 @@
         """Whether all is over, but for what was lost and never came."""
         return all(each.state is State.LOST and not self.servers[each.work.machine].ready
                    for each in self.truth.book.records.values())
-
-
-def ask(world: World, asked: Work) -> None:
-    """At a front door that may be any."""
-    door = world.doors[world.chance.choice(NAMES)]
-    world.append("upkeep", encode(Ask(asked)), door.life)
-
-
-def works(chance: random.Random) -> list[Work]:
-    found = []
-    for number in range(chance.randint(2, 5)):
-        machine = SERVERS[number % len(SERVERS)]
-        other = chance.choice([name for name in SERVERS if name != machine])
-        found.append(work(
-            f"w{number}", machine, minutes=1, not_with=(other,) if chance.random() < 0.3 else (),
-            after=(SERVERS[number - 1],) if number and chance.random() < 0.2 else ()))
-    return found
-
-
-MOST_CALM_STEPS = 400
-
-
-def history(seed: int, cores: Cores = REAL, steps: int = 90) -> World:
-    """Run one; its world at the end, where all works are over."""
-    world = World(seed, cores)
-    asked = works(world.chance)
-    for _ in range(4):
-        world.step()
-    for number in range(steps):
-        world.step()
-        if asked and world.truth.book.fleet.servers and number % 3 == 0:
-            for _ in range(world.chance.choice((1, 1, 2))):  # at times asked twice
-                ask(world, asked[0])
-            asked = asked[1:]
-        if world.chance.random() < 0.25:
-            world.trouble()
-    world.calm()
-    for _ in range(MOST_CALM_STEPS):
-        if world.finished:
-            return world
-        world.step()
-    left = [(each.work.id, each.state.value) for each in world.truth.book.records.values()]
-    stops = {id: str(stop) for door in world.doors.values() for id, stop in door.driver.stops.items()}
-    missed = {id: each for door in world.doors.values() for id, each in door.driver.missed.items()}
-    raise BrokenError(f"not over: {left}, {stops}, {missed}")
