A child of the rig whose parent was gone before it asked to die with it goes too

Cause: test_nothing_stays_behind[9--9] failed now and then beside a busy machine: a front door is a child from its fork on, and asks to be killed with the rig only after that (PR_SET_PDEATHSIG); a rig that was killed between the two left it behind, as the system tells of no death before the asking. Ruled out: the threads of the rig (one forks). Change: the child looks whether its parent is still the one that began it.

--- a/benchmarks/door.py
+++ b/benchmarks/door.py
@@ -217,7 +217,7 @@
     backend = Listener(host, Instant)
     sides = Sides(host, backend.address, against)
     bare = subprocess.Popen([sys.executable, "-m", "benchmarks.passthrough", host, str(backend.address[1])],
-                            stdout=subprocess.PIPE, preexec_fn=die_with_parent)
+                            stdout=subprocess.PIPE, preexec_fn=die_with_parent())
     assert bare.stdout is not None
     address = host, int(await asyncio.to_thread(bare.stdout.readline))
     figures: dict[str, float] = {"served_share": 1.0}
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -100,7 +100,7 @@
         (folder / "token").write_text("benchmark-token-0001")
         processes = [stack.enter_context(subprocess.Popen(
             [sys.executable, "-m", "benchmarks.agents", str(file), str(first), str(PER_PROCESS)],
-            stdin=subprocess.PIPE, stdout=subprocess.PIPE, preexec_fn=die_with_parent,
+            stdin=subprocess.PIPE, stdout=subprocess.PIPE, preexec_fn=die_with_parent(),
         )) for first in range(0, AGENTS, PER_PROCESS)]
         try:
             for process in processes:
--- a/rig/council/tier.py
+++ b/rig/council/tier.py
@@ -47,7 +47,7 @@
 
     async def start(self) -> None:
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "rig.council.member", str(self.config), preexec_fn=die_with_parent,
+            sys.executable, "-m", "rig.council.member", str(self.config), preexec_fn=die_with_parent(),
             stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
         assert self.process.stdout and self.process.stderr
         async with asyncio.timeout(READY_S):
--- a/rig/doors.py
+++ b/rig/doors.py
@@ -14,7 +14,7 @@
 import subprocess
 import sys
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from pathlib import Path
 
 from rig.clock import now_us
@@ -31,9 +31,19 @@
 PRCTL = ctypes.CDLL(None).prctl
 
 
-def die_with_parent() -> None:
-    """In the child: be killed when the rig is gone, also where it could clean up nothing."""
-    PRCTL(PR_SET_PDEATHSIG, signal.SIGKILL)
+def die_with_parent() -> Callable[[], None]:
+    """For the child of whoever calls this: be killed when that is gone, also where it could clean up nothing.
+
+    The system tells of no death that was before the child asked: so it looks once it has.
+    """
+    parent = os.getpid()
+
+    def ask() -> None:
+        PRCTL(PR_SET_PDEATHSIG, signal.SIGKILL)
+        if os.getppid() != parent:
+            os.kill(os.getpid(), signal.SIGKILL)
+
+    return ask
 
 
 class Door:
@@ -76,7 +86,7 @@
                 "PYTHONPATH": os.pathsep.join(filter(None, (root, env.get("PYTHONPATH"))))}
         self.process = subprocess.Popen(
             self.command, env=env, stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL,
-            stderr=subprocess.PIPE, pass_fds=(self.memory,), preexec_fn=die_with_parent,
+            stderr=subprocess.PIPE, pass_fds=(self.memory,), preexec_fn=die_with_parent(),
             start_new_session=True,  # Ctrl-C is for the rig, which ends them in its own way
         )
         self.watch(self.process)
--- a/rig/fleet.py
+++ b/rig/fleet.py
@@ -49,7 +49,7 @@
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 (*AGENT, str(self.file)), env=self.env, stdin=subprocess.DEVNULL, stdout=log, stderr=log,
-                preexec_fn=die_with_parent, start_new_session=True,
+                preexec_fn=die_with_parent(), start_new_session=True,
             )
 
     async def ready(self, token: str) -> None:
--- a/tests/rig/test_world.py
+++ b/tests/rig/test_world.py
@@ -1,13 +1,11 @@
 """Whole worlds on loopback: shipped scenarios, doors that are broken on purpose, nothing left behind."""
 
 import asyncio
-import contextlib
 import json
 import os
 import signal
 import subprocess
 import sys
-import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
@@ -25,6 +23,7 @@
 from rig.registry import Registry
 from rig.world.report import Report
 from rig.world.world import World
+from tests.rig.processes import alive, children, until
 
 ROOT = Path(__file__).parents[2]
 SEEDS = (1,)  # more of them in virtual time, and in `benchmarks scenarios`
@@ -169,26 +168,6 @@
 # --- nothing stays behind ---
 
 
-def children(pid: int) -> list[int]:
-    with contextlib.suppress(OSError):
-        return [int(child) for task in Path(f"/proc/{pid}/task").iterdir()
-                for child in (task / "children").read_text().split()]
-    return []
-
-
-def alive(pid: int) -> bool:
-    with contextlib.suppress(OSError):
-        return Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0] not in ("Z", "X")
-    return False
-
-
-def until(condition: "Any", within_s: float = 30.0) -> None:  # noqa: ANN401
-    end = time.monotonic() + within_s
-    while not condition():
-        assert time.monotonic() < end, "it did not come about"
-        time.sleep(0.01)
-
-
 @pytest.mark.parametrize(("number", "code"), [(signal.SIGINT, 130), (signal.SIGKILL, -signal.SIGKILL)])
 def test_nothing_stays_behind(tmp_path: Path, number: signal.Signals, code: int) -> None:
     """Neither after Ctrl-C nor when the rig is killed and can clean up nothing."""
