--- a/fennelwinch/interface/events.py
+++ b/fennelwinch/interface/events.py
@@ -67,11 +67,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerList:
-    """News of the servers: the whole list, changes to it, or word that a call failed."""
+    """News of the servers: the whole list, changes to it, or word that a call failed.
+
+    `seen_by` is how many gateways share each of the servers; 0: all do."""
 
     kind: ListKind
     version: int
     servers: tuple[Server, ...] = ()
+    seen_by: int = 0
 
 
 @dataclass(frozen=True, slots=True)
