--- /dev/null
+++ b/molereach/routing/routing.py
@@ -0,0 +1,153 @@
+"""The list as it comes, and what of it the module hears: all of a short one, the view of a long one. A core.
+
+A list is long from twice the view's size on, and short again at the view's size, so that one that stands at
+a bound does not change its front doors with every backend. What leaves the view, also to drain, is told as
+gone: what is out there ends as it does on any backend that goes.
+"""
+
+from collections.abc import Generator, Mapping, Sequence
+
+from fennelwinch import interface as i
+from molereach.routing.groups import kinds
+from molereach.routing.interface import Address, ListError, Seen
+from molereach.routing.places import door_place, least_reach
+from molereach.routing.records import name_of, unpack
+from molereach.routing.staging import Entry, Staging, entry_of
+from molereach.routing.view import View, Whole
+
+LONG = 2  # times the view's size: from there on a list has a view
+STEP_ENTRIES = 500  # taken over in one turn: some milliseconds
+WHOLE_KINDS = (i.ListKind.FULL, i.ListKind.SAVED)
+Steps = Generator[None, None, Seen | None]
+Short = dict[str, tuple[i.Server, Address | None]]
+
+
+class Routing:
+    """The whole list and the view of it; `size` is the view's, `most` the entries that the list may have."""
+
+    def __init__(self, settings: i.Settings, size: int, most: int) -> None:
+        self.doors, self.size, self.most, self.kinds = settings.gateways, size, most, kinds(settings)
+        self.short: Short | None = {}  # None: the list is long, and stands in `whole`
+        self.whole = Whole(self.kinds)
+        self.view = View(door_place(settings.me), least_reach(settings.me, settings.gateways), size)
+        self.told: dict[int, bytes] = {}  # members of the view, as the module has them
+        self.stale = False  # the view is to be chosen anew
+
+    @property
+    def count(self) -> int:
+        """Entries of the whole list."""
+        return self.whole.ring.count if self.short is None else len(self.short)
+
+    def stage(self) -> Staging:
+        return Staging(self.most)
+
+    def take(self, event: i.ServerList, addresses: Mapping[str, Address]) -> Seen | None:
+        """An object that came whole, and so holds few entries."""
+        if event.kind is i.ListKind.FAILED:
+            return Seen(event, {})
+        if self.short is None:
+            staged = self.stage()
+            staged.add(event.servers, addresses)
+            return finish(self.take_over(staged, event.kind, event.version))
+        if event.kind in WHOLE_KINDS:
+            self.short = {}
+        learn(self.short, event.servers, addresses)
+        if len(self.short) <= LONG * self.size:
+            return Seen(event, dict(addresses))
+        return finish(self.take_over(self.stage(), i.ListKind.CHANGES, event.version))
+
+    def take_over(self, staged: Staging, kind: i.ListKind, version: int) -> Steps:
+        """All that was staged, in short steps; what the module has holds until the last."""
+        was_short, entries = self.short is not None, staged.entries
+        if kind in WHOLE_KINDS:
+            whole = Whole(self.kinds)
+            yield from self.build(whole, entries)
+            self.whole, self.stale = whole, True
+        else:
+            if self.short is not None:
+                self.whole, self.stale = Whole(self.kinds), True
+                yield from self.build(self.whole, [entry_of(*known) for known in self.short.values()])
+            yield from self.change(entries)
+        self.short = None
+        if self.whole.ring.count <= self.size * (LONG if was_short else 1):
+            return self.shorten(kind, version)
+        return self.tell(kind, version, was_short)
+
+    def build(self, whole: Whole, entries: Sequence[Entry]) -> Generator[None, None, None]:
+        """A whole list; ListError where it names a backend twice, as nobody knows which of them holds."""
+        for start in range(0, len(entries), STEP_ENTRIES):
+            for place, record, gone in entries[start : start + STEP_ENTRIES]:
+                if not gone and whole.put(place, record) is not None:
+                    raise ListError(f"a list names {name_of(record)[:80]!r} twice")
+            yield
+
+    def change(self, entries: Sequence[Entry]) -> Generator[None, None, None]:
+        """Changes: each is true by itself. Where they are not taken over to the end, the next call brings
+        them again."""
+        whole, view = self.whole, self.view
+        for start in range(0, len(entries), STEP_ENTRIES):
+            if start:
+                yield
+            for place, record, gone in entries[start : start + STEP_ENTRIES]:
+                before = whole.remove(place, record) if gone else whole.put(place, record)
+                self.stale = self.stale or view.concerns(whole, place, before, None if gone else record)
+                if whole.ring.count > self.most:
+                    self.stale = True
+                    raise ListError(f"a list of over {self.most} entries has no room in memory")
+
+    def shorten(self, kind: i.ListKind, version: int) -> Seen:
+        """The list is short: all of it is told, and kept as it is."""
+        kind = kind if kind in WHOLE_KINDS else i.ListKind.FULL
+        listed = [unpack(record) for _, record in self.whole.ring.back_from(0)]
+        self.short = {server.name: (server, address) for server, address in listed}
+        self.whole, self.told, self.stale = Whole(self.kinds), {}, False
+        return seen(kind, version, listed)
+
+    def tell(self, kind: i.ListKind, version: int, whole: bool) -> Seen | None:
+        """The view, or what has changed of it."""
+        if self.stale:
+            self.view.fill(self.whole)
+            self.stale = False
+        before, self.told = self.told, self.view.members
+        up = max(1, self.whole.ring.up)
+        seen_by = min(self.doors, max(1, round(self.doors * len(self.told) / up)))
+        if whole or kind in WHOLE_KINDS:
+            kind = kind if kind in WHOLE_KINDS else i.ListKind.FULL
+            return seen(kind, version, [unpack(record) for record in self.told.values()], seen_by)
+        left = [gone(unpack(record)[0]) for place, record in before.items() if place not in self.told]
+        new = [unpack(record) for place, record in self.told.items() if before.get(place) != record]
+        if not left and not new:
+            return None
+        return seen(kind, version, [*left, *new], seen_by)
+
+
+def learn(short: Short, servers: Sequence[i.Server], addresses: Mapping[str, Address]) -> None:
+    """Keep a short list."""
+    for server in servers:
+        known = short.pop(server.name, None)
+        if server.state is not i.ServerState.GONE:
+            short[server.name] = server, addresses.get(server.name) or (known and known[1])
+
+
+def gone(server: i.Server) -> tuple[i.Server, Address | None]:
+    return i.Server(
+        server.name, server.zone, server.kind, server.cell, i.ServerState.GONE, server.size, server.started_us
+    ), None
+
+
+def seen(
+    kind: i.ListKind, version: int, listed: Sequence[tuple[i.Server, Address | None]], seen_by: int = 0
+) -> Seen:
+    """News for the module; changes where they are not the whole of it."""
+    event = i.ServerList(kind, version, tuple(server for server, _ in listed), seen_by)
+    return Seen(event, {server.name: address for server, address in listed if address})
+
+
+def finish(steps: Steps) -> Seen | None:
+    """All steps at once, of an object that holds few entries."""
+    while True:
+        try:
+            next(steps)
+        except StopIteration as done:
+            result: Seen | None = done.value
+            return result
