Servers are shared by the gateways that see them, not by all of the tier

Need: with a view, 21 of 7,500 gateways see a server. The cap's bound on what may be out was 8 x 256 // 7500 = 0, so two attempts (97 now, as over a whole list), and a cold server's least part one 7,500th. The list says how many share its servers; 0, as on all lists so far, is all of them. Where nothing binds a request to a group the whole of what is up is looked at as it is. Each new test was seen to fail with its line taken out (fleet.py twice, gateway.py, orders.py).

--- a/fennelwinch/rules/fleet.py
+++ b/fennelwinch/rules/fleet.py
@@ -19,18 +19,21 @@
 class Fleet:
     """The server list with what is known of each; `random` is the gateway's chance."""
 
-    __slots__ = ("mean_load", "random", "rate", "servers", "set", "up", "warm")
+    __slots__ = ("mean_load", "random", "rate", "servers", "set", "sharers", "up", "warm")
 
     def __init__(self, settings: i.Settings, random: Random) -> None:
         self.set, self.random = settings, random
         self.servers: dict[str, Server] = {}
         self.up: list[Server] = []  # those that may be sent new work
         self.warm = 0.0  # servers' worth of capacity that is up, where a cold one counts for its part
+        self.sharers = settings.gateways  # how many gateways share each server
         self.rate, self.mean_load = 0.0, 0.0  # first attempts a second; load of the servers, as they say
 
     def learn(self, now: int, news: i.ServerList) -> None:
         """News of the server list."""
         named = {entry.name for entry in news.servers}
+        if news.kind is not i.ListKind.FAILED:
+            self.sharers = news.seen_by or self.set.gateways
         part = news.kind in (i.ListKind.CHANGES, i.ListKind.FAILED)  # after a failure the old list holds
         self.servers = {name: known for name, known in self.servers.items() if part or name in named}
         for entry in news.servers:
@@ -64,7 +67,8 @@
 
     def choose(self, now: int, job: Job) -> Server | None:
         """The least expected wait among a few of those that the rules and their health allow."""
-        allowed = [server for server in self.up if job.may_run_on(now, server)]
+        free = job.ran_on is None  # nothing binds it to a group
+        allowed = self.up if free else [server for server in self.up if job.may_run_on(now, server)]
         usable = [server for server in allowed if now >= server.avoid_until and server not in job.servers
                   and not (server.on_trial and (server.out or job.rule.effect is i.Effect.UNSAFE))] or allowed
         best, least = None, 0.0
@@ -82,7 +86,7 @@
         due: list[Server] = []
         kept: list[Server] = []
         others: list[Server] = []
-        usual = max(1 / self.set.gateways, self.rate / max(1.0, self.warm))
+        usual = max(1 / self.sharers, self.rate / max(1.0, self.warm))
         oldest = now - self.set.keep_us
         for server in usable:
             if server.warm_from and (warmth := server.warmth(now, self.set)) < 1:
--- a/fennelwinch/rules/gateway.py
+++ b/fennelwinch/rules/gateway.py
@@ -107,6 +107,7 @@
         if self.set.must_subscribe and news.kind in (i.ListKind.SAVED, i.ListKind.FAILED):
             self.actions.append(i.Subscribe(True))
         self.fleet.learn(self.now, news)
+        self.cap.gateways = self.fleet.sharers
 
     def on_peer(self, message: i.PeerMessage) -> None:
         self.admission.hear(self.now, message)
--- a/molereach/fleet/orders.py
+++ b/molereach/fleet/orders.py
@@ -252,7 +252,7 @@
 
     def __init__(self) -> None:
         self.listed: dict[str, i.Server] = {}  # as discovery has them
-        self.version = 0
+        self.version = self.seen_by = 0
         self.drained: frozenset[str] = frozenset()
 
     def over(self, server: i.Server) -> i.Server:
@@ -266,7 +266,7 @@
         if news.kind in (i.ListKind.FULL, i.ListKind.SAVED):
             self.listed = {}
         if news.kind is not i.ListKind.FAILED:
-            self.version = news.version
+            self.version, self.seen_by = news.version, news.seen_by
         for server in news.servers:
             if server.state is i.ServerState.GONE:
                 self.listed.pop(server.name, None)
@@ -279,4 +279,6 @@
         before, self.drained = self.drained, frozenset(drained)
         changed = [self.over(server) for name, server in self.listed.items()
                    if server.state is i.ServerState.UP and (name in before) != (name in self.drained)]
-        return i.ServerList(i.ListKind.CHANGES, self.version, tuple(changed)) if changed else None
+        if not changed:
+            return None
+        return i.ServerList(i.ListKind.CHANGES, self.version, tuple(changed), self.seen_by)
--- a/molereach/routing/routing.py
+++ b/molereach/routing/routing.py
@@ -105,6 +105,8 @@
 
     def tell(self, kind: i.ListKind, version: int, whole: bool) -> Seen | None:
         """The view, or what has changed of it."""
+        if not (self.stale or whole or kind in WHOLE_KINDS):
+            return None
         if self.stale:
             self.view.fill(self.whole)
             self.stale = False
--- a/tests/fennelwinch/rules/test_fleet.py
+++ b/tests/fennelwinch/rules/test_fleet.py
@@ -36,6 +36,23 @@
     assert set(fleet.servers) == {"s0"} and not fleet.up and not fleet.warm
 
 
+def test_servers_are_shared_by_those_that_see_them() -> None:
+    """What is told of a view says how many gateways share it; a failed call says nothing. The least that a
+    cold server is sent is one gateway's part among those."""
+    many = replace(SETTINGS, gateways=7500, warm_within_us=100 * S)
+    cold = servers(4, started_us=NOW)
+    due = {}
+    for seen_by in (0, 21):
+        fleet = Fleet(many, Random(1))
+        fleet.learn(NOW, i.ServerList(i.ListKind.FULL, 2, cold, seen_by))
+        fleet.learn(NOW, i.ServerList(i.ListKind.FAILED, 0))
+        assert fleet.sharers == (seen_by or 7500)
+        for server in fleet.up:
+            server.credit = 0.0
+        due[seen_by] = len(fleet.candidates(NOW + 80 * S, fleet.up))
+    assert due == {0: 0, 21: 4}
+
+
 def test_server_that_started_anew_is_cold_and_begins_at_a_time_of_its_own() -> None:
     fleet = fleet_of(servers(2))
     fleet.servers["s0"].fails = 1.0
--- a/tests/fennelwinch/test_gateway_cap.py
+++ b/tests/fennelwinch/test_gateway_cap.py
@@ -6,6 +6,7 @@
 
 from fennelwinch import interface as i
 from fennelwinch.rules import TARGETS, next_n
+from fennelwinch.rules.cap import START_PER_SERVER
 from tests.helpers import MS, SAFE, SETTINGS, S, World, of, servers
 
 UTIL = TARGETS["util"]
@@ -41,6 +42,15 @@
     assert idle.gateway.cap.overhead == pytest.approx(0.3)
 
 
+def test_what_may_be_out_is_counted_over_those_that_share_the_servers() -> None:
+    """256 of 93,000 servers, each shared by 21 of 7,500 gateways: without it two attempts could be out."""
+    world = World(replace(SETTINGS, gateways=7500, plans=(i.Plan(),)), servers(256))
+    world.tell(i.ServerList(i.ListKind.FULL, 2, servers(256), seen_by=21))
+    for n in range(120):
+        world.ask(f"r{n}")
+    assert len(world.out) == START_PER_SERVER * 256 // 21
+
+
 def test_period_follows_the_rate() -> None:
     """With two requests a second, N of one or two a second would halve or double by rounding alone."""
     world = World(replace(SETTINGS, plans=(i.Plan(),), gateways=20), servers(10))
--- a/tests/fleet/test_orders.py
+++ b/tests/fleet/test_orders.py
@@ -222,3 +222,10 @@
             assert (seen.get(name) is i.ServerState.UP) == up
             if name in listed and listed[name] is not i.ServerState.UP:
                 assert seen[name] is listed[name]  # discovery's own word on what is not up goes through
+
+
+def test_orders_over_a_view_say_how_many_share_its_servers() -> None:
+    overlay, one = Overlay(), i.Server("s0", 0, 0, 0, i.ServerState.UP)
+    overlay.on_list(i.ServerList(i.ListKind.FULL, 4, (one,), seen_by=21))
+    news = overlay.on_orders({"s0"})
+    assert news is not None and news.seen_by == 21 and news.version == 4
