Properties of the view against one by the letter; faults of the core that they found are mended

Cause: the core had no tests. A model over a plain dict, without a ring, chooses the view by the letter; what the module knows after random lists and changes (whole, in parts, long and short, of any kind) must equal it. Found, each with a test that failed before and passes now: - a front door of few that sees a part of the ring in any case was not told of one that came past the last that it had looked at: how far it looked is never less than what it sees in any case; - members were kept by place: of two names at one place one could stay in the module for good, or a draining one become a stand-in. They are kept by name, names at one place in their order, and a stand-in is up and of the group; - a short list that turned long in one object dropped a twice named one without a word, was held to no bound, and was changed also where it was refused: it is staged like any other, and the list before stays until the end; - at the most entries, one that came before the one that went was refused, and what came again was refused for good: the list is counted at the end of a step, with one step of room until the last; - an entry that fits no record raised struct.error or ValueError: ListError, as any list that cannot be taken over; - where nearly all drain a view looked at the whole ring for each change: buckets with none up are passed over. A delete of an unknown name within reach no longer chooses the view anew.

--- a/molereach/routing/records.py
+++ b/molereach/routing/records.py
@@ -1,15 +1,14 @@
 """A backend's entry in few bytes: 33 of figures, its name and its host. A core."""
 
-from struct import Struct
+from struct import Struct, error
 
 from fennelwinch import interface as i
-from molereach.routing.interface import Address
+from molereach.routing.interface import Address, ListError
 
 # State, zone, kind, cell, size, start in microseconds, port, bytes of the name; then the name and the host.
 HEAD = Struct("<BiiidqHH")
 UP, DRAINING = 0, 1
 TEXT = "utf-8", "surrogatepass"  # JSON can hold halves of pairs
-MOST_NAME_BYTES = 0xFFFF
 
 
 def name_bytes(name: str) -> bytes:
@@ -17,15 +16,15 @@
 
 
 def pack(server: i.Server, address: Address | None) -> bytes:
-    """ValueError or struct.error for what fits no record. One that is gone has none."""
+    """ListError for what fits no record, as a name of over 65,535 bytes. One that is gone has none."""
     host, port = address or ("", 0)
     name = name_bytes(server.name)
-    if len(name) > MOST_NAME_BYTES:
-        raise ValueError("a name of too many bytes")
     state = UP if server.state is i.ServerState.UP else DRAINING
-    head = HEAD.pack(
-        state, server.zone, server.kind, server.cell, server.size, server.started_us, port, len(name)
-    )
+    figures = server.zone, server.kind, server.cell, server.size, server.started_us, port
+    try:
+        head = HEAD.pack(state, *figures, len(name))
+    except error as reason:
+        raise ListError(f"an entry that fits no record: {name[:80]!r}: {reason}") from reason
     return head + name + host.encode(*TEXT)
 
 
--- a/molereach/routing/ring.py
+++ b/molereach/routing/ring.py
@@ -1,7 +1,8 @@
 """All records by their places on the ring, in buckets of equal arcs. A core.
 
 A bucket is a sorted array of places and a list of records: with 93,000 backends some 23 of them, so that what
-a change touches grows by the 4,096th part of the list alone. `touched` counts the records looked at.
+a change touches grows by the 4,096th part of the list alone. Buckets with none that is up are passed over, so
+that a view costs no more where most of a list drains. `touched` counts the records looked at.
 """
 
 from array import array
@@ -17,19 +18,19 @@
 
 
 class Bucket:
-    """The records of one arc, by place."""
+    """The records of one arc, by place and name; `up` of them may be sent new work."""
 
-    __slots__ = ("places", "records")
+    __slots__ = ("places", "records", "up")
 
     def __init__(self) -> None:
-        self.places, self.records = array("Q"), list[bytes]()
+        self.places, self.records, self.up = array("Q"), list[bytes](), 0
 
     def index(self, place: int, name: bytes) -> tuple[int, bool]:
         """Where a name stands or belongs, and whether it is there; places of two names may be the same."""
         at = bisect_left(self.places, place)
         while at < len(self.places) and self.places[at] == place:
-            if name_of(self.records[at]) == name:
-                return at, True
+            if (there := name_of(self.records[at])) >= name:
+                return at, there == name
             at += 1
         return at, False
 
@@ -58,7 +59,9 @@
             bucket.places.insert(at, place)
             bucket.records.insert(at, record)
         self.count += not there
-        self.up += is_up(record) - (before is not None and is_up(before))
+        more_up = is_up(record) - (before is not None and is_up(before))
+        bucket.up += more_up
+        self.up += more_up
         return before
 
     def remove(self, place: int, name: bytes) -> bytes | None:
@@ -71,32 +74,43 @@
         del bucket.places[at]
         record = bucket.records.pop(at)
         self.count -= 1
+        bucket.up -= is_up(record)
         self.up -= is_up(record)
         return record
 
-    def at(self, place: int) -> bytes | None:
-        """The record at a place; the first, where two names share it."""
-        self.touched += 1
+    def __iter__(self) -> Iterator[bytes]:
+        """All records."""
+        for bucket in self.buckets:
+            if bucket:
+                self.touched += len(bucket.records)
+                yield from bucket.records
+
+    def up_at(self, place: int) -> Iterator[bytes]:
+        """Those up at a place: two names may share it."""
         bucket = self.buckets[place >> SHIFT]
-        if bucket is None:
-            return None
-        at = bisect_left(bucket.places, place)
-        return bucket.records[at] if at < len(bucket.places) and bucket.places[at] == place else None
+        at = bisect_left(bucket.places, place) if bucket else 0
+        while bucket and at < len(bucket.places) and bucket.places[at] == place:
+            self.touched += 1
+            if is_up(bucket.records[at]):
+                yield bucket.records[at]
+            at += 1
 
-    def back_from(self, start: int) -> Iterator[tuple[int, bytes]]:
-        """All from a place backwards, once round: first what stands there, last what stands next after it."""
+    def up_back_from(self, start: int) -> Iterator[tuple[int, bytes]]:
+        """Those up from a place backwards, once round: first what stands there, last what is next to it."""
         first = start >> SHIFT
         bucket = self.buckets[first]
         split = bisect_right(bucket.places, start) if bucket else 0
-        if bucket:
+        if bucket and bucket.up:
             yield from self.slice_back(bucket, 0, split)
         for step in range(1, BUCKETS):
-            if other := self.buckets[(first - step) % BUCKETS]:
+            other = self.buckets[(first - step) % BUCKETS]
+            if other and other.up:
                 yield from self.slice_back(other, 0, len(other.places))
-        if bucket:
+        if bucket and bucket.up:
             yield from self.slice_back(bucket, split, len(bucket.places))
 
     def slice_back(self, bucket: Bucket, low: int, high: int) -> Iterator[tuple[int, bytes]]:
         for at in range(high - 1, low - 1, -1):
             self.touched += 1
-            yield bucket.places[at], bucket.records[at]
+            if is_up(bucket.records[at]):
+                yield bucket.places[at], bucket.records[at]
--- a/molereach/routing/routing.py
+++ b/molereach/routing/routing.py
@@ -30,7 +30,7 @@
         self.short: Short | None = {}  # None: the list is long, and stands in `whole`
         self.whole = Whole(self.kinds)
         self.view = View(door_place(settings.me), least_reach(settings.me, settings.gateways), size)
-        self.told: dict[int, bytes] = {}  # members of the view, as the module has them
+        self.told: dict[bytes, bytes] = {}  # members of the view by name, as the module has them
         self.stale = False  # the view is to be chosen anew
 
     @property
@@ -45,16 +45,15 @@
         """An object that came whole, and so holds few entries."""
         if event.kind is i.ListKind.FAILED:
             return Seen(event, {})
-        if self.short is None:
-            staged = self.stage()
-            staged.add(event.servers, addresses)
-            return finish(self.take_over(staged, event.kind, event.version))
-        if event.kind in WHOLE_KINDS:
-            self.short = {}
-        learn(self.short, event.servers, addresses)
-        if len(self.short) <= LONG * self.size:
-            return Seen(event, dict(addresses))
-        return finish(self.take_over(self.stage(), i.ListKind.CHANGES, event.version))
+        if self.short is not None:
+            known = {} if event.kind in WHOLE_KINDS else dict(self.short)
+            learn(known, event.servers, addresses)
+            if len(known) <= LONG * self.size:
+                self.short = known
+                return Seen(event, dict(addresses))
+        staged = self.stage()
+        staged.add(event.servers, addresses)
+        return finish(self.take_over(staged, event.kind, event.version))
 
     def take_over(self, staged: Staging, kind: i.ListKind, version: int) -> Steps:
         """All that was staged, in short steps; what the module has holds until the last."""
@@ -83,7 +82,7 @@
 
     def change(self, entries: Sequence[Entry]) -> Generator[None, None, None]:
         """Changes: each is true by itself. Where they are not taken over to the end, the next call brings
-        them again."""
+        them again. What comes may stand before what goes, so the list is counted at the end of a step."""
         whole, view = self.whole, self.view
         for start in range(0, len(entries), STEP_ENTRIES):
             if start:
@@ -91,14 +90,14 @@
             for place, record, gone in entries[start : start + STEP_ENTRIES]:
                 before = whole.remove(place, record) if gone else whole.put(place, record)
                 self.stale = self.stale or view.concerns(whole, place, before, None if gone else record)
-                if whole.ring.count > self.most:
-                    self.stale = True
-                    raise ListError(f"a list of over {self.most} entries has no room in memory")
+            is_last = start + STEP_ENTRIES >= len(entries)
+            if whole.ring.count > self.most + (0 if is_last else STEP_ENTRIES):
+                raise ListError(f"a list of over {self.most} entries has no room in memory")
 
     def shorten(self, kind: i.ListKind, version: int) -> Seen:
         """The list is short: all of it is told, and kept as it is."""
         kind = kind if kind in WHOLE_KINDS else i.ListKind.FULL
-        listed = [unpack(record) for _, record in self.whole.ring.back_from(0)]
+        listed = [unpack(record) for record in self.whole.ring]
         self.short = {server.name: (server, address) for server, address in listed}
         self.whole, self.told, self.stale = Whole(self.kinds), {}, False
         return seen(kind, version, listed)
@@ -114,8 +113,8 @@
         if whole or kind in WHOLE_KINDS:
             kind = kind if kind in WHOLE_KINDS else i.ListKind.FULL
             return seen(kind, version, [unpack(record) for record in self.told.values()], seen_by)
-        left = [gone(unpack(record)[0]) for place, record in before.items() if place not in self.told]
-        new = [unpack(record) for place, record in self.told.items() if before.get(place) != record]
+        left = [gone(unpack(record)[0]) for name, record in before.items() if name not in self.told]
+        new = [unpack(record) for name, record in self.told.items() if before.get(name) != record]
         if not left and not new:
             return None
         return seen(kind, version, [*left, *new], seen_by)
--- a/molereach/routing/view.py
+++ b/molereach/routing/view.py
@@ -8,7 +8,7 @@
 
 from molereach.routing.groups import Groups
 from molereach.routing.places import behind
-from molereach.routing.records import is_up
+from molereach.routing.records import is_up, name_of
 from molereach.routing.ring import Ring
 
 
@@ -48,7 +48,7 @@
 
 
 class View:
-    """The members by place, and what a change has to touch to concern them."""
+    """The members by name, and what a change has to touch to concern them."""
 
     __slots__ = ("door", "held", "least", "members", "reach", "size")
 
@@ -56,35 +56,39 @@
         """`door` is the front door's place, `least` how far back it sees in any case; `size` is the number of
         members from which it looks no further."""
         self.door, self.least, self.size = door, least, size
-        self.members: dict[int, bytes] = {}
+        self.members: dict[bytes, bytes] = {}
         self.held: list[set[int]] = []  # groups of members, by kind
-        self.reach = 0  # how far back it looked
+        self.reach = least  # how far back it looked, at least
 
     def fill(self, whole: Whole) -> None:
         """Choose the members anew: cost follows from the view's size alone."""
         self.members, self.held = {}, [set() for _ in whole.groups]
-        self.reach = 0
-        for place, record in whole.ring.back_from(self.door):
+        self.reach = self.least
+        for place, record in whole.ring.up_back_from(self.door):
             far = behind(place, self.door)
             if len(self.members) >= self.size and far >= self.least:
                 return
-            self.reach = far
-            if is_up(record):
-                self.members[place] = record
-                self.add_standins(whole, place, record)
+            self.reach = max(self.reach, far)
+            self.members[name_of(record)] = record
+            self.add_standins(whole, place, record)
 
     def add_standins(self, whole: Whole, place: int, record: bytes) -> None:
         for groups, held in zip(whole.groups, self.held, strict=True):
             held.add(groups.of(record))
             for other in groups.standins(place, record):
-                if other not in self.members and (standin := whole.ring.at(other)) is not None:
-                    self.members[other] = standin
+                for standin in whole.ring.up_at(other):
+                    if groups.of(standin) == groups.of(record):  # and none that shares its place
+                        self.members[name_of(standin)] = standin
 
     def concerns(self, whole: Whole, place: int, before: bytes | None, after: bytes | None) -> bool:
         """Whether a change may move the view; a few more are taken for such, and do no harm."""
+        record = after or before
+        if record is None:  # gone, and not known
+            return False
+        is_member = name_of(record) in self.members
         if before is not None and after is not None and whole.alike(before, after):
-            return place in self.members
-        if place in self.members or behind(place, self.door) <= self.reach:
+            return is_member
+        if is_member or behind(place, self.door) <= self.reach:
             return True
         if len(self.members) < self.size:  # all is seen
             return True
--- /dev/null
+++ b/tests/routing/model.py
@@ -0,0 +1,146 @@
+"""The view by the letter, over a plain dict and without a ring, and a module that hears of it."""
+
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import replace
+from random import Random
+
+from fennelwinch import interface as i
+from fennelwinch.rules.fleet import Fleet
+from molereach.routing.groups import STANDINS
+from molereach.routing.interface import Address, Seen
+from molereach.routing.places import LEAST_DOORS, RING, behind, door_place, place_of
+from molereach.routing.records import name_bytes
+from molereach.routing.routing import LONG, Routing
+from molereach.routing.staging import entry_of
+from molereach.routing.view import View, Whole
+from tests.helpers import SETTINGS, S
+
+NOW = 100 * S
+KEYED = tuple(
+    i.RequestClass(S, 3 * S, effect=i.Effect.KEYED, group=group, window_us=S)
+    for group in (i.Group.ZONE, i.Group.CELL, i.Group.ALL)
+)
+KINDS: dict[i.Group, Callable[[i.Server], int]] = {
+    i.Group.ZONE: lambda server: server.zone, i.Group.CELL: lambda server: server.cell,
+}
+Known = dict[str, tuple[i.Server, Address | None]]
+Place = Callable[[bytes], int]
+UP, DRAINING, GONE = i.ServerState.UP, i.ServerState.DRAINING, i.ServerState.GONE
+
+
+def settings_of(me: int = 0, doors: int = 5, groups: Sequence[i.Group] = ()) -> i.Settings:
+    rules = tuple(rule for rule in KEYED if rule.group in groups)
+    return replace(SETTINGS, me=me, gateways=doors, classes=(*SETTINGS.classes, *rules))
+
+
+def server(number: int, cells: int = 5, zones: int = 3, **changes: object) -> i.Server:
+    return replace(
+        i.Server(f"b{number}", number % zones, 0, number % cells, UP, 1.0, 1 + number), **changes
+    )
+
+
+def address_of(server: i.Server) -> Address | None:
+    """Another one with each start; none for one that is gone."""
+    return None if server.state is GONE else (f"h{server.name}", 1 + server.started_us % 9_000)
+
+
+def addresses_of(servers: Iterable[i.Server]) -> dict[str, Address]:
+    return {server.name: address for server in servers if (address := address_of(server))}
+
+
+def entries_of(servers: Iterable[i.Server]) -> list[tuple[int, bytes, bool]]:
+    return [entry_of(server, address_of(server)) for server in servers]
+
+
+def whole_of(servers: Iterable[i.Server], groups: Sequence[Callable[[bytes], int]] = ()) -> Whole:
+    whole = Whole(groups)
+    for place, record, _ in entries_of(servers):
+        whole.put(place, record)
+    return whole
+
+
+def names_of(view: View) -> set[str]:
+    return {name.decode() for name in view.members}
+
+
+def naive_reach(me: int, doors: int) -> int:
+    far = sorted(behind(door_place(other), door_place(me)) for other in range(doors) if other != me)
+    return RING if doors <= LEAST_DOORS else far[LEAST_DOORS - 1]
+
+
+def naive_view(
+    known: Mapping[str, tuple[i.Server, Address | None]], settings: i.Settings, size: int,
+    place: Place = place_of,
+) -> Known:
+    """Those up, sorted by how far they lie behind the front door, each with the next ones of its groups."""
+    at = {name: place(name_bytes(name)) for name in known}
+    door, least = door_place(settings.me), naive_reach(settings.me, settings.gateways)
+    up = [name for name in known if known[name][0].state is UP]
+    kinds = [KINDS[rule.group] for rule in settings.classes if rule.group in KINDS]
+    view: Known = {}
+    for name in sorted(sorted(up, reverse=True), key=lambda name: behind(at[name], door)):
+        if len(view) >= size and behind(at[name], door) >= least:
+            break
+        view[name] = known[name]
+        for of in kinds:
+            alike = [other for other in up if of(known[other][0]) == of(known[name][0])]
+            after = sorted(behind(at[name], at[other]) or RING for other in alike)
+            for far in after[: min(STANDINS, len(alike) - 1)]:
+                standin = (at[name] + far) % RING
+                view |= {other: known[other] for other in alike if at[other] == standin}
+    return view
+
+
+class World:
+    """The true list, the routing that hears of it, and the module that hears of the routing."""
+
+    def __init__(self, settings: i.Settings, size: int, most: int = 1_000, place: Place = place_of) -> None:
+        self.settings, self.size, self.place = settings, size, place
+        self.routing = Routing(settings, size, most)
+        self.fleet = Fleet(settings, Random(1))
+        self.known: Known = {}
+        self.addresses: dict[str, Address] = {}
+        self.long = False
+
+    @property
+    def told(self) -> Known:
+        entries = (known.entry for known in self.fleet.servers.values())
+        return {entry.name: (entry, self.addresses.get(entry.name)) for entry in entries}
+
+    @property
+    def wanted(self) -> Known:
+        if not self.long:
+            return dict(self.known)
+        return naive_view(self.known, self.settings, self.size, self.place)
+
+    def hear(self, seen: Seen | None) -> None:
+        if seen:
+            self.addresses |= seen.addresses
+            self.fleet.learn(NOW, seen.event)
+
+    def change(self, kind: i.ListKind, servers: Sequence[i.Server]) -> None:
+        """The model's own way with news."""
+        if kind is not i.ListKind.CHANGES:
+            self.known = {}
+        for entry in servers:
+            self.known.pop(entry.name, None)
+            if entry.state is not GONE:
+                self.known[entry.name] = entry, address_of(entry)
+        self.long = len(self.known) > self.size * (1 if self.long else LONG)
+
+    def give(self, kind: i.ListKind, servers: Sequence[i.Server], parts: int = 0) -> tuple[Seen | None, int]:
+        """News, whole or in that many parts; what came back, and in how many steps."""
+        steps = 0
+        if parts:
+            staged = self.routing.stage()
+            for part in range(parts):
+                mine = servers[part::parts]
+                staged.add(mine, addresses_of(mine))
+            takeover = self.routing.take_over(staged, kind, 7)
+            while True:
+                try:
+                    next(takeover)
+                    steps += 1
+                except StopIteration as done:
+                    return done.value, steps
+        return self.routing.take(i.ServerList(kind, 7, tuple(servers)), addresses_of(servers)), steps
