Who sees a backend, what moves and what a change costs are counted over lists of 1,000 to 50,000

Entries touched and lines run are counted, no times. Seen to fail: all of the ring or of its groups looked through for a change, a choice that sees all, each change choosing anew, all members told each time, two buckets in place of 4,096.

--- a/molereach/routing/routing.py
+++ b/molereach/routing/routing.py
@@ -108,6 +108,8 @@
             self.view.fill(self.whole)
             self.stale = False
         before, self.told = self.told, self.view.members
+        if before is self.told and not whole:  # nothing that concerns it: not looked through
+            return None
         up = max(1, self.whole.ring.up)
         seen_by = min(self.doors, max(1, round(self.doors * len(self.told) / up)))
         if whole or kind in WHOLE_KINDS:
--- /dev/null
+++ b/tests/routing/test_scale.py
@@ -0,0 +1,169 @@
+"""What a change, a choice and a period cost does not grow with the list: entries and steps counted, no times.
+
+Each is seen to fail with a linear walk put in; which, is said in docs/design/view.md.
+"""
+
+from collections.abc import Callable
+from dataclasses import replace
+from functools import cache
+from random import Random
+
+import pytest
+
+from fennelwinch import interface as i
+from fennelwinch.rules.fleet import CHOICES, Fleet
+from fennelwinch.rules.job import Job
+from fennelwinch.rules.store import Customer
+from molereach.routing.interface import Seen
+from molereach.routing.routing import Routing
+from molereach.routing.staging import entry_of
+from molereach.routing.view import View
+from tests.helpers import PLAN, SAFE
+from tests.routing.model import DRAINING, GONE, NOW, S, addresses_of, server, settings_of
+from tests.routing.steps import steps_of
+
+SIZES = (1_000, 10_000, 50_000)
+SIZE, STANDINS_MOST = 64, 4  # of the view; what the stand-ins of the last one may add
+SETTINGS = settings_of(me=3, doors=7_500, groups=(i.Group.CELL,))
+MOST_GROWTH = 1.25  # from 1,000 to 50,000 entries: chance of buckets, far from the 50 of a walk
+CHANGES, FULL = i.ListKind.CHANGES, i.ListKind.FULL
+
+
+def entry(number: int, count: int) -> i.Server:
+    return server(number, cells=count // 32, zones=26)  # as 93,000 in 2,900 cells
+
+
+@cache
+def long(count: int) -> tuple[Routing, Seen]:
+    """One list of each size for all tests, which leave it as it was."""
+    routing = Routing(SETTINGS, SIZE, 2 * count)
+    staged = routing.stage()
+    for number in range(count):
+        each = entry(number, count)
+        staged.entries.append(entry_of(each, ("h", 80)))
+    steps = routing.take_over(staged, FULL, 1)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as done:
+            return routing, done.value
+
+
+def learn(routing: Routing, servers: list[i.Server]) -> Seen | None:
+    return routing.take(i.ServerList(CHANGES, 2, tuple(servers)), addresses_of(servers))
+
+
+def costs(call: Callable[[Routing, int], object]) -> tuple[list[int], list[int]]:
+    """Entries touched and steps taken, by the size of the list."""
+    touched, steps = [], []
+    for count in SIZES:
+        routing, _ = long(count)
+        before = routing.whole.ring.touched
+        steps.append(steps_of(lambda count=count, routing=routing: call(routing, count)))  # type: ignore[misc]
+        touched.append(routing.whole.ring.touched - before)
+    return touched, steps
+
+
+def assert_even(counts: list[int]) -> None:
+    assert max(counts) <= MOST_GROWTH * counts[0] + 60, counts
+
+
+def seen_of(routing: Routing) -> list[str]:
+    return [name.decode() for name in routing.view.members]
+
+
+def test_change_of_what_no_view_holds_costs_next_to_nothing() -> None:
+    def change(routing: Routing, count: int) -> None:
+        members, groups = set(seen_of(routing)), routing.view.held[0]
+        others = [each for each in (entry(number, count) for number in range(count - 900, count))
+                  if each.name not in members and each.cell not in groups][:20]
+        assert len(others) == 20
+        for each in others:
+            drained = steps_of(lambda each=each: learn(routing, [replace(each, state=DRAINING)]))  # type: ignore[misc]
+            assert drained < 250  # far under a walk of the least list, and less than two of the view
+            assert learn(routing, [each]) is None
+
+    touched, _ = costs(change)
+    assert touched == [40] * len(SIZES)  # one for each change
+
+
+def test_change_of_a_member_and_its_return_cost_the_view() -> None:
+    def change(routing: Routing, count: int) -> None:
+        number = int(seen_of(routing)[5][1:])
+        assert learn(routing, [replace(entry(number, count), state=GONE)]) is not None
+        assert learn(routing, [entry(number, count)]) is not None
+
+    touched, steps = costs(change)
+    assert max(touched) < 2 * 5 * SIZE
+    assert_even(touched)
+    assert_even(steps)
+
+
+def test_bulk_of_changes_costs_what_it_touches() -> None:
+    def change(routing: Routing, count: int) -> None:
+        rack = [entry(number, count) for number in range(0, 800, 20)]
+        learn(routing, [replace(each, state=GONE) for each in rack])
+        learn(routing, rack)
+
+    touched, steps = costs(change)
+    assert max(touched) < 2 * (40 + 5 * SIZE)
+    assert_even(touched)
+    assert_even(steps)
+
+
+def test_choice_of_a_view_costs_the_view() -> None:
+    def choose(routing: Routing, count: int) -> None:
+        view = View(routing.view.door, routing.view.least, SIZE)
+        view.fill(routing.whole)
+        assert view.members == routing.view.members
+
+    touched, steps = costs(choose)
+    assert max(touched) < 5 * SIZE
+    assert_even(touched)
+    assert_even(steps)
+
+
+def test_step_into_the_ring_is_bounded_by_its_bucket() -> None:
+    for count in SIZES:
+        buckets = [bucket for bucket in long(count)[0].whole.ring.buckets if bucket]
+        mean = count / 4_096
+        assert max(len(bucket.places) for bucket in buckets) < 6 + mean + 6 * mean ** 0.5
+
+
+class Counting(list[i.Server]):
+    """The list of those up, which counts how many of them were looked at."""
+
+    looked = 0
+
+    def __iter__(self):  # type: ignore[no-untyped-def]  # noqa: ANN204
+        for each in super().__iter__():
+            self.looked += 1
+            yield each
+
+
+@pytest.mark.parametrize("what", ["choose", "end_period", "learn"])
+def test_module_is_handed_no_more_than_the_view(what: str) -> None:
+    """What it does for a request, a period and a change is linear in what it is handed."""
+    looked, steps = [], []
+    for count in SIZES:
+        routing, seen = long(count)
+        fleet = Fleet(SETTINGS, Random(1))
+        fleet.learn(NOW, seen.event)
+        assert len(fleet.servers) <= SIZE + STANDINS_MOST and len(fleet.up) == len(fleet.servers)
+        up = fleet.up = Counting(fleet.up)  # type: ignore[assignment]
+        number = int(seen_of(routing)[5][1:])
+        change = learn(routing, [replace(entry(number, count), started_us=NOW - 5 * S)])
+        learn(routing, [entry(number, count)])
+        assert change is not None and len(change.event.servers) == 1
+        customer = Customer(PLAN, (1, 0, 0, 1), SETTINGS, NOW, 0)
+        job = Job(i.Request("a", 0, 0, "c", 6 * S), SAFE, customer, NOW, 0)
+        calls: dict[str, Callable[[], object]] = {
+            "choose": lambda fleet=fleet, job=job: fleet.choose(NOW, job),  # type: ignore[misc]
+            "end_period": lambda fleet=fleet: fleet.end_period(NOW, 9.0, S),  # type: ignore[misc]
+            "learn": lambda fleet=fleet, change=change: fleet.learn(NOW, change.event),  # type: ignore[misc]
+        }
+        steps.append(steps_of(calls[what]))
+        looked.append(up.looked)
+    assert max(looked) <= SIZE + STANDINS_MOST
+    assert what == "learn" or min(looked) >= CHOICES
+    assert_even(steps)
