A list of any length is read in turns and in parts, and counts as a whole

Need: lists of 93,000 backends, 18.6 MB in one object. Over 1 MiB (about 6,300 backends) an object was `an object without an end`, and was asked for again after 0.1 s, without end and without a list.

Cut: where an object that has not ended takes more than 64 KiB, the entries of `instances` that are whole come as a part; what is left of the object comes at its end, so the version may stand on either side. A part ends behind an entry, the comma goes with the next one: a stream whose pieces always end between entries is cut too. Entries that are not objects are carried along and cut with the objects around them.

Taken over: parts are staged, and the whole is handed on as `LongNews`, in steps of one turn each. Version, change of address and first list count at the last step. An address whose list is refused no longer closes the old one. The list has 30 s from its first part. A whole list that names a server twice is refused.

Failures are forgotten once an object was taken, no longer before it was parsed: a bad list was asked for anew each 0.1 s.

--- a/molereach/door/calling.py
+++ b/molereach/door/calling.py
@@ -85,12 +85,18 @@
             call.heard_s, self.due_s = now_s, math.inf
 
     def word(self, number: int, now_s: float) -> list[int]:
-        """A call has brought an object or an empty line: it is the one that is kept. The others."""
+        """A call has brought an object, part of one or an empty line: it is the one that is kept. The others.
+
+        Failures are forgotten only by `taken`: an object may still make no sense.
+        """
         self.heard(number, now_s)
         self.out[number].word_s = now_s
-        self.pacing.heard()
         return [other for other in self.out if other != number]
 
+    def taken(self) -> None:
+        """What a call has brought was good."""
+        self.pacing.heard()
+
     def over(self, number: int) -> None:
         """A call has done what it was made for, or was closed as surplus: it has not failed."""
         self.out.pop(number, None)
--- a/molereach/door/config.py
+++ b/molereach/door/config.py
@@ -3,7 +3,7 @@
 import json
 import re
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -38,9 +38,11 @@
     max_open: int
     sockets: int
     memory_mb: int
-    known: Mapping[str, Any]
+    known: Mapping[str, Any]  # without the entries that are in the parts
     peer_listen: Address | None = None
     peers: tuple[Address, ...] = ()
+    # Entries of a long `known`, as JSON lists; the start empties it, as they need not be held twice.
+    known_parts: list[bytes] = field(default_factory=list, compare=False)
 
 
 def read_address(text: object) -> Address:
--- a/molereach/door/discovery.py
+++ b/molereach/door/discovery.py
@@ -9,26 +9,33 @@
 from collections.abc import Callable, Coroutine
 
 from molereach.door.calls import CallPacing
-from molereach.door.catalog import Catalog, News
+from molereach.door.catalog import Catalog, LongNews, News
 from molereach.door.config import Address
 from molereach.door.source import Source
+from molereach.door.watch import Steps
+from molereach.routing.interface import ListError, Staged
 
-__all__ = ["Catalog", "Discovery", "News"]
+__all__ = ["Catalog", "Discovery", "LongNews", "News"]
+
+
+def no_stage() -> Staged:
+    raise ListError("nothing is there to hold a list of this length")
 
 
 class Discovery:
     """Hands on the news of one source; another address takes over once it has told its whole list."""
 
     def __init__(
-        self, address: Address, catalog: Catalog, version: int, heard: Callable[[News], None],
+        self, address: Address, catalog: Catalog, version: int,
+        heard: Callable[[News | LongNews], Steps | None],
         spawn: Callable[[Coroutine[None, None, None]], object],
         pacing: Callable[[], CallPacing] = lambda: CallPacing(1),
-        draw: Callable[[], float] = random.random,
+        draw: Callable[[], float] = random.random, stage: Callable[[], Staged] = no_stage,
     ) -> None:
         self.catalog, self.heard, self.spawn = catalog, heard, spawn
         self.first = asyncio.Event()
-        self.pacing, self.draw = pacing, draw
-        self.source = Source(address, catalog, version, self.take, pacing(), draw)
+        self.pacing, self.draw, self.stage = pacing, draw, stage
+        self.source = Source(address, catalog, version, self.take, pacing(), draw, stage)
         self.next: Source | None = None  # it has told nothing yet
 
     @property
@@ -51,12 +58,23 @@
             self.next = None
         if address == self.source.address:
             return  # back, before the other has told anything: this one was never left
-        self.next = Source(address, self.catalog, None, self.take, self.pacing(), self.draw)
+        self.next = Source(address, self.catalog, None, self.take, self.pacing(), self.draw, self.stage)
         self.spawn(self.next.run())
 
-    def take(self, source: Source, news: News) -> None:
+    def take(self, source: Source, news: News | LongNews) -> Steps | None:
+        """What could not be taken changes nothing, and what needs several turns counts at the end of the
+        last: until then the old source is heard."""
+        if steps := self.heard(news):
+            return self.take_over(source, steps)
+        self.taken(source)
+        return None
+
+    def take_over(self, source: Source, steps: Steps) -> Steps:
+        yield from steps
+        self.taken(source)
+
+    def taken(self, source: Source) -> None:
         if source is self.next:
             self.source.close()
             self.source, self.next = source, None
-        self.heard(news)
         self.first.set()
--- a/molereach/door/frontdoor.py
+++ b/molereach/door/frontdoor.py
@@ -9,8 +9,9 @@
 import logging
 import random
 import resource
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Generator
 from dataclasses import fields, replace
+from typing import TypeVar
 
 from fennelwinch import interface as i
 from fennelwinch.codec import Form
@@ -25,12 +26,16 @@
 from molereach.clock import now_us
 from molereach.door.calls import CallPacing
 from molereach.door.config import Address, Config
-from molereach.door.discovery import Catalog, Discovery, News
+from molereach.door.discovery import Catalog, Discovery, LongNews, News
 from molereach.door.draining import drain
 from molereach.door.ending import Ending
 from molereach.door.peers import Peers
+from molereach.door.watch import Steps
+from molereach.routing.interface import Lists, Seen
+from molereach.routing.routing import Routing
 
 log = logging.getLogger(__name__)
+Result = TypeVar("Result")
 
 # Taken off the time that a client waits: for the way of its request here and of our answer back.
 ANSWER_MARGIN_US = 25_000
@@ -43,9 +48,22 @@
 CLIENT_SHARE = 0.8  # of the other sockets
 HELD_SHARE = 1 / 8  # of the memory: for commands that are not answered yet
 WAITING_SHARE = 1 / 8  # of the memory: for commands in part, and answers that clients don't read
+LIST_SHARE = 1 / 4  # of the memory: for the whole list of backends
+ENTRY_BYTES = 2 * 160  # that an entry of the list takes: it is held, and staged when the list comes anew
+LEAST_VIEW, MOST_VIEW = 256, 512  # backends that are decided on; a shorter list is seen whole
 REQUEST_BYTES = 4096  # that an open request takes besides its command
 
 
+def run_out(steps: Generator[None, None, Result]) -> Result:
+    """All steps at once: nobody is served yet."""
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            result: Result = end.value
+            return result
+
+
 class Exchange:
     """A request from its arrival until its answer, with the attempts that are out."""
 
@@ -83,13 +101,16 @@
             most_clients, round(memory * WAITING_SHARE),
             lambda: ClientConnection(self.clients, self), self.backends.spawn,
         )
+        view = min(MOST_VIEW, max(LEAST_VIEW, self.backends.most))
+        self.lists: Lists = Routing(config.settings, view, round(memory * LIST_SHARE) // ENTRY_BYTES)
         self.peers = Peers(config.peers, config.settings.me, self.post)
         self.catalog = Catalog(config)
-        self.known = known = self.read_known()  # the list that it started with
-        version = known.event.version if known else 0
+        self.known: News | None = None  # the list that it started with, as it was heard
+        version = self.read_known()
         self.discovery = Discovery(
             config.discovery, self.catalog, version, self.list_heard, self.backends.spawn,
             lambda: CallPacing.of(config.settings), random.Random(config.settings.seed ^ CALLS_SEED).random,
+            self.lists.stage,
         )
         self.carry_out: dict[type, Callable[..., None]] = {
             i.Send: self.send, i.Cancel: self.cancel, i.Refuse: self.refuse, i.Fail: self.fail,
@@ -100,16 +121,32 @@
 
     # --- start and end ---
 
-    def read_known(self) -> News | None:
-        if not self.config.known:
-            return None
+    def read_known(self) -> int:
+        """Take over the known list; its version, or 0 where there is none that makes sense.
+
+        It may have come in parts, each of which is let go of once it has been read.
+        """
+        parts, known = self.config.known_parts, self.config.known
+        if not known:
+            return 0
         try:
-            news = self.catalog.news(self.config.known, i.ListKind.SAVED)
+            news = self.staged_known(parts) if parts else self.catalog.news(known, i.ListKind.SAVED)
+            seen = run_out(self.take_over(news)) if isinstance(news, LongNews) else self.take_whole(news)
         except (KeyError, TypeError, ValueError, ArithmeticError) as error:
             log.error("the known list makes no sense: %s", error)
-            return None
-        self.list_heard(news)
-        return news
+            return 0
+        finally:
+            parts.clear()
+        if seen:
+            self.known = News(seen.event, seen.addresses)
+        return news.version if isinstance(news, LongNews) else news.event.version
+
+    def staged_known(self, parts: list[bytes]) -> LongNews:
+        staged = self.lists.stage()
+        parts.reverse()
+        while parts:
+            staged.add(*self.catalog.part(parts.pop()))
+        return self.catalog.long_news(self.config.known, staged, i.ListKind.SAVED)
 
     def use_limits(self, limits: i.Limits, form: Form) -> None:
         """Have limits consulted, and their words told; before the first event."""
@@ -129,7 +166,7 @@
 
     def reconfigure(self, config: Config) -> None:
         """Take over what can change while it serves: the address of discovery."""
-        fixed = replace(config, discovery=self.config.discovery, known=self.config.known,
+        fixed = replace(config, discovery=self.config.discovery, known=self.config.known, known_parts=[],
                         settings=replace(config.settings, seed=self.settings.seed))
         changed = [field.name for field in fields(fixed)
                    if getattr(fixed, field.name) != getattr(self.config, field.name)]
@@ -203,8 +240,28 @@
             self.answer(request_id, FAILED)
             self.post(i.ClientGone(request_id))
 
-    def list_heard(self, news: News) -> None:
-        self.hear(self.see(news.event), news.addresses)
+    def list_heard(self, news: News | LongNews) -> Steps | None:
+        """News of the list; where they came in parts, what is to be done in turns. ListError where it cannot
+        be held: the list before it holds."""
+        if isinstance(news, LongNews):
+            return self.take_in_turns(news)
+        self.take_whole(news)
+        return None
+
+    def take_whole(self, news: News) -> Seen | None:
+        return self.show(self.lists.take(news.event, news.addresses))
+
+    def take_over(self, news: LongNews) -> Generator[None, None, Seen | None]:
+        return self.show((yield from self.lists.take_over(news.staged, news.kind, news.version)))
+
+    def take_in_turns(self, news: LongNews) -> Steps:
+        yield from self.take_over(news)
+
+    def show(self, seen: Seen | None) -> Seen | None:
+        """What the view shows of news, with the orders that lie over it; None concerns nothing in it."""
+        if seen:
+            self.hear(self.see(seen.event), seen.addresses)
+        return seen
 
     def hear(self, event: i.ServerList, addresses: dict[str, Address]) -> None:
         """News of the list as the module is to have them, and the addresses that are new with them."""
--- a/molereach/door/source.py
+++ b/molereach/door/source.py
@@ -9,14 +9,17 @@
 import logging
 import math
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
 
 from fennelwinch import interface as i
 from molereach.door.calling import Calling
 from molereach.door.calls import CallPacing
-from molereach.door.catalog import Catalog, News
+from molereach.door.catalog import Catalog, LongNews, News
 from molereach.door.config import Address
-from molereach.door.watch import WatchConnection
+from molereach.door.watch import Steps, WatchConnection
+from molereach.routing.interface import Staged
 
 log = logging.getLogger(__name__)
 
@@ -24,6 +27,15 @@
 LIST = "/catalog/members"
 FAULT_S = 1.0  # before it goes on after a fault of its own
 TURN_S = 0.001  # for the loop to read what has come
+LIST_S = 30.0  # from an object's first part to its last
+
+
+@dataclass(frozen=True, slots=True)
+class Staging:
+    """Parts of an object that has not ended, and when it should have, in seconds."""
+
+    staged: Staged
+    until_s: float
 
 
 class Source:
@@ -31,13 +43,15 @@
 
     def __init__(
         self, address: Address, catalog: Catalog, version: int | None,
-        heard: Callable[["Source", News], None], pacing: CallPacing, draw: Callable[[], float],
+        heard: Callable[["Source", News | LongNews], Steps | None], pacing: CallPacing,
+        draw: Callable[[], float], stage: Callable[[], Staged],
     ) -> None:
-        self.address, self.catalog, self.heard = address, catalog, heard
+        self.address, self.catalog, self.heard, self.stage = address, catalog, heard, stage
         self.version = version  # None: the whole list comes first
         self.pacing, self.draw = pacing, draw
         self.calling = Calling(pacing, draw)
         self.calls: dict[int, tuple[asyncio.Task[None], WatchConnection]] = {}
+        self.staged: dict[int, Staging] = {}  # parts of objects that have not ended, by their calls
         self.changed = asyncio.Event()
         self.closed = False
 
@@ -84,6 +98,7 @@
         connection = WatchConnection(
             LIST if whole else f"{LIST}?watch=1&after={self.version}", "{}:{}".format(*self.address),
             lambda word: self.word(number, whole, word), lambda begun: self.bytes_came(number, begun),
+            lambda text: self.part(number, text),
         )
         task = asyncio.get_running_loop().create_task(self.play(number, connection))
         self.calls[number] = task, connection
@@ -100,6 +115,7 @@
             log.exception("a call to discovery failed")
         finally:
             connection.close()
+        self.staged.pop(number, None)
         if self.calls.pop(number, None):
             self.calling.ended(number, time.monotonic())
             self.changed.set()
@@ -107,6 +123,7 @@
     def drop(self, number: int) -> None:
         """End a call from here; nothing more of it is heard."""
         task, connection = self.calls.pop(number)
+        self.staged.pop(number, None)
         connection.close()
         task.cancel()
 
@@ -115,24 +132,66 @@
             self.calling.heard(number, time.monotonic())
             self.changed.set()
 
-    def word(self, number: int, whole: bool, word: bytes) -> None:
-        """A whole object, or an empty line. Where it fails, the version stays, and the next watch brings it
-        again."""
-        if number not in self.calls or (whole and not word):
-            return  # what is still in the pipe must not undo what a newer call or source has told
+    def keep(self, number: int) -> None:
+        """A call has brought something: it is the one that is kept."""
         for other in self.calling.word(number, time.monotonic()):
             self.drop(other)
             self.calling.over(other)
         self.changed.set()
+
+    def part(self, number: int, text: bytes) -> None:
+        """Entries of a long object; nothing of them counts before its end."""
+        if number not in self.calls:
+            return
+        self.keep(number)
+        now_s = time.monotonic()
+        staged = self.staged.get(number)
+        if staged is None:
+            staged = self.staged[number] = Staging(self.stage(), now_s + LIST_S)
+        if now_s > staged.until_s:
+            raise ValueError(f"a list that takes over {LIST_S:.0f} s")
+        staged.staged.add(*self.catalog.part(text))
+
+    def word(self, number: int, whole: bool, word: bytes) -> Steps | None:
+        """A whole object, or an empty line. Where it fails, the version stays, and the next watch brings it
+        again."""
+        if number not in self.calls or (whole and not word):
+            return None  # what is still in the pipe must not undo what a newer call or source has told
+        self.keep(number)
         if not word:
+            self.calling.taken()
+            return None
+        news = self.news(json.loads(word), i.ListKind.FULL if whole else None, self.staged.pop(number, None))
+        version = news.version if isinstance(news, LongNews) else news.event.version
+        if steps := self.heard(self, news):
+            return self.take_over(steps, number, whole, version)
+        self.taken(number, whole, version)
+        return None
+
+    def news(
+        self, value: Mapping[str, Any], kind: i.ListKind | None, staging: Staging | None
+    ) -> News | LongNews:
+        if staging:
+            return self.catalog.long_news(value, staging.staged, kind)
+        return self.catalog.news(value, kind)
+
+    def take_over(self, steps: Steps, number: int, whole: bool, version: int) -> Steps:
+        yield from steps
+        self.taken(number, whole, version)
+
+    def taken(self, number: int, whole: bool, version: int) -> None:
+        """An object counts."""
+        self.version = version
+        self.calling.taken()
+        if number not in self.calls:
             return
-        news = self.catalog.news(json.loads(word), i.ListKind.FULL if whole else None)
-        self.heard(self, news)
-        self.version = news.event.version
-        if whole and number in self.calls:  # the list is whole, however long the answer still takes to end
+        if whole:  # the list is whole, however long the answer still takes to end
             self.drop(number)
             self.calling.over(number)
             self.calling.at_once(time.monotonic())
+        else:
+            self.calling.word(number, time.monotonic())  # to take it over is no silence of discovery
+        self.changed.set()
 
     def close(self) -> None:
         self.closed = True
--- a/rig/broken.py
+++ b/rig/broken.py
@@ -17,8 +17,9 @@
 from molereach.backends.attempt import Attempt
 from molereach.clients.replies import Reply
 from molereach.door.config import Config
-from molereach.door.discovery import News
+from molereach.door.discovery import LongNews, News
 from molereach.door.frontdoor import FrontDoor
+from molereach.door.watch import Steps
 
 EVERY = 40
 LATE_S = 2.0
@@ -54,12 +55,13 @@
 def drain() -> None:
     heard = FrontDoor.list_heard
 
-    def broken(self: FrontDoor, news: News) -> None:
-        up = [server for server in news.event.servers if server.state is i.ServerState.UP]
-        if len(up) == len(news.event.servers):
-            heard(self, news)
-        else:
-            self.loop.call_later(LATE_S, heard, self, news)
+    def broken(self: FrontDoor, news: News | LongNews) -> Steps | None:
+        servers = news.event.servers if isinstance(news, News) else ()
+        up = [server for server in servers if server.state is i.ServerState.UP]
+        if len(up) == len(servers):
+            return heard(self, news)
+        self.loop.call_later(LATE_S, heard, self, news)
+        return None
 
     FrontDoor.list_heard = broken  # type: ignore[method-assign]
 
--- /dev/null
+++ b/tests/door/made.py
@@ -0,0 +1,70 @@
+"""Long lists, and a stand-in for what holds them."""
+
+import json
+from collections.abc import Generator, Iterable, Mapping
+
+from fennelwinch import interface as i
+from molereach.door.config import Address
+from molereach.routing.interface import ListError, Seen, Staged
+from tests.sockets import HOST
+
+SIZE = 93_000  # backends of the fleet that is coming
+
+
+def entries_text(count: int, first: int = 0) -> bytes:
+    """Entries of a list as discovery writes them, without its brackets."""
+    return ",".join(
+        f'{{"instanceId": "s-{number:08x}", "hostPort": "{HOST}:{1024 + number % 60000}", "zone": "a", '
+        f'"machineType": "m2", "cell": {number % 2900}, "lifecycle": "SERVING", "weight": 1.0, '
+        f'"startedAtMs": {0 if number % 2 else 1790000000000 + number}}}'
+        for number in range(first, first + count)
+    ).encode()
+
+
+def list_text(version: int, entries: bytes, reset: bool = True) -> bytes:
+    return b'{"generation": %d, "reset": %b, "instances": [%b]}\n' % (
+        version, json.dumps(reset).encode(), entries)
+
+
+class Held:
+    """What was staged, with the size of each part."""
+
+    def __init__(self, most: int) -> None:
+        self.most, self.sizes = most, []
+        self.sizes: list[int]
+        self.servers: list[i.Server] = []
+        self.addresses: dict[str, Address] = {}
+
+    def add(self, servers: Iterable[i.Server], addresses: Mapping[str, Address]) -> None:
+        some = list(servers)
+        self.servers += some
+        self.sizes.append(len(some))
+        self.addresses |= addresses
+        if len(self.servers) > self.most:
+            raise ListError(f"a list of over {self.most} entries")
+
+
+class AllSeen:
+    """`Lists` whose view is the whole list, taken over in a few turns."""
+
+    def __init__(self, most: int = 1 << 20) -> None:
+        self.most, self.steps = most, 0
+        self.staged: list[Held] = []
+
+    def stage(self) -> Held:
+        self.staged.append(Held(self.most))
+        return self.staged[-1]
+
+    def take(self, event: i.ServerList, addresses: Mapping[str, Address]) -> Seen | None:
+        return Seen(event, dict(addresses))
+
+    def take_over(
+        self, staged: Staged, kind: i.ListKind, version: int
+    ) -> Generator[None, None, Seen | None]:
+        assert isinstance(staged, Held)
+        for _ in range(5):
+            self.steps += 1
+            yield
+        if kind is i.ListKind.FULL and len({one.name for one in staged.servers}) < len(staged.servers):
+            raise ListError("the whole list names a server twice")
+        return Seen(i.ServerList(kind, version, tuple(staged.servers)), staged.addresses)
