The configuration is read in pieces where it is long, and on SIGHUP in turns

Need: the file holds the known list too. Of 93,000 entries (here 15.8 MB) it was parsed whole, at the start and on each SIGHUP, while requests waited.

A file over 256 KiB goes through the cutter of discovery's lists, to `known.instances`: its parts are kept as text until the start has staged them, one after the other, each let go of once it was read. What is wrong within them keeps no front door from its start, as before. On SIGHUP nothing of the parts is kept, and a task reads a piece a turn; a second SIGHUP ends it, and the last file holds. A short file goes as before, with the same lines; those of a long one that is no JSON are worded anew and are as short.

Breaks, each seen to fail a test: all files read at once; an unfinished object behind a whole one and a second object let pass; parts kept on a reload, or after a start that failed; a part held while it is read; parts in reverse; a reload with no turns between; the first of two reloads not ended; its error not caught.

--- a/molereach/__main__.py
+++ b/molereach/__main__.py
@@ -11,7 +11,7 @@
 import uvloop
 
 from molereach.clock import now_us
-from molereach.door.config import Config, ConfigError, load, reload
+from molereach.door.config import Config, ConfigError, is_long, load, reload, reload_in_steps
 from molereach.door.frontdoor import FrontDoor
 
 log = logging.getLogger("molereach")
@@ -45,7 +45,13 @@
 
 
 def take_over(door: FrontDoor) -> None:
-    """Read the configuration again; one that is not usable changes nothing."""
+    """Read the configuration again; one that is not usable changes nothing. Of several the last holds."""
+    if door.reading:
+        door.reading.cancel()
+        door.reading = None
+    if is_long(os.environ):
+        door.reading = asyncio.get_running_loop().create_task(take_over_in_turns(door))
+        return
     try:
         config = reload(os.environ)
     except ConfigError as error:
@@ -54,6 +60,21 @@
     door.reconfigure(config)
 
 
+async def take_over_in_turns(door: FrontDoor) -> None:
+    """Read a long file, with requests between its pieces."""
+    steps = reload_in_steps(os.environ)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            door.reconfigure(end.value)
+            return
+        except ConfigError as error:
+            log.error("the configuration stays as it was: %s", error)
+            return
+        await asyncio.sleep(0)
+
+
 async def serve(config: Config, attach: Attach | None = None) -> None:
     """Serve until SIGTERM or SIGINT, then drain; on SIGHUP take over the configuration."""
     loop = asyncio.get_running_loop()
--- a/molereach/door/config.py
+++ b/molereach/door/config.py
@@ -1,19 +1,25 @@
 """What a front door is told at its start: the environment and the JSON file, checked and typed."""
 
 import json
+import os
 import re
-from collections.abc import Iterator, Mapping
+from collections.abc import Generator, Iterator, Mapping
 from dataclasses import dataclass, field, replace
 from pathlib import Path
-from typing import Any, TypeVar
+from typing import Any, BinaryIO, TypeVar
 
 from fennelwinch import interface as i
 from fennelwinch.settings import Pairs, SettingsError, read_settings, shown
+from molereach.door.documents import DocumentError, Documents, Part
 
 Address = tuple[str, int]
 Section = TypeVar("Section", dict[str, Any], list[Any])
+Result = TypeVar("Result")
 
 LEAST_SOCKETS = 48  # with fewer, those that a front door needs for itself would pass the limit
+LONG_FILE_BYTES = 1 << 18  # a file of no more than this is read and parsed at once
+PIECE_BYTES = 1 << 15  # of a long one
+MOST_FILE_BYTES = 1 << 26
 SEED = re.compile(r"[0-9a-fA-F]{1,64}")
 
 
@@ -141,22 +147,74 @@
 
 def load(env: Mapping[str, str]) -> Config:
     """The configuration that the environment points to."""
+    return run_out(load_in_steps(env))
+
+
+def load_in_steps(env: Mapping[str, str], start: bool = True) -> Generator[None, None, Config]:
+    """`load`, with a step for each piece of a long file. Only a start needs the entries of the known list."""
     path = env.get("PROXY_CONFIG")
     if not path:
         raise ConfigError("PROXY_CONFIG is not set")
+    parts: list[bytes] = []
     try:
-        values = json.loads(Path(path).read_bytes())
+        with Path(path).open("rb") as file:
+            if os.fstat(file.fileno()).st_size <= LONG_FILE_BYTES:
+                values = json.loads(file.read())
+            else:
+                values = yield from read_long(file, parts if start else None)
     except (OSError, ValueError, RecursionError) as error:
         raise ConfigError(f"{path}: cannot read the configuration: {' '.join(str(error).split())}") from error
     try:
-        return parse(values, env)
+        return replace(parse(values, env), known_parts=parts)
     except RecursionError as error:
         raise ConfigError(f"{path}: is nested too deep") from error
     except (ConfigError, SettingsError) as error:
         raise ConfigError(f"{path}: {error}") from error
 
 
+def read_long(file: BinaryIO, parts: list[bytes] | None) -> Generator[None, None, object]:
+    """The object in a long file, but for entries of the known list: they go to `parts`, or nowhere."""
+    documents, found = Documents(MOST_FILE_BYTES, ("known", "instances")), []
+    while data := file.read(PIECE_BYTES):
+        for one in documents.feed(data):
+            if isinstance(one, Part):
+                if parts is not None:
+                    parts.append(one.text)
+            elif one:
+                found.append(one)
+        if len(found) > 1:
+            raise DocumentError("more than one object")
+        yield
+    if documents.unfinished or not found:
+        raise DocumentError("the file ends within an object" if documents.unfinished else "no object")
+    return json.loads(found[0])
+
+
 def reload(env: Mapping[str, str]) -> Config:
     """The configuration anew. The environment is as old as the process: in a file that was replaced
     since, the address of discovery is the newer one."""
-    return load({name: value for name, value in env.items() if name != "PROXY_DISCOVERY"})
+    return run_out(reload_in_steps(env))
+
+
+def is_long(env: Mapping[str, str]) -> bool:
+    """Whether the file is one that should be read in steps."""
+    try:
+        return Path(env.get("PROXY_CONFIG", "")).stat().st_size > LONG_FILE_BYTES
+    except (OSError, ValueError):
+        return False  # whoever reads it says what is wrong
+
+
+def reload_in_steps(env: Mapping[str, str]) -> Generator[None, None, Config]:
+    """`reload`, in the steps of `load_in_steps`."""
+    file_first = {name: value for name, value in env.items() if name != "PROXY_DISCOVERY"}
+    return load_in_steps(file_first, start=False)
+
+
+def run_out(steps: Generator[None, None, Result]) -> Result:
+    """All steps at once: nobody is served yet, or there are few."""
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            result: Result = end.value
+            return result
--- a/molereach/door/frontdoor.py
+++ b/molereach/door/frontdoor.py
@@ -11,7 +11,6 @@
 import resource
 from collections.abc import Awaitable, Callable, Generator
 from dataclasses import fields, replace
-from typing import TypeVar
 
 from fennelwinch import interface as i
 from fennelwinch.codec import Form
@@ -25,7 +24,7 @@
 from molereach.clients.resp import FAILED, ClientConnection
 from molereach.clock import now_us
 from molereach.door.calls import CallPacing
-from molereach.door.config import Address, Config
+from molereach.door.config import Address, Config, run_out
 from molereach.door.discovery import Catalog, Discovery, LongNews, News
 from molereach.door.draining import drain
 from molereach.door.ending import Ending
@@ -35,7 +34,6 @@
 from molereach.routing.routing import Routing
 
 log = logging.getLogger(__name__)
-Result = TypeVar("Result")
 
 # Taken off the time that a client waits: for the way of its request here and of our answer back.
 ANSWER_MARGIN_US = 25_000
@@ -54,16 +52,6 @@
 REQUEST_BYTES = 4096  # that an open request takes besides its command
 
 
-def run_out(steps: Generator[None, None, Result]) -> Result:
-    """All steps at once: nobody is served yet."""
-    while True:
-        try:
-            next(steps)
-        except StopIteration as end:
-            result: Result = end.value
-            return result
-
-
 class Exchange:
     """A request from its arrival until its answer, with the attempts that are out."""
 
@@ -90,6 +78,7 @@
         self.held_bytes = 0
         self.ending: Ending | None = None  # from when it was told to end
         self.address = config.listen
+        self.reading: asyncio.Task[None] | None = None  # of a long configuration anew
         memory = config.memory_mb << 20
         self.most_held = round(memory * HELD_SHARE)
         granted, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -200,6 +189,8 @@
 
     def close(self) -> None:
         """Let go of all sockets."""
+        if self.reading:
+            self.reading.cancel()
         self.peers.close()
         self.clients.close()
         self.backends.close()
