The number of backend connections is kept, no longer counted over all pools at each dial

Each dial asks whether a socket is free, which walked the pools of all backends. It is a number now, moved where a pool's connections are: at a dial, at its failure and when a socket is let go of; twice for one counts once.

--- a/molereach/backends/pool.py
+++ b/molereach/backends/pool.py
@@ -41,6 +41,7 @@
         self.connecting += 1
         connection = Connection(self)
         self.connections[connection] = None  # at once, as the bound counts those that are still connecting
+        self.owner.open += 1
         self.owner.spawn(self.connect(connection))
 
     def take_idle(self) -> Connection | None:
@@ -71,7 +72,7 @@
             # all the same, without a word: it would rest here for good, and fail whoever is sent on it.
             connection.abort()
             connection.transport = None
-            self.connections.pop(connection, None)
+            self.forget(connection)
             return False
         finally:
             self.connecting -= 1
@@ -117,7 +118,12 @@
     def lost(self, connection: Connection) -> None:
         """Its socket is let go of."""
         self.stop_using(connection)
-        self.connections.pop(connection, None)
+        self.forget(connection)
+
+    def forget(self, connection: Connection) -> None:
+        if connection in self.connections:
+            del self.connections[connection]
+            self.owner.open -= 1
 
     def doubt(self, since_us: int) -> None:
         """Close what is idle where nothing was heard since: the machine may have vanished.
--- a/molereach/backends/pools.py
+++ b/molereach/backends/pools.py
@@ -21,6 +21,7 @@
         self.idle_us, self.connect_s, self.most = round(idle_us * IDLE_SHARE), connect_timeout_us / 1e6, most
         self.pools: dict[str, Pool] = {}
         self.old: list[Pool] = []  # of backends that moved or went, while attempts are out on them
+        self.open = 0  # connections of all pools: each dial asks for it, and must not walk all pools for that
         self.tasks: dict[asyncio.Task[None], None] = {}
         self.reuse, self.fades_us = Reuse(), 0
 
@@ -69,7 +70,7 @@
             pool.close_idle()
 
     def count(self) -> int:
-        return sum(len(pool.connections) for pool in (*self.pools.values(), *self.old))
+        return self.open
 
     def may_open(self) -> bool:
         """Whether a socket is free for one more, if need be that of the connection idle longest."""
--- a/tests/crossings/test_attempts_dial_late.py
+++ b/tests/crossings/test_attempts_dial_late.py
@@ -46,7 +46,7 @@
                 first.cancel()
             await until(lambda: bool(sender.ended) and not pool.connecting)
             assert sender.ended == [i.Result.CONNECT_FAILED if waits else i.Result.CANCELLED]
-            assert not pool.idle and not pool.connections
+            assert not pool.idle and not pool.connections and pool.owner.count() == 0
             (await held.accept()).close()  # that of the first
             sender.backends.connect_s = 5
             sender.send(b"second")
