--- a/molereach/routing/routing.py
+++ b/molereach/routing/routing.py
@@ -9,7 +9,7 @@
 
 from fennelwinch import interface as i
 from molereach.routing.groups import kinds
-from molereach.routing.interface import Address, ListError, Seen
+from molereach.routing.interface import Address, ListError, Seen, Staged
 from molereach.routing.places import door_place, least_reach
 from molereach.routing.records import name_of, unpack
 from molereach.routing.staging import Entry, Staging, entry_of
@@ -55,8 +55,9 @@
         staged.add(event.servers, addresses)
         return finish(self.take_over(staged, event.kind, event.version))
 
-    def take_over(self, staged: Staging, kind: i.ListKind, version: int) -> Steps:
+    def take_over(self, staged: Staged, kind: i.ListKind, version: int) -> Steps:
         """All that was staged, in short steps; what the module has holds until the last."""
+        assert isinstance(staged, Staging)
         was_short, entries = self.short is not None, staged.entries
         if kind in WHOLE_KINDS:
             whole = Whole(self.kinds)
@@ -77,7 +78,7 @@
         for start in range(0, len(entries), STEP_ENTRIES):
             for place, record, gone in entries[start : start + STEP_ENTRIES]:
                 if not gone and whole.put(place, record) is not None:
-                    raise ListError(f"a list names {name_of(record)[:80]!r} twice")
+                    raise ListError(f"the whole list names a server twice: {name_of(record)[:80]!r}")
             yield
 
     def change(self, entries: Sequence[Entry]) -> Generator[None, None, None]:
--- a/tests/door/test_long_lists.py
+++ b/tests/door/test_long_lists.py
@@ -19,6 +19,7 @@
 from molereach.door.frontdoor import FrontDoor
 from molereach.door.watch import TURN_BYTES, Steps
 from molereach.routing.interface import Seen, Staged
+from molereach.routing.routing import Routing
 from tests.crossings.wire import until
 from tests.door.made import SIZE, AllSeen, entries_text, list_text
 from tests.sockets import CONFIG, HEAD, Client, Watch, chunk, entry, front_door, query, run, value
@@ -146,7 +147,8 @@
             while door.discovery.version != 9:
                 assert await client.ask(query(f"r{served}")) == b"ok"
                 served += 1
-            assert served > 10 and len(door.backends.pools) > 1
+            assert served > 10 and set(door.backends.pools) == {"s0"}  # of all, the one that is up
+            assert isinstance(door.lists, Routing) and door.lists.count == 20_001
         finally:
             door.close()
 
