What a takeover is done with is let go of in steps, and the collector sees no entry

Cause: the scale run's longest turn was 37 ms (aim 20), with the whole list coming anew. Ruled out: a change of a zone (6 ms a step). Entries stand in slices of arrays, taken one by one, and the list before goes by 256 buckets a step. The test counts slices and buckets between steps; it was seen to fail with the release in one step.

--- a/molereach/routing/ring.py
+++ b/molereach/routing/ring.py
@@ -15,6 +15,7 @@
 BUCKET_BITS = 12
 BUCKETS = 1 << BUCKET_BITS
 SHIFT = BITS - BUCKET_BITS
+RELEASED = 256  # buckets that are let go of in one step
 
 
 class Bucket:
@@ -85,6 +86,12 @@
                 self.touched += len(bucket.records)
                 yield from bucket.records
 
+    def release(self) -> Iterator[None]:
+        """Let go of all, in steps: to free 100,000 records at once would take a turn of its own."""
+        for number in range(0, BUCKETS, RELEASED):
+            self.buckets[number : number + RELEASED] = [None] * RELEASED
+            yield
+
     def up_at(self, place: int) -> Iterator[bytes]:
         """Those up at a place: two names may share it."""
         bucket = self.buckets[place >> SHIFT]
--- a/molereach/routing/routing.py
+++ b/molereach/routing/routing.py
@@ -12,11 +12,10 @@
 from molereach.routing.interface import Address, ListError, Seen, Staged
 from molereach.routing.places import door_place, least_reach
 from molereach.routing.records import name_of, unpack
-from molereach.routing.staging import Entry, Staging, entry_of
+from molereach.routing.staging import STEP_ENTRIES, Staging, entry_of
 from molereach.routing.view import View, Whole
 
 LONG = 2  # times the view's size: from there on a list has a view
-STEP_ENTRIES = 500  # taken over in one turn: some milliseconds
 WHOLE_KINDS = (i.ListKind.FULL, i.ListKind.SAVED)
 Steps = Generator[None, None, Seen | None]
 Short = dict[str, tuple[i.Server, Address | None]]
@@ -58,42 +57,51 @@
     def take_over(self, staged: Staged, kind: i.ListKind, version: int) -> Steps:
         """All that was staged, in short steps; what the module has holds until the last."""
         assert isinstance(staged, Staging)
-        was_short, entries = self.short is not None, staged.entries
+        was_short, old = self.short is not None, self.whole
         if kind in WHOLE_KINDS:
             whole = Whole(self.kinds)
-            yield from self.build(whole, entries)
+            yield from self.build(whole, staged)
             self.whole, self.stale = whole, True
         else:
             if self.short is not None:
                 self.whole, self.stale = Whole(self.kinds), True
-                yield from self.build(self.whole, [entry_of(*known) for known in self.short.values()])
-            yield from self.change(entries)
+                yield from self.build(self.whole, self.stage_short(self.short))
+            yield from self.change(staged)
         self.short = None
         if self.whole.ring.count <= self.size * (LONG if was_short else 1):
-            return self.shorten(kind, version)
-        return self.tell(kind, version, was_short)
+            told: Seen | None = self.shorten(kind, version)
+        else:
+            told = self.tell(kind, version, was_short)
+        if old is not self.whole:
+            yield from old.ring.release()
+        return told
+
+    def stage_short(self, short: Short) -> Staging:
+        staged = self.stage()
+        for known in short.values():
+            staged.append(entry_of(*known))
+        return staged
 
-    def build(self, whole: Whole, entries: Sequence[Entry]) -> Generator[None, None, None]:
+    def build(self, whole: Whole, staged: Staging) -> Generator[None, None, None]:
         """A whole list; ListError where it names a backend twice, as nobody knows which of them holds."""
-        for start in range(0, len(entries), STEP_ENTRIES):
-            for place, record, gone in entries[start : start + STEP_ENTRIES]:
+        for entries in staged.take():
+            for place, record, gone in entries:
                 if not gone and whole.put(place, record) is not None:
                     raise ListError(f"the whole list names a server twice: {name_of(record)[:80]!r}")
             yield
 
-    def change(self, entries: Sequence[Entry]) -> Generator[None, None, None]:
+    def change(self, staged: Staging) -> Generator[None, None, None]:
         """Changes: each is true by itself. Where they are not taken over to the end, the next call brings
         them again. What comes may stand before what goes, so the list is counted at the end of a step."""
         whole, view = self.whole, self.view
-        for start in range(0, len(entries), STEP_ENTRIES):
-            if start:
-                yield
-            for place, record, gone in entries[start : start + STEP_ENTRIES]:
+        for entries in staged.take():
+            for place, record, gone in entries:
                 before = whole.remove(place, record) if gone else whole.put(place, record)
                 self.stale = self.stale or view.concerns(whole, place, before, None if gone else record)
-            is_last = start + STEP_ENTRIES >= len(entries)
-            if whole.ring.count > self.most + (0 if is_last else STEP_ENTRIES):
+            if whole.ring.count > self.most + (STEP_ENTRIES if staged.slices else 0):
                 raise ListError(f"a list of over {self.most} entries has no room in memory")
+            if staged.slices:
+                yield
 
     def shorten(self, kind: i.ListKind, version: int) -> Seen:
         """The list is short: all of it is told, and kept as it is."""
--- a/molereach/routing/staging.py
+++ b/molereach/routing/staging.py
@@ -1,12 +1,15 @@
 """Entries of one object that comes in parts: packed as they come, so that few bytes hold them. A core."""
 
-from collections.abc import Iterable, Mapping
+from array import array
+from collections import deque
+from collections.abc import Iterable, Iterator, Mapping
 
 from fennelwinch import interface as i
 from molereach.routing.interface import Address, ListError
 from molereach.routing.places import place_of
 from molereach.routing.records import name_bytes, pack
 
+STEP_ENTRIES = 500  # taken over in one turn: some milliseconds
 Entry = tuple[int, bytes, bool]  # the place, the record (or the name of one that is gone), whether it is gone
 
 
@@ -17,18 +20,51 @@
     return place_of(name), pack(server, address), False
 
 
+class Slice:
+    """Some entries, without an object of the collector's for each: to look through 100,000 of them takes it a
+    turn of its own. One that is gone has its name for a record, and stands in `gone` by its number."""
+
+    __slots__ = ("gone", "places", "records")
+
+    def __init__(self) -> None:
+        self.places, self.records, self.gone = array("Q"), list[bytes](), set[int]()
+
+    def append(self, place: int, record: bytes, gone: bool) -> None:
+        if gone:
+            self.gone.add(len(self.records))
+        self.places.append(place)
+        self.records.append(record)
+
+    def __iter__(self) -> Iterator[Entry]:
+        for number, (place, record) in enumerate(zip(self.places, self.records, strict=True)):
+            yield place, record, number in self.gone
+
+
 class Staging:
-    """In the order in which they came; `most` of them at most."""
+    """In the order in which they came; `most` of them at most.
+
+    They stand in slices that are let go of one by one: to free 100,000 at once takes a turn of its own."""
 
-    __slots__ = ("entries", "most")
+    __slots__ = ("count", "most", "slices")
 
     def __init__(self, most: int) -> None:
-        self.entries: list[Entry] = []
-        self.most = most
+        self.slices: deque[Slice] = deque()
+        self.count, self.most = 0, most
 
     def add(self, servers: Iterable[i.Server], addresses: Mapping[str, Address]) -> None:
         """ListError where the list would need more memory than it may have."""
         for server in servers:
-            if len(self.entries) >= self.most:
+            if self.count >= self.most:
                 raise ListError(f"a list of over {self.most} entries has no room in memory")
-            self.entries.append(entry_of(server, addresses.get(server.name)))
+            self.append(entry_of(server, addresses.get(server.name)))
+
+    def append(self, entry: Entry) -> None:
+        if self.count % STEP_ENTRIES == 0:
+            self.slices.append(Slice())
+        self.slices[-1].append(*entry)
+        self.count += 1
+
+    def take(self) -> Iterator[Slice]:
+        """Each slice once."""
+        while self.slices:
+            yield self.slices.popleft()
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from dataclasses import replace
+from itertools import pairwise
 from unittest import mock
 
 import pytest
@@ -13,6 +14,7 @@
 from molereach.routing import staging
 from molereach.routing.interface import ListError, Seen
 from molereach.routing.records import name_bytes
+from molereach.routing.ring import RELEASED
 from molereach.routing.routing import LONG, finish
 from tests.routing.model import (
     DRAINING,
@@ -215,7 +217,7 @@
 
 def test_takeover_left_half_way_is_taken_up_by_the_next() -> None:
     world = World(settings_of(groups=(i.Group.CELL,)), 5)
-    with mock.patch.object(module, "STEP_ENTRIES", 4):
+    with mock.patch.object(staging, "STEP_ENTRIES", 4):
         play(world, FULL, [server(number) for number in range(60)], 1)
         news = [server(number, state=GONE) for number in range(30)]
         for kind, entries in ((CHANGES, news), (FULL, [server(number) for number in range(200, 260)])):
@@ -300,3 +302,20 @@
     world.routing.whole.ring.touched = 0
     play(world, CHANGES, [server(500, state=DRAINING)], 0)
     assert len(world.told) == 8 and world.routing.whole.ring.touched < 200
+
+
+def test_what_a_takeover_is_done_with_is_let_go_of_in_steps() -> None:
+    """Neither the entries that were staged nor the list before goes at once: that took a turn of 37 ms."""
+    world = World(settings_of(doors=100), 100, most=9_000)
+    play(world, FULL, [server(number) for number in range(3_000)], 0)
+    old, staged = world.routing.whole.ring, world.routing.stage()
+    entries = [server(number) for number in range(1_000, 5_000)]
+    staged.add(entries, addresses_of(entries))
+    left, held = [len(staged.slices)], [sum(bucket is not None for bucket in old.buckets)]
+    assert left[0] == 8 and held[0] > 1_000
+    for _ in world.routing.take_over(staged, FULL, 2):
+        left.append(len(staged.slices))
+        held.append(sum(bucket is not None for bucket in old.buckets))
+    assert left[-1] == held[-1] == 0
+    assert max(before - after for before, after in pairwise(left)) == 1
+    assert max(before - after for before, after in pairwise(held)) <= RELEASED
--- a/tests/routing/test_scale.py
+++ b/tests/routing/test_scale.py
@@ -40,7 +40,7 @@
     staged = routing.stage()
     for number in range(count):
         each = entry(number, count)
-        staged.entries.append(entry_of(each, ("h", 80)))
+        staged.append(entry_of(each, ("h", 80)))
     steps = routing.take_over(staged, FULL, 1)
     while True:
         try:
