Tests of clients that go while their requests wait inside the module

Need: no attempt may begin more than 0.1 s after its client has closed (0.3 s before). The program holds it: ends are heard in the turn in which they come, and looked for each 0.05 s where a connection is not read. What was missing is a test for each wait of the module's own; those of test_clients_gone.py hold the request in a module that does nothing. Now room under the cap, a home's word, a repeat that waits for a server and one that would follow an attempt are waited for by the real module, end after the client has gone, and bring nothing. The comment of LOOK_S named the older figure. A line of calling.py was too long.

--- a/molereach/clients/ends.py
+++ b/molereach/clients/ends.py
@@ -9,7 +9,7 @@
 from molereach.clients.states import Connection
 from molereach.resp import have_ended
 
-LOOK_S = 0.05  # a request must not be sent on later than 0.3 s after its client went
+LOOK_S = 0.05  # no attempt may begin more than 0.1 s after its client went: a look, and a turn of the loop
 
 
 class EndWatch:
--- a/molereach/door/calling.py
+++ b/molereach/door/calling.py
@@ -16,8 +16,8 @@
 Where the list must be asked for, calls cost discovery work and may wait in its line, and a change still
 counts as told 6 s after discovery could be reached. A call proves that it could not be reached only for
 the moment at which it was made; so another is due `CALL_BY_S` after that, whether it was refused, forgotten
-or trickles. The elder one stays meanwhile: its place in the line is the better one, and a tier whose calls are
-given up and made again before their turn comes fills the line with calls that nobody waits for.
+or trickles. The elder one stays meanwhile: its place in the line is the better one, and a tier whose calls
+are given up and made again before their turn comes fills the line with calls that nobody waits for.
 """
 
 import math
--- /dev/null
+++ b/tests/crossings/test_clients_gone_waits.py
@@ -0,0 +1,171 @@
+"""Requests whose clients go while they wait inside the module: no attempt begins more than 0.1 s later.
+
+The waits are the module's own here, and each of them ends after the client has gone: room under the cap, a word
+of a home, a repeat's moment. Those for a dial: test_clients_gone.py, test_attempts_gone.py.
+"""
+
+import asyncio
+import socket
+import zlib
+from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
+
+from fennelwinch import interface as i
+from fennelwinch.rules.cap import START_PER_SERVER
+from molereach.clients import ends
+from molereach.clients import resp as clients
+from molereach.clients.intake import READ_BYTES
+from molereach.door.frontdoor import FrontDoor
+from tests.crossings.test_clients_gone import GOES, events, gone
+from tests.crossings.wire import Peer, machine, turns, until
+from tests.sockets import CONFIG, HOST, SETTINGS, Backend, front_door, query, resp, run, submit, value
+
+GONE_S = 0.1  # from a close until when the last attempt for its client may begin
+TURN_S = 0.02  # the longest turn of the loop
+ROOM = START_PER_SERVER // SETTINGS.gateways  # out at one server at once, for each front door
+
+
+def servers_are(door: FrontDoor, state: i.ServerState) -> None:
+    """The list says so of all of them, as if discovery had told."""
+    entries = tuple(replace(server.entry, state=state) for server in door.gateway.fleet.servers.values())
+    door.hear(i.ServerList(i.ListKind.CHANGES, 8, entries), {})
+
+
+def test_end_behind_what_is_not_read_is_looked_for_soon_enough() -> None:
+    """A connection that is not read is looked at that often; one that is read tells its end by itself."""
+    assert ends.LOOK_S + TURN_S < GONE_S
+
+
+@GOES
+def test_client_that_goes_while_its_request_waits_for_room_under_the_cap(go: Callable[[Peer], None]) -> None:
+    async def job() -> None:
+        backend = Backend(lambda words: None)
+        async with front_door(backend) as (door, address):
+            told, others = events(door), Peer.dial(address)
+            others.say(b"".join(query(f"b{number}") for number in range(ROOM)))
+            await until(lambda: len(backend.commands) == ROOM)
+            peer = Peer.dial(address)
+            peer.say(query("a1"))
+            await until(lambda: "a1" in door.open)
+            assert not door.open["a1"].out and len(door.gateway.held) == 1
+            go(peer)
+            await until(lambda: gone(told) == ["a1"])
+            for writer in backend.writers[:ROOM]:
+                writer.write(value(b"ok"))
+            await until(lambda: not door.open)
+            door.gateway.release()
+            await turns(9)
+            assert [words[2] for words in backend.commands if words[2] == b"a1"] == []
+            assert not door.gateway.attempts.jobs
+
+    run(job())
+
+
+@GOES
+def test_client_that_goes_while_its_repeat_waits_for_a_server(go: Callable[[Peer], None]) -> None:
+    """The first attempt was turned away by the only server, which drains; then that serves again."""
+
+    async def job() -> None:
+        backend = Backend(lambda words: None)
+        async with front_door(backend) as (door, address):
+            told, peer = events(door), Peer.dial(address)
+            peer.say(submit("a1"))
+            await until(lambda: bool(backend.commands))
+            servers_are(door, i.ServerState.DRAINING)
+            backend.writers[0].write(b"-BUSY\r\n")
+            await until(lambda: len(door.gateway.held) == 1)
+            go(peer)
+            await until(lambda: gone(told) == ["a1"])
+            servers_are(door, i.ServerState.UP)
+            await until(lambda: door.gateway.fleet.up != [])
+            door.gateway.release()
+            await turns(9)
+            assert len(backend.commands) == 1
+            assert not door.open and not door.ended and not door.gateway.attempts.jobs
+
+    run(job())
+
+
+@pytest.mark.parametrize("may_cancel", [True, False])
+def test_client_that_goes_while_its_attempt_is_out_has_no_repeat(may_cancel: bool) -> None:
+    """Also where settings forbid to call it off: its end brings no other."""
+
+    async def job() -> None:
+        with machine() as one, machine() as other:
+            settings = replace(SETTINGS, may_cancel=may_cancel)
+            async with front_door(addresses=[one.address, other.address], settings=settings) as (door, _):
+                told, peer = events(door), Peer.dial(door.address)
+                peer.say(query("a1"))
+                await until(lambda: any(each.written for x in door.open.values() for each in x.out.values()))
+                first, second = (one, other) if door.open["a1"].out[0].server == "s0" else (other, one)
+                backend = await first.accept()
+                peer.close()
+                await until(lambda: gone(told) == ["a1"])
+                if not may_cancel:
+                    backend.reset()  # a safe request would be sent again
+                await until(lambda: not door.ended)
+                await turns(9)
+                assert not second.waiting() and not first.waiting()
+                assert not door.gateway.attempts.jobs
+
+    run(job())
+
+
+@GOES
+def test_client_that_goes_while_a_home_is_asked(go: Callable[[Peer], None]) -> None:
+    """The home never answers; without the client's end the request would be let in by chance, or refused."""
+
+    async def job() -> None:
+        backend, home = Backend(), socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        home.bind((HOST, 0))
+        home.setblocking(False)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
+            free.bind((HOST, 0))
+            listen = free.getsockname()
+        settings = replace(SETTINGS, plans=(i.Plan(rate=5.0, burst=1.0),))
+        customer = next(name for name in map("{:016x}".format, range(99)) if zlib.crc32(name.encode()) % 2)
+        async with front_door(
+            backend, settings=settings, peer_listen=listen, peers=(listen, home.getsockname())
+        ) as (door, address):
+            assert CONFIG.settings.me == 0
+            told, peer = events(door), Peer.dial(address)
+            fields = "c=read,t=team,d=3000,spread=2,first=0"
+            peer.say(resp("SVC.QUERY", customer, "a1", fields))
+            await asyncio.get_running_loop().sock_recv(home, 2048)  # it is asked
+            assert "a1" in door.open and not door.open["a1"].out
+            go(peer)
+            await until(lambda: gone(told) == ["a1"])
+            await until(lambda: not door.gateway.words.waiting)
+            ticks = len(told)
+            await until(lambda: sum(isinstance(event, i.Timer) for event in told[ticks:]) > 0)
+            assert backend.commands == [] and not door.gateway.attempts.jobs
+        home.close()
+
+    run(job())
+
+
+@pytest.mark.parametrize("half", [False, True])
+def test_pipelined_commands_behind_which_a_client_goes_are_not_taken(half: bool) -> None:
+    """As many are open as may be, and more than is read ahead waits behind: none of that has an attempt."""
+
+    async def job() -> None:
+        backend = Backend(lambda words: None)
+        async with front_door(backend) as (door, address):
+            told, peer = events(door), Peer.dial(address)
+            most = clients.MOST_PIPELINED
+            peer.say(b"".join(query(f"a{number}") for number in range(most)))
+            await until(lambda: len(door.open) == most)
+            (connection,) = door.clients.connections
+            peer.say(submit("b1", body=b"x" * READ_BYTES)[: READ_BYTES + 9000 * half])
+            await until(lambda: not connection.reading or len(connection.reader.buffer) >= READ_BYTES // 2)
+            await until(lambda: len(backend.commands) == ROOM)  # the others wait for room
+            (peer.finish if half else peer.close)()
+            await until(lambda: len(gone(told)) == most)
+            await until(lambda: all(writer.is_closing() for writer in backend.writers))  # called off
+            door.gateway.release()
+            await turns(9)
+            assert len(backend.commands) == ROOM and not door.open
+
+    run(job())
