--- a/tests/crossings/test_clients_gone_waits.py
+++ b/tests/crossings/test_clients_gone_waits.py
@@ -1,7 +1,7 @@
 """Requests whose clients go while they wait inside the module: no attempt begins more than 0.1 s later.
 
-The waits are the module's own here, and each of them ends after the client has gone: room under the cap, a word
-of a home, a repeat's moment. Those for a dial: test_clients_gone.py, test_attempts_gone.py.
+The waits are the module's own here, and each of them ends after the client has gone: room under the cap, a
+word of a home, a repeat's moment. Those for a dial: test_clients_gone.py, test_attempts_gone.py.
 """
 
 import asyncio
