--- a/tests/crossings/wire.py
+++ b/tests/crossings/wire.py
@@ -76,8 +76,8 @@
 class Machine:
     """A machine that listens and does nothing by itself: the test accepts, reads and answers."""
 
-    def __init__(self, backlog: int = 16) -> None:
-        self.listener = socket.create_server((HOST, 0), backlog=backlog)
+    def __init__(self, backlog: int = 16, port: int = 0) -> None:
+        self.listener = socket.create_server((HOST, port), backlog=backlog)
         self.listener.setblocking(False)
 
     @property
