A member counts as seen by two front doors at least, as it is

Cause: 40 front doors before 20,000 backends: two doors see each, and each was told that it is seen by one, as the mean over the list rounds to that. A cold backend's usual rates summed to 2.0 times the fair rate. By the places on the ring no member has fewer than the least doors.

--- a/molereach/routing/routing.py
+++ b/molereach/routing/routing.py
@@ -10,7 +10,7 @@
 from fennelwinch import interface as i
 from molereach.routing.groups import kinds
 from molereach.routing.interface import Address, ListError, Seen
-from molereach.routing.places import door_place, least_reach
+from molereach.routing.places import LEAST_DOORS, door_place, least_reach
 from molereach.routing.records import name_of, unpack
 from molereach.routing.staging import Entry, Staging, entry_of
 from molereach.routing.view import View, Whole
@@ -111,7 +111,7 @@
         if before is self.told and not whole:  # nothing that concerns it: not looked through
             return None
         up = max(1, self.whole.ring.up)
-        seen_by = min(self.doors, max(1, round(self.doors * len(self.told) / up)))
+        seen_by = min(self.doors, max(LEAST_DOORS, round(self.doors * len(self.told) / up)))
         if whole or kind in WHOLE_KINDS:
             kind = kind if kind in WHOLE_KINDS else i.ListKind.FULL
             return seen(kind, version, [unpack(record) for record in self.told.values()], seen_by)
