A scale run: real front doors beside hollow discovery, backends, doors and tenants

Nothing in the repository measures a front door at the size that is coming: the largest measured list has 500 backends, and no run has a tier of more than a few hundred doors.

Hollow parts speak the protocols' bytes: the agent's lists are read by the real reader in tests, hollow doors are the decision module with a datagram socket. What a run has not measured by its time limit has no figure, and its aim is missed.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -10,8 +10,9 @@
 
 from benchmarks.result import Result
 
-SUBJECTS = ("council", "door", "fleet", "limits", "scenarios", "simulation")
-TWO_SIDED = ("door",)
+SUBJECTS = ("council", "door", "fleet", "limits", "scale", "scenarios", "simulation")
+TWO_SIDED = ("door", "scale")
+FILED = ("scale",)
 
 
 def first_line(name: str) -> str:
@@ -24,8 +25,12 @@
 @click.option("--json", "as_json", is_flag=True, help="One JSON object, and no progress.")
 @click.option("--seed", type=int, default=1, metavar="N", show_default=True)
 @click.option("--against", type=click.Path(exists=True, file_okay=False, resolve_path=True), metavar="DIR",
-              help="door: also measure the front door of another checkout, in the same rounds.")
-def main(name: str, quick: bool, as_json: bool, seed: int, against: str | None) -> None:
+              help="door, scale: also measure the front door of another checkout, in the same run.")
+@click.option("--out", type=click.Path(dir_okay=False, resolve_path=True), metavar="FILE",
+              help="scale: also write the result as JSON to a file.")
+def main(
+    name: str, quick: bool, as_json: bool, seed: int, against: str | None, out: str | None
+) -> None:
     """Measure one subject and end with the exit code of its aims."""
     if name == "list":
         docs = {subject: first_line(subject) for subject in SUBJECTS}
@@ -34,7 +39,9 @@
         return
     if against and name not in TWO_SIDED:
         raise click.UsageError(f"--against: only for {', '.join(TWO_SIDED)}")
-    more = {"against": against} if against else {}
+    if out and name not in FILED:
+        raise click.UsageError(f"--out: only for {', '.join(FILED)}")
+    more = {key: value for key, value in (("against", against), ("out", out)) if value}
     result: Result = importlib.import_module(f"benchmarks.{name}").measure(quick, seed, not as_json, **more)
     if as_json:
         click.echo(result.json())
--- /dev/null
+++ b/benchmarks/scale/moves.py
@@ -0,0 +1,228 @@
+"""The moves of a run: each is played on stages and gives figures by name.
+
+Quick and full runs play the same ones; only spans differ.
+"""
+
+import asyncio
+import time
+from collections.abc import Mapping
+from random import Random
+
+from benchmarks.result import quantile
+from benchmarks.scale.catalogue import DELETED, SERVING
+from benchmarks.scale.day import FORCE_S, SEEN_S, Day, unix_ms
+from benchmarks.scale.hollow import DATAGRAM_HEAD_BYTES
+from benchmarks.scale.stage import Stage, Window
+from benchmarks.scale.tier import ZONES, Tier
+from rig.doors import Door
+
+RACK, ZONE = 40, 3
+TOLD_S = 1.0  # from when backends die to the word of it
+BURST, BURST_EVERY_S = 60, 0.05  # changes one after the other, to see what one costs
+SETTLE_S = 2.5
+MOST_RESTARTS_S = 20.0  # no further round begins after that
+Figures = dict[str, float]
+
+
+def tier_of(backends: int, doors: int, tenants: int, seed: int, port: int) -> Tier:
+    return Tier(doors, tenants, min(4, doors), seed, port)
+
+
+def latencies(window: Window, names: list[str]) -> Figures:
+    took = window.times_ms(names)
+    if not took:
+        return {}
+    return {"p50_ms": quantile(took, 0.5), "p99_ms": quantile(took, 0.99)}
+
+
+def request_us(window: Window, names: list[str]) -> float:
+    """CPU of the doors for each request that came to them, in microseconds."""
+    due = window.total("due", names) - window.total("unsent", names)
+    return sum(window.cpu_s[name] for name in names) * 1e6 / max(1, due)
+
+
+async def ordinary(
+    stages: Mapping[str, Stage], random: Random, seconds: float, bare: str
+) -> dict[str, Figures]:
+    """Traffic and an ordinary day's changes on all stages at once; `bare` names the pass-through's stream."""
+    days = [Day(stage, random) for stage in stages.values()]
+    for stage in stages.values():
+        await stage.ask("backends", "take")
+    for day in days:
+        day.start()
+    looks = [await stage.look() for stage in stages.values()]
+    await asyncio.sleep(seconds)
+    windows = [await look.window() for look in looks]
+    for day in days:
+        await day.end()
+    found: dict[str, Figures] = {}
+    for (kind, stage), window, day in zip(stages.items(), windows, days, strict=True):
+        figures = {"request_us": request_us(window, stage.names), **latencies(window, stage.names),
+                   "served_share": window.served_share(stage.names),
+                   "driver_late_p99_ms": quantile(window.times_ms(stage.names, "late_ms") or [0.0], 0.99),
+                   **forced(day), **await words(stage), **memory(stage)}
+        if bare in window.requests:
+            figures |= {f"bare_{name}": figure for name, figure in latencies(window, [bare]).items()}
+        connects = await stage.ask("backends", "take")
+        figures["connects_per_s"] = connects["connects"] / window.seconds
+        found[kind] = figures
+    return found
+
+
+def forced(day: Day) -> Figures:
+    if not day.force_s:
+        return {"force_seen": 0}
+    return {"force_s": max(day.force_s), "force_seen": day.seen}
+
+
+def memory(stage: Stage) -> Figures:
+    sizes = [real.memory_mb() for real in stage.real]
+    return {"memory_mb": max(now for now, _ in sizes), "peak_memory_mb": max(most for _, most in sizes)}
+
+
+async def words(stage: Stage) -> Figures:
+    """Datagrams of the real doors with hollow ones, as means of a door."""
+    taken = await stage.hollow_do("take")
+    found = {name: sum(count[name] / part["seconds"] for part in taken for count in part["doors"].values())
+             / len(stage.all)
+             for name in ("sent_datagrams", "received_datagrams", "sent_bytes", "received_bytes")}
+    datagrams = found["sent_datagrams"] + found["received_datagrams"]
+    payload = found["sent_bytes"] + found["received_bytes"]
+    return {"hollow_skips": sum(part["skips"] for part in taken), "datagrams_per_s": datagrams,
+            "words_payload_bytes_per_s": payload,
+            "words_bytes_per_s": payload + datagrams * DATAGRAM_HEAD_BYTES}
+
+
+async def idle(stage: Stage, random: Random, seconds: float) -> Figures:
+    """No traffic of its own: the day's changes with peers' words, then without; then many changes at once."""
+    figures: Figures = {}
+    await asyncio.sleep(SETTLE_S)
+    for name, quiet in (("control_share_with_words", False), ("control_share", True)):
+        await stage.hollow_do("pause", on=quiet)
+        await asyncio.sleep(1.0)
+        day = Day(stage, random)
+        look = await stage.look()
+        day.start()
+        await asyncio.sleep(seconds)
+        window = await look.window()
+        sent = await stage.ask("agent", "take")
+        await day.end()
+        figures[name] = max(window.cpu_s[real] for real in stage.names) / window.seconds
+        bytes_sent = [sent[str(real.number)]["changes"] for real in stage.real]
+        figures["changes_bytes_per_s"] = max(bytes_sent) / window.seconds
+        figures["changes_per_s"] = day.changes / window.seconds
+        figures["bytes_a_change"] = day.line_bytes / max(1, day.changes)
+    figures["change_us"] = await change_us(stage, random, figures["control_share"])
+    await stage.hollow_do("pause", on=False)
+    return figures
+
+
+async def change_us(stage: Stage, random: Random, share: float) -> float:
+    """CPU of a door for one change, in microseconds, less what it takes with hardly any."""
+    look = await stage.look()
+    for _ in range(BURST):
+        number = random.randrange(stage.size.backends)
+        await stage.ask("agent", "change", changes=[(number, SERVING, unix_ms())])
+        await asyncio.sleep(BURST_EVERY_S)
+    await asyncio.sleep(0.5)
+    window = await look.window()
+    cpu_s = sum(window.cpu_s[name] for name in stage.names) / len(stage.names)
+    return max(0.0, cpu_s - share * window.seconds) * 1e6 / BURST
+
+
+async def lose(stage: Stage, numbers: list[int], seconds: float) -> tuple[Window, Figures, float]:
+    """These die at once, and the word of it comes a little later."""
+    had = await stage.ask("backends", "last", since_s=time.monotonic() - SEEN_S, numbers=numbers)
+    look = await stage.look()
+    await stage.ask("backends", "gone", numbers=numbers)
+    await asyncio.sleep(TOLD_S)
+    told = await stage.ask("agent", "change", changes=[(number, DELETED, 0) for number in numbers])
+    await asyncio.sleep(seconds)
+    window = await look.window()
+    last = await stage.ask("backends", "last", since_s=told["at_s"], numbers=numbers)
+    force = [max(0.0, last.get(door, told["at_s"]) - told["at_s"]) for door in had]
+    figures = {"served_share": window.served_share(stage.names), **latencies(window, stage.names),
+               "force_s": max(force, default=0.0), "force_seen": len(force), "line_bytes": told["line_bytes"]}
+    return window, figures, float(told["at_s"])
+
+
+async def rack(stage: Stage, random: Random, seconds: float) -> Figures:
+    """A rack of 40 gone at once: those that doors ask most, as the others would not show."""
+    used = await stage.ask("backends", "used", since_s=time.monotonic() - SEEN_S)
+    asked = [number for counts in used.values() for number, _ in counts[: RACK // len(used) + 1]]
+    rest = random.sample(range(stage.size.backends), min(RACK, stage.size.backends))
+    numbers = list(dict.fromkeys([*asked, *rest]))[:RACK]
+    _, figures, _ = await lose(stage, numbers, seconds)
+    return figures
+
+
+async def zone(stage: Stage, seconds: float) -> Figures:
+    """A zone of 26 lost, and back cold as backends of new names."""
+    size = stage.size.backends
+    numbers = list(range(ZONE, size, ZONES))
+    before = await stage.ask("backends", "used", since_s=time.monotonic() - SEEN_S)
+    _, figures, told_s = await lose(stage, numbers, seconds)
+    after = await stage.ask("backends", "used", since_s=told_s)
+    figures |= {"asked_before": least(before), "asked_after": least(after)}
+    base = stage.next_number - stage.next_number % ZONES + ZONES + ZONE
+    back = [base + at * ZONES for at in range(len(numbers))]
+    stage.next_number = back[-1]
+    look, now_ms = await stage.look(), unix_ms()
+    told = await stage.ask("agent", "change", changes=[(number, SERVING, now_ms) for number in back])
+    await asyncio.sleep(seconds)
+    window = await look.window()
+    cold = await stage.ask("backends", "busiest", since_s=told["at_s"], numbers=back)
+    return {**figures, "back_served_share": window.served_share(stage.names),
+            "back_line_bytes": told["line_bytes"],
+            **{f"back_{name}": figure for name, figure in latencies(window, stage.names).items()},
+            "back_cold_most_per_s": cold["most"], "back_cold_requests": cold["all"]}
+
+
+def least(used: Mapping[str, list[list[int]]]) -> int:
+    """The fewest backends that a door asked."""
+    return min((len(counts) for counts in used.values()), default=0)
+
+
+async def reset(stage: Stage, random: Random, seconds: float) -> Figures:
+    """Discovery is back with a whole list for everybody, and a change right behind it."""
+    day, look = Day(stage, random), await stage.look()
+    sent = await stage.ask("agent", "reset")
+    used = await stage.ask("backends", "used", since_s=time.monotonic() - SEEN_S)
+    await day.drain([number for counts in used.values() for number, _ in counts[:3]], max(seconds, FORCE_S))
+    window = await look.window()
+    return {"served_share": window.served_share(stage.names), **latencies(window, stage.names),
+            "whole_bytes": sent["line_bytes"], **forced(day),
+            "share": max(window.cpu_s[name] for name in stage.names) / window.seconds, **memory(stage)}
+
+
+async def restarts(stage: Stage, rounds: int) -> Figures:
+    """All real doors die and start anew at once, with the whole list in their configuration."""
+    ready: list[float] = []
+    serves: list[float] = []
+    began_s = time.monotonic()
+    for _ in range(rounds):
+        if time.monotonic() - began_s > MOST_RESTARTS_S:
+            break
+        for real in stage.real:
+            await stop(real.door)
+        for ready_s, served_s in await asyncio.gather(*(stage.start_door(real) for real in stage.real)):
+            ready.append(ready_s)
+            serves.append(served_s)
+    return {"starts": len(ready), "ready_s": quantile(ready, 0.9), "slowest_ready_s": max(ready),
+            "first_served_s": quantile(serves, 0.9)}
+
+
+async def stop(door: Door) -> None:
+    door.kill()
+    await door.ended.wait()
+
+
+async def fresh(stage: Stage) -> Figures:
+    """One door starts with no list at all and has to read the whole of it from discovery."""
+    real = stage.real[0]
+    await stop(real.door)
+    real.door.write_config(known={})
+    ready_s, served_s = await stage.start_door(real)
+    before = (await stage.ask("agent", "take"))[str(real.number)]
+    return {"fresh_ready_s": ready_s, "fresh_served_s": served_s, "fresh_whole_bytes": before["whole"],
+            "fresh_calls": before["calls"], **{f"fresh_{name}": mb for name, mb in memory(stage).items()}}
--- /dev/null
+++ b/benchmarks/scale/play.py
@@ -0,0 +1,115 @@
+"""The order of a run: the full size beside a small one."""
+
+import asyncio
+import os
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from random import Random
+
+from benchmarks.scale import moves
+from benchmarks.scale.doors import counts_in
+from benchmarks.scale.figures import joined, named, rounded
+from benchmarks.scale.moves import Figures
+from benchmarks.scale.stage import Size, Stage
+from benchmarks.scale.tier import backend_address
+from benchmarks.turns import MARK
+from rig.doors import die_with_parent
+from rig.sockets import Address, own_host
+
+FULL, SMALL = Size(93_000, 7_500, 170_000, 4, turns=True), Size(200, 16, 363, 2)
+BARE = "bare"
+FIRST_PORT, PORTS, PORTS_A_RUN = 20_000, 400, 30  # for peers: below those that the system hands out
+
+
+@dataclass(frozen=True, slots=True)
+class Spans:
+    """How long moves last, in seconds, and how often some are played."""
+
+    warm: float
+    traffic: float
+    idle: float
+    loss: float
+    restarts: int
+    ladders: bool
+
+
+QUICK, WHOLE = Spans(2.0, 5.0, 3.0, 2.5, 3, False), Spans(4.0, 20.0, 15.0, 6.0, 3, True)
+
+
+class Run:
+    """One run of one side: the front door of `root`, or of this checkout."""
+
+    def __init__(self, spans: Spans, seed: int, root: str, progress: bool, run: int = 0) -> None:
+        self.spans, self.seed, self.root, self.progress = spans, seed, root, progress
+        self.random, self.host = Random(seed), own_host()
+        self.parts: dict[str, Figures] = {}  # by move: also what a run had that ran out of time
+        self.small: Figures = {}
+        self.turns: dict[str, float] = {}
+        self.port = FIRST_PORT + os.getpid() % PORTS * PORTS_A_RUN + run * PORTS_A_RUN // 2
+
+    def say(self, text: str) -> None:
+        if self.progress:
+            print(f"scale{' (against)' if self.root else ''}: {text}", file=sys.stderr, flush=True)
+
+    def stage(self, size: Size, **more: object) -> Stage:
+        self.port += 1
+        tier = moves.tier_of(size.backends, size.doors, size.tenants, self.seed, self.port)
+        return Stage(size, tier, self.host, self.root, **more)  # type: ignore[arg-type]
+
+    async def main(self) -> None:
+        """All moves at the full size, with a small tier beside it while requests are measured."""
+        full, small = self.stage(FULL), self.stage(SMALL)
+        try:
+            starts, _ = await asyncio.gather(full.start(), small.start())
+            self.note("starts", {"ready_s": max(ready for ready, _ in starts)})
+            async with passthrough(full) as bare:
+                await asyncio.gather(full.begin_load({BARE: bare}), small.begin_load())
+                await asyncio.sleep(self.spans.warm)
+                sides = {"full": full, "small": small}
+                both = await moves.ordinary(sides, self.random, self.spans.traffic, BARE)
+                self.small = both["small"]
+                self.note("ordinary", both["full"])
+                await small.end()
+                self.note("rack", await moves.rack(full, self.random, self.spans.loss))
+                self.note("zone", await moves.zone(full, self.spans.loss))
+                self.note("reset", await moves.reset(full, self.random, self.spans.loss))
+                await full.end_load()
+            if full.watched:
+                self.turns = counts_in(await full.watched.end(), MARK)
+                full.watched = None
+            self.note("idle", await moves.idle(full, self.random, self.spans.idle))
+            self.note("restart", await moves.restarts(full, self.spans.restarts))
+            self.note("start", await moves.fresh(full))
+        finally:
+            await asyncio.gather(full.end(), small.end())
+
+    def note(self, move: str, figures: Figures) -> None:
+        self.parts[move] = figures
+        self.say(f"{move}: {named(figures)}")
+
+    def figures(self) -> Figures:
+        """Of all moves that were played to their end."""
+        found = joined(self.parts, FULL.backends) | joined({"ordinary": self.small}, SMALL.backends)
+        if self.turns:
+            found["longest_turn_ms_93000"] = rounded(self.turns["longest_us"] / 1000)
+        if self.small:
+            ratio = self.parts["ordinary"]["request_us"] / max(1e-9, self.small["request_us"])
+            found["request_ratio"] = rounded(ratio)
+        return found
+
+
+@asynccontextmanager
+async def passthrough(stage: Stage) -> AsyncIterator[Address]:
+    """A program that only hands bytes on, before the same backends."""
+    host, port = backend_address(-1, stage.port)  # of none that is listed
+    bare = subprocess.Popen([sys.executable, "-m", "benchmarks.passthrough", host, str(port)],
+                            stdout=subprocess.PIPE, preexec_fn=die_with_parent())
+    try:
+        assert bare.stdout is not None
+        yield host, int(await asyncio.to_thread(bare.stdout.readline))
+    finally:
+        bare.kill()
+        bare.wait()
--- /dev/null
+++ b/benchmarks/scale/tier.py
@@ -0,0 +1,146 @@
+"""The tier that is played: its doors, tenants and addresses, the same in all processes. A core.
+
+Each tenant asks at the doors of its set alike, and all tenants together ask each door for the same rate.
+Plans differ by the rate of their tenants; a tenant asks for a fixed part of its quota, so that an ordinary
+second refuses nothing, however many tenants a tier has.
+"""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import asdict, dataclass
+from random import Random
+
+from rig.member import MemberSpec
+from rig.sockets import Address
+from rig.workload import CLASSES
+from rig.world.settings import settings
+
+ZONES, CELLS = 26, 2900
+RATE = 293.0  # requests a second at each door
+QUOTA_PART = 0.7  # of its quota that a tenant asks for
+BURST_S = 4.0  # of its quota's rate that a tenant's store holds
+PLAN_TIMES = (1.0, 2.0, 4.0)  # the rates of the plans' tenants beside one another
+CEILING_TIMES = 2.0  # the last plan's ceiling, beside its quota
+MOST_CUSTOMER = 1 << 33
+PEER_NET, BACKEND_NET = 216, 200  # second bytes of loopback addresses, with as many after them as are needed
+LOOPBACK_BITS = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """A customer as requests name it, and what all doors of its set are asked for by it."""
+
+    name: str  # 16 hex digits
+    plan: int
+    first: int
+    rate: float  # a second
+
+
+@dataclass(frozen=True, slots=True)
+class Tier:
+    """As large as one is played."""
+
+    doors: int
+    tenants: int
+    spread: int
+    seed: int
+    peer_port: int  # of all doors, each at an address of its own
+
+    def shown(self) -> dict[str, object]:
+        return asdict(self)
+
+    @property
+    def base_rate(self) -> float:
+        """Of a tenant with the first plan, in requests a second."""
+        return RATE * self.doors / self.tenants * len(PLAN_TIMES) / sum(PLAN_TIMES)
+
+    def everyone(self) -> Iterator[Tenant]:
+        random, doors, base = Random(self.seed), self.doors, self.base_rate
+        for number in range(self.tenants):
+            plan = number % len(PLAN_TIMES)
+            # A name is a number of its own: the draw would meet itself with so many tenants.
+            name = f"{number * (MOST_CUSTOMER // self.tenants) + random.randrange(1 << 12):016x}"
+            yield Tenant(name, plan, random.randrange(doors), base * PLAN_TIMES[plan])
+
+    def holds(self, tenant: Tenant, door: int) -> bool:
+        return (door - tenant.first) % self.doors < self.spread
+
+    def tenants_of(self, door: int) -> list[Tenant]:
+        return [tenant for tenant in self.everyone() if self.holds(tenant, door)]
+
+    def neighbours(self, door: int) -> list[int]:
+        """The other doors that share a tenant with it."""
+        near = range(1 - self.spread, self.spread)
+        return sorted({(door + step) % self.doors for step in near} - {door})
+
+    def spaced(self, count: int) -> list[int]:
+        """So many doors, as far from one another as they can be."""
+        return [number * self.doors // count for number in range(count)]
+
+    def peers(self) -> list[str]:
+        return [shown(peer_address(door, self.peer_port)) for door in range(self.doors)]
+
+    def settings(self, door: int) -> dict[str, object]:
+        values = settings(0, self.doors, MemberSpec())
+        zones = [f"z{number:02}" for number in range(ZONES)]
+        return {**values, "me": door, "zone": door % ZONES, "zones": zones, "kinds": ["two-core"],
+                "plans": [plan(number, self.base_rate * times) for number, times in enumerate(PLAN_TIMES)]}
+
+
+def plan(number: int, asked: float) -> dict[str, object]:
+    """As the settings hold it, for tenants that ask for so much a second."""
+    quota = asked / QUOTA_PART
+    limited = CEILING_TIMES * quota if number == len(PLAN_TIMES) - 1 else 0.0
+    return {"name": f"plan-{number}", "units-per-s": quota, "burst": quota * BURST_S, "max-out": 0,
+            "value-factor": 1.0, "extra-worth": 0.0, "overrun-cost": 0.6, "never-over-rate": limited,
+            "hard-burst": limited * BURST_S, "hard-slack": 4.0 if limited else 0.0}
+
+
+def loopback(net: int, number: int, port: int) -> Address:
+    return f"127.{net + (number >> LOOPBACK_BITS)}.{number >> 8 & 255}.{number & 255}", port
+
+
+def peer_address(door: int, port: int) -> Address:
+    return loopback(PEER_NET, door, port)
+
+
+def backend_address(number: int, port: int) -> Address:
+    return loopback(BACKEND_NET, number, port)
+
+
+def backend_number(host: str) -> int:
+    """Of the backend that has an address."""
+    _, net, high, low = map(int, host.split("."))
+    return (net - BACKEND_NET << LOOPBACK_BITS) + (high << 8) + low
+
+
+def shown(address: Address) -> str:
+    return "{}:{}".format(*address)
+
+
+class Requests:
+    """What clients ask one door for: tenants and classes in their shares."""
+
+    def __init__(self, tier: Tier, door: int, tenants: Iterable[Tenant], random: Random) -> None:
+        self.door, self.random, self.spread, self.serial = door, random, tier.spread, 0
+        self.tenants = list(tenants)
+        self.weights: list[float] = []
+        for tenant in self.tenants:
+            self.weights.append(tenant.rate + (self.weights[-1] if self.weights else 0.0))
+        self.kinds = [kind.share for kind in CLASSES]
+
+    def words(self) -> list[bytes]:
+        """The next one; its id says which door it was sent to."""
+        tenant = self.random.choices(self.tenants, cum_weights=self.weights)[0]
+        kind = self.random.choices(CLASSES, self.kinds)[0]
+        self.serial += 1
+        name = f"{self.door:04x}{self.random.getrandbits(16):04x}{self.serial:08x}"
+        fields = f"c={kind.name},t=plan-{tenant.plan},d=1900"
+        if kind.effect.value == "idempotency_key":
+            fields += f",k={name}"
+        fields += f",units=1,spread={self.spread},first={tenant.first}"
+        verb = [b"SVC.SUBMIT"] if kind.is_write else [b"SVC.QUERY"]
+        return [*verb, tenant.name.encode(), name.encode(), fields.encode(), *([b"body"] * kind.is_write)]
+
+
+def door_of(request_id: bytes) -> int:
+    return int(request_id[:4], 16)
--- /dev/null
+++ b/tests/benchmarks/test_scale_hollow.py
@@ -0,0 +1,190 @@
+"""What is hollow in a scale run speaks the bytes that real ones read and write."""
+
+import asyncio
+import json
+import random
+import time
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from benchmarks.scale.agent import Agent
+from benchmarks.scale.backends import Backends
+from benchmarks.scale.catalogue import DELETED, DRAINING, SERVING, Catalogue, Change
+from benchmarks.scale.hollow import Hollow, configuration
+from benchmarks.scale.load import Load
+from benchmarks.scale.tier import Requests, Tier, backend_address, peer_address
+from fennelwinch import interface as i
+from fennelwinch.codec import pack_words, unpack_words
+from molereach.door.calls import CallPacing
+from molereach.door.catalog import Catalog, News
+from molereach.door.source import Source
+from rig.clients import encode
+from rig.sockets import free_datagram_port, own_host
+
+WAIT_S = 5.0
+TIER = Tier(doors=8, tenants=40, spread=3, seed=3, peer_port=1)
+
+
+def played(test: Callable[[], Awaitable[None]]) -> None:
+    asyncio.run(asyncio.wait_for(test(), WAIT_S))
+
+
+def test_list_is_json_at_each_version_and_says_what_became_of_each() -> None:
+    catalogue = Catalogue(30, 7)
+    line = catalogue.change([Change(3, DRAINING), Change(4, DELETED), Change(30, SERVING, 5)])
+    told = json.loads(line)
+    assert (told["generation"], told["reset"]) == (2, False)
+    assert [entry["lifecycle"] for entry in told["instances"]] == [DRAINING, DELETED, SERVING]
+    whole = json.loads(catalogue.whole())
+    assert whole["reset"] and whole["generation"] == 2 and len(whole["instances"]) == 30
+    assert len({entry["hostPort"] for entry in whole["instances"]}) == 30
+    assert catalogue.since(2) == b"" and json.loads(catalogue.since(1)) == told
+    catalogue.forget()
+    assert json.loads(catalogue.since(2))["reset"] and catalogue.since(catalogue.version) == b""
+
+
+async def follow(agent: Agent, version: int | None, news: "asyncio.Queue[News]") -> Source:
+    """A real reader of the agent's first address."""
+    address = (await agent.do_begin(2_000, 7, [0]))["addresses"][0]  # type: ignore[index]
+    catalog = Catalog(configuration(TIER, 0))
+    source = Source(address, catalog, version, lambda _, heard: news.put_nowait(heard),
+                    CallPacing(1, must_ask=False), random.Random(1).random)
+    return source
+
+
+@pytest.mark.parametrize("version", [None, 1])
+def test_real_reader_takes_over_the_agents_list_changes_and_reset(version: int | None) -> None:
+    async def play() -> None:
+        agent, news = Agent(), asyncio.Queue[News]()
+        source = await follow(agent, version, news)
+        running = asyncio.get_running_loop().create_task(source.run())
+        try:
+            if version is None:  # asked for whole, and then watched
+                heard = await news.get()
+                assert heard.event.kind is i.ListKind.FULL and len(heard.event.servers) == 2_000
+                assert heard.addresses["s-00000007"] == backend_address(7, 7)
+            while not agent.watching:
+                await asyncio.sleep(0.01)
+            told = await agent.do_change([(7, DRAINING, 0), (2_000, SERVING, 5)])
+            heard = await news.get()
+            assert told["watching"] == 1 and heard.event.kind is i.ListKind.CHANGES
+            assert [server.name for server in heard.event.servers] == ["s-00000007", "s-000007d0"]
+            sent = await agent.do_take()
+            assert sent["0"]["changes"] > told["line_bytes"]  # type: ignore[index,operator]
+            await agent.do_reset()
+            heard = await news.get()
+            assert heard.event.kind is i.ListKind.FULL and len(heard.event.servers) == 2_001
+            assert source.version == agent.version
+        finally:
+            running.cancel()
+            if agent.beats:
+                agent.beats.cancel()
+
+    played(play)
+
+
+def test_a_watch_of_an_old_version_is_told_the_whole_list() -> None:
+    catalogue = Catalogue(5, 7)
+    catalogue.change([Change(1, DRAINING)])
+    assert json.loads(catalogue.since(0))["reset"] and json.loads(catalogue.since(9))["reset"]
+
+
+def test_hollow_home_hears_and_answers_a_real_doors_words() -> None:
+    async def play() -> None:
+        _, port = free_datagram_port(own_host())
+        tier = Tier(doors=8, tenants=40, spread=3, seed=3, peer_port=port)
+        # Of a tenant at doors 0 to 2 whose home is 1, asked for at 0, which is the real one here.
+        key = next(number for number in range(9) if number % 3 == 1)
+        hollow, answers = Hollow(), asyncio.Queue[bytes]()
+
+        class Real(asyncio.DatagramProtocol):
+            def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
+                if address == peer_address(1, port):
+                    answers.put_nowait(data)
+
+        transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+            Real, local_addr=peer_address(0, port))
+        await hollow.do_begin(tier.shown(), [0], [1], [])
+        await hollow.do_pause(True)
+        (data,) = pack_words([i.Word(key, 0, 0, 3, asked=1.0, demand=1.0)])
+        try:
+            transport.sendto(data, peer_address(1, port))
+            heard: tuple[i.Word, ...] = ()
+            while not any(word.is_answer and word.customer == key for word in heard):
+                heard = unpack_words(await answers.get())
+            taken = await hollow.do_take()
+            counts = taken["doors"]["0"]  # type: ignore[index]
+            assert counts["sent_datagrams"] == 1 and counts["sent_bytes"] == len(data)
+            assert counts["received_datagrams"] >= 1
+        finally:
+            await hollow.do_end()
+            transport.close()
+
+    played(play)
+
+
+def test_hollow_doors_tell_a_real_home_what_its_tenants_ask_for() -> None:
+    async def play() -> None:
+        _, port = free_datagram_port(own_host())
+        tier = Tier(doors=8, tenants=40, spread=3, seed=3, peer_port=port)
+        words: asyncio.Queue[i.Word] = asyncio.Queue()
+
+        class Real(asyncio.DatagramProtocol):
+            def datagram_received(self, data: bytes, address: tuple[str, int]) -> None:
+                for word in unpack_words(data):
+                    words.put_nowait(word)
+
+        transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+            Real, local_addr=peer_address(0, port))
+        hollow = Hollow()
+        begun = await hollow.do_begin(tier.shown(), [0], tier.neighbours(0), [])
+        try:
+            assert begun["doors"] == 4 and begun["rate"] > 0  # type: ignore[operator]
+            seen = {(word.set_first, word.set_size) for word in [await words.get() for _ in range(20)]
+                    if word.plan_index != i.SPLIT_MARK}
+            assert seen and all(size == 3 and (0 - first) % 8 < 3 for first, size in seen)
+        finally:
+            await hollow.do_end()
+            transport.close()
+
+    played(play)
+
+
+def test_backends_know_who_asked_which_of_them_and_reset_when_gone() -> None:
+    async def play() -> None:
+        backends = Backends()
+        port = int((await backends.do_begin())["port"])  # type: ignore[call-overload]
+        began_s = time.monotonic()
+        request = Requests(TIER, 5, TIER.tenants_of(5), random.Random(1)).words()
+        reader, writer = await asyncio.open_connection(*backend_address(70_000, port))
+        writer.write(encode(request))
+        assert (await reader.readline()).startswith(b"*3")
+        assert await backends.do_used(began_s) == {"5": [(70_000, 1)]}
+        assert (await backends.do_last(began_s, [70_000])).keys() == {"5"}
+        assert await backends.do_last(began_s, [70_001]) == {}
+        assert (await backends.do_busiest(began_s, [70_000]))["most"] == 1
+        await backends.do_gone([70_000])
+        with pytest.raises(ConnectionError):
+            while await reader.read(1 << 10):
+                pass
+        writer.close()
+
+    played(play)
+
+
+def test_load_asks_at_its_rate_and_counts_what_comes_back() -> None:
+    async def play() -> None:
+        backends, load = Backends(), Load()
+        port = int((await backends.do_begin())["port"])  # type: ignore[call-overload]
+        address = backend_address(3, port)
+        begun = await load.do_begin(TIER.shown(), {"one": (0, address), "none": (1, ("127.0.0.1", 1))}, 400.0)
+        assert begun == {"one": len(TIER.tenants_of(0)), "none": len(TIER.tenants_of(1))}
+        while load.streams["one"].counts["served"] < 20 or not load.streams["none"].counts["lost"]:
+            await asyncio.sleep(0.01)
+        taken = await load.do_end()
+        one, none = taken["one"], taken["none"]
+        assert one["due"] >= one["served"] == len(one["took_ms"]) >= 20  # type: ignore[index]
+        assert none["served"] == 0 and none["lost"] > 0 and not load.streams  # type: ignore[index]
+
+    played(play)
