Scale run: slopes by backends, doors and tenants, and hollow doors beside real ones

A figure at the size that is coming needs a slope with its sizes, fit and residual; and a hollow door is only worth something if it costs others what a real one does.

Ladders raise one thing at a time: the tier of 16 doors from 200 to 93,000 backends, 200 to 7,500 doors before 20,000 backends, 20 to 3,400 tenants of a door. Eight real doors, and four beside four hollow ones, are measured by a front door that counts its peers' datagrams. Quotas hold 16 units at least: at 3,400 tenants a door a fifth was refused, as parts of stores held no whole request.

--- a/benchmarks/scale/figures.py
+++ b/benchmarks/scale/figures.py
@@ -63,4 +63,6 @@
     if "words_bytes_per_s" in ordinary and "changes_bytes_per_s" in idle:
         network = ordinary["words_bytes_per_s"] + idle["changes_bytes_per_s"]
         found[f"control_bytes_per_s_{size}"] = rounded(network)
+        payload = ordinary["words_payload_bytes_per_s"] + idle["changes_bytes_per_s"]
+        found[f"control_payload_bytes_per_s_{size}"] = rounded(payload)
     return found
--- /dev/null
+++ b/benchmarks/scale/ladders.py
@@ -0,0 +1,137 @@
+"""Slopes: doors measured at several sizes of one thing while the others stay, and what a hollow door costs.
+
+Tenants that a door knows are those of its sets: their number is what a slope is taken over, and the tier's
+number of tenants is how it is reached.
+"""
+
+import asyncio
+import signal
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from random import Random
+
+from benchmarks.scale import doors, moves
+from benchmarks.scale.counted import MARK
+from benchmarks.scale.doors import counts_in
+from benchmarks.scale.figures import rounded
+from benchmarks.scale.fit import Fit, fit
+from benchmarks.scale.moves import Figures
+from benchmarks.scale.stage import Size, Stage
+
+MB = 1 << 20
+REAL = 2
+BACKENDS = [Size(backends, 16, 363, REAL) for backends in (200, 2_000, 20_000, 93_000)]
+DOORS = [Size(20_000, count, count * 170 // 7, REAL) for count in (200, 1_000, 7_500)]
+TENANTS = [Size(2_000, 200, tenants, REAL) for tenants in (1_000, 20_000, 170_000)]
+EIGHT, HALF = Size(200, 8, 181, 8), Size(200, 8, 181, 4)  # a tier that is small enough to be all real
+SPREAD = 4  # doors of a tenant's set
+
+
+@dataclass(frozen=True, slots=True)
+class Ladder:
+    """What is raised, and the figures that are fitted over it: name of the slope, figure, its unit in it."""
+
+    name: str
+    sizes: Sequence[Size]
+    over: Callable[[Size], float]
+    fitted: dict[str, tuple[str, float]]
+    to: float  # the size that is coming
+
+
+LADDERS = (
+    Ladder("backends", BACKENDS, lambda size: size.backends, {
+        "bytes_a_backend": ("memory_mb", MB), "peak_bytes_a_backend": ("peak_memory_mb", MB),
+        "request_ns_a_backend": ("request_us", 1000), "change_ns_a_backend": ("change_us", 1000),
+    }, 93_000),
+    Ladder("doors", DOORS, lambda size: size.doors, {
+        "bytes_a_door": ("memory_mb", MB), "request_ns_a_door": ("request_us", 1000),
+        "word_bytes_per_s_a_door": ("words_bytes_per_s", 1),
+    }, 7_500),
+    Ladder("tenants", TENANTS, lambda size: size.tenants * SPREAD / size.doors, {
+        "bytes_a_tenant": ("memory_mb", MB), "request_ns_a_tenant": ("request_us", 1000),
+    }, 170_000 * SPREAD / 7_500),
+)
+
+MakeStage = Callable[..., Stage]
+
+
+async def rung(make: MakeStage, size: Size, warm_s: float, seconds: float, changes: bool) -> Figures:
+    """Memory and CPU of doors at one size, under their traffic and then without."""
+    stage = make(size)
+    try:
+        await stage.start()
+        await stage.begin_load()
+        await asyncio.sleep(warm_s)
+        look = await stage.look()
+        await asyncio.sleep(seconds)
+        window = await look.window()
+        found = {"request_us": moves.request_us(window, stage.names),
+                 "served_share": window.served_share(stage.names), **moves.memory(stage),
+                 **await moves.words(stage)}
+        await stage.end_load()
+        if changes:
+            await stage.hollow_do("pause", on=True)
+            await asyncio.sleep(moves.SETTLE_S)
+            still = await stage.look()
+            await asyncio.sleep(seconds / 2)
+            rest = await still.window()
+            share = sum(rest.cpu_s.values()) / len(rest.cpu_s) / rest.seconds
+            found["change_us"] = await moves.change_us(stage, Random(1), share)
+        return found
+    finally:
+        await stage.end()
+
+
+async def climb(
+    make: MakeStage, ladder: Ladder, warm_s: float, seconds: float, say: Callable[[str], None]
+) -> tuple[Figures, dict[str, dict[str, object]]]:
+    """The figures of each rung by its size, and the fits."""
+    figures: Figures = {}
+    rungs: list[tuple[float, Figures]] = []
+    for size in ladder.sizes:
+        found = await rung(make, size, warm_s, seconds, ladder.name == "backends")
+        rungs.append((ladder.over(size), found))
+        say(f"{ladder.name} {ladder.over(size):g}: {found}")
+        figures |= {f"{ladder.name}_{round(ladder.over(size))}_{name}": rounded(figure)
+                    for name, figure in found.items()}
+    fits: dict[str, dict[str, object]] = {}
+    for name, (figure, unit) in ladder.fitted.items():
+        line: Fit = fit([(at, found[figure] * unit) for at, found in rungs if figure in found])
+        fits[name] = {"of": figure, "over": ladder.name, **line.shown(ladder.to)}
+        figures[name] = rounded(line.slope)
+    return figures, fits
+
+
+async def beside(make: MakeStage, warm_s: float, seconds: float) -> Figures:
+    """What a door receives and costs among 7 real ones, and among 3 real and 4 hollow ones."""
+    found: Figures = {}
+    for side, size, hollow in (("real", EIGHT, []), ("hollow", HALF, [4, 5, 6, 7])):
+        stage = make(size, numbers=range(size.real), hollow=hollow, of=doors.COUNTED)
+        try:
+            await stage.start()
+            await stage.begin_load()
+            await asyncio.sleep(warm_s)
+            look = await stage.look()
+            signal_all(stage, signal.SIGUSR1)
+            await asyncio.sleep(seconds)
+            signal_all(stage, signal.SIGUSR2)
+            window = await look.window()
+            await asyncio.sleep(0.2)  # for the lines to come
+            compared = stage.real[: HALF.real]
+            counts = [counts_in(list(real.door.log), MARK) for real in compared]
+            for what in ("datagrams", "bytes"):
+                each = [count[what] / count["seconds"] for count in counts if count]
+                found[f"beside_{side}_{what}_per_s"] = rounded(sum(each) / max(1, len(each)))
+            share = sum(window.cpu_s[real.name] for real in compared) / window.seconds / len(compared)
+            found[f"beside_{side}_cpu_share"] = rounded(share)
+            found[f"beside_{side}_request_us"] = rounded(
+                moves.request_us(window, [real.name for real in compared]))
+            found[f"beside_{side}_served_share"] = rounded(window.served_share(stage.names))
+        finally:
+            await stage.end()
+    return found
+
+
+def signal_all(stage: Stage, number: signal.Signals) -> None:
+    for real in stage.real:
+        real.door.signal(number)
--- a/benchmarks/scale/measure.py
+++ b/benchmarks/scale/measure.py
@@ -19,15 +19,19 @@
     spans = QUICK if quick else WHOLE
     figures: dict[str, float] = {}
     unfinished: dict[str, str] = {}
+    fits: dict[str, object] = {}
     for number, (side, root) in enumerate({"": "", **({"against_": against} if against else {})}.items()):
         run = Run(spans, seed, root, progress, number)
         try:
             async with asyncio.timeout(QUICK_LIMIT_S if quick else LIMIT_S):
                 await run.main()
+                if not root:  # the slopes are this program's
+                    await run.more()
         except (OSError, RuntimeError, TimeoutError) as error:
             unfinished[side or "this"] = f"{type(error).__name__}: {error}"
+        fits |= run.fits
         figures |= {f"{side}{name}": figure for name, figure in run.figures().items()}
-    return figures, {"unfinished": unfinished}
+    return figures, {"unfinished": unfinished, "fits": fits}
 
 
 def measure(quick: bool, seed: int, progress: bool, against: str = "", out: str = "") -> Result:
--- a/benchmarks/scale/play.py
+++ b/benchmarks/scale/play.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from benchmarks.scale import moves
+from benchmarks.scale import ladders, moves
 from benchmarks.scale.doors import counts_in
 from benchmarks.scale.figures import joined, named, rounded
 from benchmarks.scale.moves import Figures
@@ -33,10 +33,12 @@
     idle: float
     loss: float
     restarts: int
-    ladders: bool
+    ladders: bool = False
+    rung_warm: float = 10.0  # a door forgets a tenant that has not asked for so long
+    rung: float = 6.0
 
 
-QUICK, WHOLE = Spans(2.0, 5.0, 3.0, 2.5, 3, False), Spans(4.0, 20.0, 15.0, 6.0, 3, True)
+QUICK, WHOLE = Spans(2.0, 5.0, 3.0, 2.5, 3), Spans(4.0, 20.0, 15.0, 6.0, 3, ladders=True)
 
 
 class Run:
@@ -48,6 +50,8 @@
         self.parts: dict[str, Figures] = {}  # by move: also what a run had that ran out of time
         self.small: Figures = {}
         self.turns: dict[str, float] = {}
+        self.extra: Figures = {}
+        self.fits: dict[str, dict[str, object]] = {}
         self.port = FIRST_PORT + os.getpid() % PORTS * PORTS_A_RUN + run * PORTS_A_RUN // 2
 
     def say(self, text: str) -> None:
@@ -86,6 +90,16 @@
         finally:
             await asyncio.gather(full.end(), small.end())
 
+    async def more(self) -> None:
+        """What a hollow door costs others beside a real one, and in a whole run the ladders."""
+        spans = self.spans
+        self.extra = await ladders.beside(self.stage, spans.warm, spans.traffic / 2)
+        self.say(f"beside: {self.extra}")
+        for ladder in ladders.LADDERS if spans.ladders else ():
+            figures, fits = await ladders.climb(self.stage, ladder, spans.rung_warm, spans.rung, self.say)
+            self.extra |= figures
+            self.fits |= fits
+
     def note(self, move: str, figures: Figures) -> None:
         self.parts[move] = figures
         self.say(f"{move}: {named(figures)}")
@@ -98,7 +112,7 @@
         if self.small:
             ratio = self.parts["ordinary"]["request_us"] / max(1e-9, self.small["request_us"])
             found["request_ratio"] = rounded(ratio)
-        return found
+        return found | self.extra
 
 
 @asynccontextmanager
--- a/benchmarks/scale/tier.py
+++ b/benchmarks/scale/tier.py
@@ -17,7 +17,8 @@
 ZONES, CELLS = 26, 2900
 RATE = 293.0  # requests a second at each door
 QUOTA_PART = 0.7  # of its quota that a tenant asks for
-BURST_S = 4.0  # of its quota's rate that a tenant's store holds
+BURST_S = 4.0  # of its quota's rate that a tenant's store holds,
+LEAST_BURST = 16.0  # and no fewer units: a part that holds no whole request refuses where little is asked
 PLAN_TIMES = (1.0, 2.0, 4.0)  # the rates of the plans' tenants beside one another
 CEILING_TIMES = 2.0  # the last plan's ceiling, beside its quota
 MOST_CUSTOMER = 1 << 33
@@ -90,9 +91,10 @@
     """As the settings hold it, for tenants that ask for so much a second."""
     quota = asked / QUOTA_PART
     limited = CEILING_TIMES * quota if number == len(PLAN_TIMES) - 1 else 0.0
-    return {"name": f"plan-{number}", "units-per-s": quota, "burst": quota * BURST_S, "max-out": 0,
+    burst = max(LEAST_BURST, quota * BURST_S)
+    return {"name": f"plan-{number}", "units-per-s": quota, "burst": burst, "max-out": 0,
             "value-factor": 1.0, "extra-worth": 0.0, "overrun-cost": 0.6, "never-over-rate": limited,
-            "hard-burst": limited * BURST_S, "hard-slack": 4.0 if limited else 0.0}
+            "hard-burst": CEILING_TIMES * burst if limited else 0.0, "hard-slack": 4.0 if limited else 0.0}
 
 
 def loopback(net: int, number: int, port: int) -> Address:
--- a/tests/benchmarks/test_scale_page.py
+++ b/tests/benchmarks/test_scale_page.py
@@ -64,9 +64,10 @@
 
 def test_figures_of_a_size_carry_the_moves_names_and_the_longest_time_to_force() -> None:
     parts = {"ordinary": {"p99_ms": 5.0, "bare_p99_ms": 1.5, "force_s": 0.5, "force_seen": 3,
-                          "words_bytes_per_s": 100.0},
+                          "words_bytes_per_s": 100.0, "words_payload_bytes_per_s": 60.0},
              "idle": {"changes_bytes_per_s": 20.0}, "zone": {"force_s": 2.25, "force_seen": 4}}
     found = joined(parts, 200)
     assert found["added_p99_ms_200"] == 3.5 and found["force_s_200"] == 2.25 and found["force_seen_200"] == 7
-    assert found["control_bytes_per_s_200"] == 120.0 and found["zone_force_s_200"] == 2.25
+    assert found["control_bytes_per_s_200"] == 120.0 and found["control_payload_bytes_per_s_200"] == 80.0
+    assert found["zone_force_s_200"] == 2.25
     assert rounded(0.0123456) == 0.01235 and rounded(93_000) == 93_000 and rounded(123_456.7) == 123_457
