--- a/benchmarks/scale/moves.py
+++ b/benchmarks/scale/moves.py
@@ -11,7 +11,7 @@
 from benchmarks.result import quantile
 from benchmarks.scale.catalogue import DELETED, SERVING
 from benchmarks.scale.day import FORCE_S, SEEN_S, Day, unix_ms
-from benchmarks.scale.doors import write_known
+from benchmarks.scale.doors import READY_S, write_known
 from benchmarks.scale.hollow import DATAGRAM_HEAD_BYTES
 from benchmarks.scale.stage import Stage, Window
 from benchmarks.scale.tier import ZONES, Tier
@@ -57,8 +57,9 @@
         await day.end()
     found: dict[str, Figures] = {}
     for (kind, stage), window, day in zip(stages.items(), windows, days, strict=True):
+        helpers = {f"{role}_cpu_share": spent / window.seconds for role, spent in window.helpers_s.items()}
         figures = {"request_us": request_us(window, stage.names), **latencies(window, stage.names),
-                   **shares(window, stage.names),
+                   **shares(window, stage.names), **helpers,
                    "driver_late_p99_ms": quantile(window.times_ms(stage.names, "late_ms") or [0.0], 0.99),
                    **forced(day), **await words(stage), **memory(stage)}
         if bare in window.requests:
@@ -138,7 +139,7 @@
     return max(0.0, cpu_s - share * window.seconds) * 1e6 / BURST
 
 
-async def lose(stage: Stage, numbers: list[int], seconds: float) -> tuple[Window, Figures, float]:
+async def lose(stage: Stage, numbers: list[int], seconds: float) -> Figures:
     """These die at once, and the word of it comes a little later."""
     had = await stage.ask("backends", "last", since_s=time.monotonic() - SEEN_S, numbers=numbers)
     look = await stage.look()
@@ -149,9 +150,8 @@
     window = await look.window()
     last = await stage.ask("backends", "last", since_s=told["at_s"], numbers=numbers)
     force = [max(0.0, last.get(door, told["at_s"]) - told["at_s"]) for door in had]
-    figures = {**shares(window, stage.names), **latencies(window, stage.names),
-               "force_s": max(force, default=0.0), "force_seen": len(force), "line_bytes": told["line_bytes"]}
-    return window, figures, float(told["at_s"])
+    return {**shares(window, stage.names), **latencies(window, stage.names),
+            "force_s": max(force, default=0.0), "force_seen": len(force), "line_bytes": told["line_bytes"]}
 
 
 async def rack(stage: Stage, random: Random, seconds: float) -> Figures:
@@ -160,17 +160,17 @@
     asked = [number for counts in used.values() for number, _ in counts[: RACK // len(used) + 1]]
     rest = random.sample(range(stage.size.backends), min(RACK, stage.size.backends))
     numbers = list(dict.fromkeys([*asked, *rest]))[:RACK]
-    _, figures, _ = await lose(stage, numbers, seconds)
-    return figures
+    return await lose(stage, numbers, seconds)
 
 
 async def zone(stage: Stage, seconds: float) -> Figures:
     """A zone of 26 lost, and back cold as backends of new names."""
     size = stage.size.backends
     numbers = list(range(ZONE, size, ZONES))
-    before = await stage.ask("backends", "used", since_s=time.monotonic() - SEEN_S)
-    _, figures, told_s = await lose(stage, numbers, seconds)
-    after = await stage.ask("backends", "used", since_s=told_s)
+    span_s = min(SEEN_S, seconds)
+    before = await stage.ask("backends", "used", since_s=time.monotonic() - span_s)
+    figures = await lose(stage, numbers, seconds)
+    after = await stage.ask("backends", "used", since_s=time.monotonic() - span_s)
     figures |= {"asked_before": least(before), "asked_after": least(after)}
     base = stage.next_number - stage.next_number % ZONES + ZONES + ZONE
     back = [base + at * ZONES for at in range(len(numbers))]
@@ -222,7 +222,8 @@
             ready_s, served_s = seen.pop(0)
             sent = (await stage.ask("agent", "take"))[str(first.number)]
             now_mb, most_mb = first.memory_mb()
-            found |= {"fresh_ready_s": ready_s, "fresh_served_s": served_s, "fresh_calls": sent["calls"],
+            found |= {"fresh_ready_s": ready_s, "fresh_served_s": served_s,
+                      "fresh_served": int(served_s < READY_S), "fresh_calls": sent["calls"],
                       "fresh_whole_bytes": sent["whole"], "fresh_memory_mb": now_mb,
                       "fresh_peak_memory_mb": most_mb}
         times += seen
