--- a/benchmarks/scale/ladders.py
+++ b/benchmarks/scale/ladders.py
@@ -17,6 +17,7 @@
 from benchmarks.scale.fit import Fit, fit
 from benchmarks.scale.moves import Figures
 from benchmarks.scale.stage import Size, Stage
+from benchmarks.scale.tier import SPREAD
 
 MB = 1 << 20
 REAL = 2
@@ -24,7 +25,6 @@
 DOORS = [Size(20_000, count, count * 170 // 7, REAL) for count in (200, 1_000, 7_500)]
 TENANTS = [Size(2_000, 200, tenants, REAL) for tenants in (1_000, 20_000, 170_000)]
 EIGHT, HALF = Size(200, 8, 181, 8), Size(200, 8, 181, 4)  # a tier that is small enough to be all real
-SPREAD = 4  # doors of a tenant's set
 
 
 @dataclass(frozen=True, slots=True)
--- a/benchmarks/scale/play.py
+++ b/benchmarks/scale/play.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from benchmarks.scale import ladders, moves
+from benchmarks.scale import ladders, moves, troubles
 from benchmarks.scale.doors import counts_in
 from benchmarks.scale.figures import joined, named, rounded
 from benchmarks.scale.moves import Figures
@@ -81,15 +81,15 @@
                 still(full, False)
                 self.small = both["small"]
                 self.note("ordinary", both["full"])
-                lost, _ = await asyncio.gather(moves.rack(full, self.random, self.spans.loss), small.end())
+                lost, _ = await asyncio.gather(troubles.rack(full, self.random, self.spans.loss), small.end())
                 self.note("rack", lost)
-                self.note("zone", await moves.zone(full, self.spans.loss))
-                self.note("reset", await moves.reset(full, self.random, self.spans.loss))
+                self.note("zone", await troubles.zone(full, self.spans.loss))
+                self.note("reset", await troubles.reset(full, self.random, self.spans.loss))
                 await full.end_load()
             idle = moves.idle(full, self.random, self.spans.idle, self.spans.drain)
             figures, _ = await asyncio.gather(idle, self.end_watched(full))
             self.note("idle", figures)
-            self.note("restart", await moves.restarts(full, self.spans.restarts, starts))
+            self.note("restart", await troubles.restarts(full, self.spans.restarts, starts))
         finally:
             await asyncio.gather(full.end(), small.end())
 
--- a/benchmarks/scale/measure.py
+++ b/benchmarks/scale/run.py
@@ -3,13 +3,15 @@
 import asyncio
 import json
 import os
+from dataclasses import asdict
 from pathlib import Path
 
 import uvloop
 
 from benchmarks.result import Result
 from benchmarks.scale.figures import AIMS, HOLLOW
-from benchmarks.scale.play import QUICK, WHOLE, Run
+from benchmarks.scale.play import FULL, QUICK, SMALL, WHOLE, Run
+from benchmarks.scale.tier import RATE, SPREAD
 
 LIMIT_S, QUICK_LIMIT_S = 450.0, 130.0  # of one side; what is not measured by then has no figure
 
@@ -41,7 +43,10 @@
     """`out` names a file that takes the result as JSON: the pages' figures come from there."""
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         figures, more = runner.run(compare(quick, seed, progress, against))
-    result = Result("scale", seed, AIMS, figures, {"quick": quick, "hollow": HOLLOW, **more})
+    result = Result("scale", seed, AIMS, figures, {
+        "quick": quick, "hollow": HOLLOW, "spread": SPREAD, "rate_per_s": RATE,
+        "tiers": {"full": asdict(FULL), "small": asdict(SMALL)}, **more,
+    })
     if out:
         Path(out).write_text(json.dumps(json.loads(result.json()), indent=1) + "\n")
     return result
--- a/benchmarks/scale/tier.py
+++ b/benchmarks/scale/tier.py
@@ -17,6 +17,7 @@
 
 ZONES, CELLS = 26, 2900
 RATE = 293.0  # requests a second at each door
+SPREAD = 4  # doors of a tenant's set: as many as the largest of the rig's workload
 QUOTA_PART = 0.7  # of its quota that a tenant asks for
 BURST_S = 4.0  # of its quota's rate that a tenant's store holds,
 LEAST_BURST = 16.0  # and no fewer units: a part that holds no whole request refuses where little is asked
