Scale run: the ladder of backends keeps the doors for each of them

Doors are now raised with the backends, and their own part of the memory, measured by the ladder before, is taken off.

--- a/benchmarks/scale/ladders.py
+++ b/benchmarks/scale/ladders.py
@@ -1,7 +1,7 @@
 """Slopes: doors measured at several sizes of one thing while the others stay, and what a hollow door costs.
 
 Tenants that a door knows are those of its sets: their number is what a slope is taken over, and the tier's
-number of tenants is how it is reached.
+number of tenants is how it is reached. Backends are raised together with doors, whose own part is taken off.
 """
 
 import asyncio
@@ -13,7 +13,7 @@
 from benchmarks.scale import doors, moves
 from benchmarks.scale.counted import MARK
 from benchmarks.scale.doors import counts_in
-from benchmarks.scale.figures import rounded
+from benchmarks.scale.figures import named, rounded
 from benchmarks.scale.fit import Fit, fit
 from benchmarks.scale.moves import Figures
 from benchmarks.scale.stage import Size, Stage
@@ -21,8 +21,16 @@
 
 MB = 1 << 20
 REAL = 2
-BACKENDS = [Size(backends, 16, 363, REAL) for backends in (200, 2_000, 20_000, 93_000)]
-DOORS = [Size(20_000, count, count * 170 // 7, REAL) for count in (200, 1_000, 7_500)]
+
+
+def alike(backends: int, doors: int) -> Size:
+    """A tier with as many tenants for each door as the one that is coming."""
+    return Size(backends, doors, doors * 170_000 // 7_500, REAL)
+
+
+# With as many doors for each backend as there will be: few doors must see more of a list.
+BACKENDS = [alike(backends, backends * 7_500 // 93_000) for backends in (200, 2_000, 20_000, 93_000)]
+DOORS = [alike(20_000, count) for count in (200, 1_000, 7_500)]
 TENANTS = [Size(2_000, 200, tenants, REAL) for tenants in (1_000, 20_000, 170_000)]
 EIGHT, HALF = Size(200, 8, 181, 8), Size(200, 8, 181, 4)  # a tier that is small enough to be all real
 
@@ -38,15 +46,16 @@
     to: float  # the size that is coming
 
 
+LESS_DOORS = "memory_less_doors_mb"  # less what other doors take, by the ladder before
 LADDERS = (
-    Ladder("backends", BACKENDS, lambda size: size.backends, {
-        "bytes_a_backend": ("memory_mb", MB), "peak_bytes_a_backend": ("peak_memory_mb", MB),
-        "request_ns_a_backend": ("request_us", 1000), "change_ns_a_backend": ("change_us", 1000),
-    }, 93_000),
     Ladder("doors", DOORS, lambda size: size.doors, {
         "bytes_a_door": ("memory_mb", MB), "request_ns_a_door": ("request_us", 1000),
         "word_bytes_per_s_a_door": ("words_bytes_per_s", 1),
     }, 7_500),
+    Ladder("backends", BACKENDS, lambda size: size.backends, {
+        "bytes_a_backend": (LESS_DOORS, MB), "request_ns_a_backend": ("request_us", 1000),
+        "change_ns_a_backend": ("change_us", 1000),
+    }, 93_000),
     Ladder("tenants", TENANTS, lambda size: size.tenants * SPREAD / size.doors, {
         "bytes_a_tenant": ("memory_mb", MB), "request_ns_a_tenant": ("request_us", 1000),
     }, 170_000 * SPREAD / 7_500),
@@ -66,8 +75,8 @@
         await asyncio.sleep(seconds)
         window = await look.window()
         found = {"request_us": moves.request_us(window, stage.names),
-                 "served_share": window.served_share(stage.names), **moves.memory(stage),
-                 **await moves.words(stage)}
+                 **moves.shares(window, stage.names), **moves.latencies(window, stage.names),
+                 **moves.memory(stage), **await moves.words(stage)}
         await stage.end_load()
         if changes:
             await stage.hollow_do("pause", on=True)
@@ -83,13 +92,16 @@
 
 
 async def climb(
-    make: MakeStage, ladder: Ladder, warm_s: float, seconds: float, say: Callable[[str], None]
+    make: MakeStage, ladder: Ladder, warm_s: float, seconds: float, say: Callable[[str], None],
+    bytes_a_door: float = 0.0,
 ) -> tuple[Figures, dict[str, dict[str, object]]]:
-    """The figures of each rung by its size, and the fits."""
+    """The figures of each rung by its size, and the fits; `bytes_a_door` is a slope that is known by then."""
     figures: Figures = {}
     rungs: list[tuple[float, Figures]] = []
     for size in ladder.sizes:
         found = await rung(make, size, warm_s, seconds, ladder.name == "backends")
+        if ladder.sizes is BACKENDS:
+            found[LESS_DOORS] = found["memory_mb"] - bytes_a_door * size.doors / MB
         rungs.append((ladder.over(size), found))
         say(f"{ladder.name} {ladder.over(size):g}: {found}")
         figures |= {f"{ladder.name}_{round(ladder.over(size))}_{name}": rounded(figure)
@@ -126,7 +138,8 @@
             found[f"beside_{side}_cpu_share"] = rounded(share)
             found[f"beside_{side}_request_us"] = rounded(
                 moves.request_us(window, [real.name for real in compared]))
-            found[f"beside_{side}_served_share"] = rounded(window.served_share(stage.names))
+            parts = {**moves.shares(window, stage.names), **moves.latencies(window, stage.names)}
+            found |= named(parts, f"beside_{side}_")
         finally:
             await stage.end()
     return found
--- a/benchmarks/scale/play.py
+++ b/benchmarks/scale/play.py
@@ -107,7 +107,8 @@
         self.extra = await ladders.beside(self.stage, spans.warm, spans.traffic / 2)
         self.say(f"beside: {self.extra}")
         for ladder in ladders.LADDERS:
-            figures, fits = await ladders.climb(self.stage, ladder, spans.rung_warm, spans.rung, self.say)
+            figures, fits = await ladders.climb(self.stage, ladder, spans.rung_warm, spans.rung, self.say,
+                                                self.extra.get("bytes_a_door", 0.0))
             self.extra |= figures
             self.fits |= fits
 
