--- a/benchmarks/scale/tier.py
+++ b/benchmarks/scale/tier.py
@@ -11,10 +11,10 @@
 
 from rig.facts import Effect
 from rig.member import MemberSpec
-from rig.sockets import Address
 from rig.workload import CLASSES
 from rig.world.settings import settings
 
+Address = tuple[str, int]
 ZONES, CELLS = 26, 2900
 RATE = 293.0  # requests a second at each door
 SPREAD = 4  # doors of a tenant's set: as many as the largest of the rig's workload
