--- a/benchmarks/scale/ladders.py
+++ b/benchmarks/scale/ladders.py
@@ -13,13 +13,15 @@
 from benchmarks.scale import doors, moves
 from benchmarks.scale.counted import MARK
 from benchmarks.scale.doors import counts_in
-from benchmarks.scale.figures import named, rounded
+from benchmarks.scale.figures import rounded
 from benchmarks.scale.fit import Fit, fit
 from benchmarks.scale.moves import Figures
 from benchmarks.scale.stage import Size, Stage
 from benchmarks.scale.tier import SPREAD
 
 MB = 1 << 20
+TURNS = 3  # of each side of a comparison
+LINE_S = 0.3  # for a line that a door was asked for
 REAL = 2
 
 
@@ -115,34 +117,45 @@
 
 
 async def beside(make: MakeStage, warm_s: float, seconds: float) -> Figures:
-    """What a door receives and costs among 7 real ones, and among 3 real and 4 hollow ones."""
-    found: Figures = {}
-    for side, size, hollow in (("real", EIGHT, []), ("hollow", HALF, [4, 5, 6, 7])):
-        stage = make(size, numbers=range(size.real), hollow=hollow, of=doors.COUNTED)
-        try:
+    """What a door receives and costs among 7 real ones, and among 3 real and 4 hollow ones: in turn, so that
+    what slows the machine slows both."""
+    stages = {"real": make(EIGHT, numbers=range(8), hollow=[], of=doors.COUNTED),
+              "hollow": make(HALF, numbers=range(4), hollow=[4, 5, 6, 7], of=doors.COUNTED)}
+    seen: dict[str, list[Figures]] = {side: [] for side in stages}
+    try:
+        for stage in stages.values():
             await stage.start()
-            await stage.begin_load()
-            await asyncio.sleep(warm_s)
-            look = await stage.look()
-            signal_all(stage, signal.SIGUSR1)
-            await asyncio.sleep(seconds)
-            signal_all(stage, signal.SIGUSR2)
-            window = await look.window()
-            await asyncio.sleep(0.2)  # for the lines to come
-            compared = stage.real[: HALF.real]
-            counts = [counts_in(list(real.door.log), MARK) for real in compared]
-            for what in ("datagrams", "bytes"):
-                each = [count[what] / count["seconds"] for count in counts if count]
-                found[f"beside_{side}_{what}_per_s"] = rounded(sum(each) / max(1, len(each)))
-            share = sum(window.cpu_s[real.name] for real in compared) / window.seconds / len(compared)
-            found[f"beside_{side}_cpu_share"] = rounded(share)
-            found[f"beside_{side}_request_us"] = rounded(
-                moves.request_us(window, [real.name for real in compared]))
-            parts = {**moves.shares(window, stage.names), **moves.latencies(window, stage.names)}
-            found |= named(parts, f"beside_{side}_")
-        finally:
-            await stage.end()
-    return found
+            await stage.hollow_do("pause", on=True)
+        for _ in range(TURNS):
+            for side, stage in stages.items():
+                await stage.hollow_do("pause", on=False)
+                await stage.begin_load()
+                await asyncio.sleep(warm_s)
+                seen[side].append(await turn(stage, seconds))
+                await stage.end_load()
+                await stage.hollow_do("pause", on=True)
+    finally:
+        await asyncio.gather(*(stage.end() for stage in stages.values()))
+    return {f"beside_{side}_{name}": rounded(sum(figures[name] for figures in turns) / len(turns))
+            for side, turns in seen.items() for name in turns[0]}
+
+
+async def turn(stage: Stage, seconds: float) -> Figures:
+    """Means of the doors that are real on both sides."""
+    look = await stage.look()
+    signal_all(stage, signal.SIGUSR1)
+    await asyncio.sleep(seconds)
+    signal_all(stage, signal.SIGUSR2)
+    window = await look.window()
+    await asyncio.sleep(LINE_S)
+    compared = stage.real[: HALF.real]
+    counts = [counts_in(list(real.door.log), MARK) for real in compared]
+    found = {f"{what}_per_s": sum(count[what] / count["seconds"] for count in counts) / len(counts)
+             for what in ("datagrams", "bytes")}
+    names = [real.name for real in compared]
+    share = sum(window.cpu_s[name] for name in names) / window.seconds / len(names)
+    return {**found, "cpu_share": share, "request_us": moves.request_us(window, names),
+            **moves.shares(window, names), **moves.latencies(window, names)}
 
 
 def signal_all(stage: Stage, number: signal.Signals) -> None:
--- a/benchmarks/scale/play.py
+++ b/benchmarks/scale/play.py
@@ -22,6 +22,7 @@
 
 FULL, SMALL = Size(93_000, 7_500, 170_000, 4, turns=True), Size(200, 16, 363, 2)
 BARE = "bare"
+BESIDE_WARM_S, BESIDE_S = 2.0, 4.0
 FIRST_PORT, PORTS, PORTS_A_RUN = 20_000, 400, 30  # for peers: below those that the system hands out
 
 
@@ -104,7 +105,7 @@
         spans = self.spans
         if not spans.ladders:
             return
-        self.extra = await ladders.beside(self.stage, spans.warm, spans.traffic / 2)
+        self.extra = await ladders.beside(self.stage, BESIDE_WARM_S, BESIDE_S)
         self.say(f"beside: {self.extra}")
         for ladder in ladders.LADDERS:
             figures, fits = await ladders.climb(self.stage, ladder, spans.rung_warm, spans.rung, self.say,
