--- a/tests/benchmarks/test_scale_hollow.py
+++ b/tests/benchmarks/test_scale_hollow.py
@@ -4,7 +4,7 @@
 import json
 import random
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine, Mapping
 
 import pytest
 
@@ -17,10 +17,13 @@
 from fennelwinch import interface as i
 from fennelwinch.codec import pack_words, unpack_words
 from molereach.door.calls import CallPacing
-from molereach.door.catalog import Catalog, News
-from molereach.door.source import Source
+from molereach.door.catalog import Catalog, LongNews, News
+from molereach.door.config import Address
+from molereach.door.discovery import Discovery
+from molereach.door.watch import Steps
 from rig.clients import encode
 from rig.sockets import free_datagram_port, own_host
+from tests.door.made import AllSeen
 
 WAIT_S = 5.0
 TIER = Tier(doors=8, tenants=40, spread=3, seed=3, peer_port=1)
@@ -44,42 +47,63 @@
     assert json.loads(catalogue.since(2))["reset"] and catalogue.since(catalogue.version) == b""
 
 
-async def follow(agent: Agent, version: int | None, news: "asyncio.Queue[News]") -> Source:
-    """A real reader of the agent's first address."""
-    address = (await agent.do_begin(2_000, 7, [0]))["addresses"][0]  # type: ignore[index]
-    catalog = Catalog(configuration(TIER, 0))
-    source = Source(address, catalog, version, lambda _, heard: news.put_nowait(heard),
-                    CallPacing(1, must_ask=False), random.Random(1).random)
-    return source
+class Reader:
+    """A real front door's reader of an agent's list; its view is all that it is told."""
 
+    def __init__(self, address: Address, version: int) -> None:
+        self.lists, self.tasks = AllSeen(), set[asyncio.Task[None]]()
+        self.seen: asyncio.Queue[tuple[i.ServerList, Mapping[str, Address]]] = asyncio.Queue()
+        self.discovery = Discovery(
+            address, Catalog(configuration(TIER, 0)), version, self.hear, self.spawn,
+            lambda: CallPacing(1, must_ask=False), random.Random(1).random, self.lists.stage)
+        self.discovery.start()
 
-@pytest.mark.parametrize("version", [None, 1])
-def test_real_reader_takes_over_the_agents_list_changes_and_reset(version: int | None) -> None:
+    def spawn(self, job: Coroutine[None, None, None]) -> None:
+        self.tasks.add(asyncio.get_running_loop().create_task(job))
+
+    def hear(self, news: News | LongNews) -> Steps | None:
+        if isinstance(news, LongNews):
+            return self.take(news)
+        self.seen.put_nowait((news.event, news.addresses))
+        return None
+
+    def take(self, news: LongNews) -> Steps:
+        seen = yield from self.lists.take_over(news.staged, news.kind, news.version)
+        assert seen
+        self.seen.put_nowait((seen.event, seen.addresses))
+
+
+@pytest.mark.parametrize("size", [50, 2_000])  # in one object, and one that is read in parts
+def test_real_reader_takes_over_the_agents_list_changes_and_reset(size: int) -> None:
     async def play() -> None:
-        agent, news = Agent(), asyncio.Queue[News]()
-        source = await follow(agent, version, news)
-        running = asyncio.get_running_loop().create_task(source.run())
+        agent = Agent()
+        begun = await agent.do_begin(size, 7, [0, 1])
+        first, second = begun["addresses"].values()  # type: ignore[attr-defined]
+        reader = Reader(first, 0)
         try:
-            if version is None:  # asked for whole, and then watched
-                heard = await news.get()
-                assert heard.event.kind is i.ListKind.FULL and len(heard.event.servers) == 2_000
-                assert heard.addresses["s-00000007"] == backend_address(7, 7)
-            while not agent.watching:
+            event, addresses = await reader.seen.get()  # by a watch from before all versions
+            assert event.kind is i.ListKind.FULL and len(event.servers) == size
+            assert addresses["s-00000007"] == backend_address(7, 7)
+            told = await agent.do_change([(7, DRAINING, 0), (size, SERVING, 5)])
+            event, _ = await reader.seen.get()
+            assert told["watching"] == 1 and event.kind is i.ListKind.CHANGES
+            assert [server.name for server in event.servers] == ["s-00000007", f"s-{size:08x}"]
+            assert [server.state for server in event.servers] == [i.ServerState.DRAINING, i.ServerState.UP]
+            reader.discovery.move(second)  # asked for whole, and then watched
+            event, _ = await reader.seen.get()
+            assert event.kind is i.ListKind.FULL and len(event.servers) == size + 1
+            while len(agent.watching) != 1 or not agent.sent[1].calls > 1:
                 await asyncio.sleep(0.01)
-            told = await agent.do_change([(7, DRAINING, 0), (2_000, SERVING, 5)])
-            heard = await news.get()
-            assert told["watching"] == 1 and heard.event.kind is i.ListKind.CHANGES
-            assert [server.name for server in heard.event.servers] == ["s-00000007", "s-000007d0"]
+            await agent.do_reset()
+            event, _ = await reader.seen.get()
+            assert event.kind is i.ListKind.FULL and len(event.servers) == size + 1
+            assert reader.discovery.version == agent.version
             sent = await agent.do_take()
             assert sent["0"]["changes"] > told["line_bytes"]  # type: ignore[index,operator]
-            await agent.do_reset()
-            heard = await news.get()
-            assert heard.event.kind is i.ListKind.FULL and len(heard.event.servers) == 2_001
-            assert source.version == agent.version
+            assert sent["1"]["whole"] > 2 * size * 100  # type: ignore[index]
         finally:
-            running.cancel()
-            if agent.beats:
-                agent.beats.cancel()
+            for task in (*reader.tasks, *([agent.beats] if agent.beats else [])):
+                task.cancel()
 
     played(play)
 
