Scale run: the longest turn of each move, and a change watched until nobody asks any more

A turn of 23 ms was the watched door's catching up after it stood still, and a change behind a whole list was watched for 5 s when it takes as long or longer to be in force: the figure said 5.0 whatever it was. The watch on turns says its count when told, the door's catching up is left out, and a change is watched until its backends have been quiet for 2 s.

--- a/benchmarks/scale/day.py
+++ b/benchmarks/scale/day.py
@@ -18,6 +18,7 @@
 RESTARTS_A_S = RESTARTS_A_DAY / DAY_S
 CHANGES_A_RESTART = 2.5
 FORCE_S = 5.0  # within which a change is to be in force everywhere
+MOST_WATCHED_S, LOOK_S = 15.0, 0.2  # how long a change is watched at most, and how often it is looked at
 SEEN_S = 4.0  # a backend counts as one that a door asks if it did in so long before
 
 
@@ -69,13 +70,19 @@
             number = self.stage.next_number - self.stage.next_number % ZONES + number % ZONES
         await self.change((number, SERVING, unix_ms()))
 
-    async def drain(self, numbers: list[int], watch_s: float) -> None:
-        """Tell that these drain, and note for each door that asked one of them when it last did."""
+    async def drain(self, numbers: list[int], watch_s: float, quiet_s: float = 0.0) -> None:
+        """Tell that these drain, and note for each door that asked one of them when it last did: after so
+        long, and when they have not been asked for `quiet_s`."""
         before_s = time.monotonic() - SEEN_S
         had = await self.stage.ask("backends", "last", since_s=before_s, numbers=numbers)
         at_s = await self.change(*((number, DRAINING, 0) for number in numbers))
         await asyncio.sleep(watch_s)
-        last = await self.stage.ask("backends", "last", since_s=at_s, numbers=numbers)
+        while True:
+            last = await self.stage.ask("backends", "last", since_s=at_s, numbers=numbers)
+            now_s = time.monotonic()
+            if now_s - max(last.values(), default=0.0) > quiet_s or now_s - at_s > MOST_WATCHED_S:
+                break
+            await asyncio.sleep(LOOK_S)
         self.seen += len(had)
         self.force_s += [max(0.0, last.get(door, at_s) - at_s) for door in had]
 
--- a/benchmarks/scale/figures.py
+++ b/benchmarks/scale/figures.py
@@ -19,6 +19,10 @@
     "served_share_200": 0.99,
 }
 
+# Figures that count by the worst of all moves, and their names then.
+WORST = {"force_s": "force_s", "turn_ms": "longest_turn_ms", "memory_mb": "memory_mb",
+         "peak_memory_mb": "peak_memory_mb"}
+
 HOLLOW = {
     "discovery": "one process is all agents: real bytes on loopback, one list, an address for each door",
     "backends": "one process is all of them, each at a loopback address of its own: answers at once; one"
@@ -46,14 +50,14 @@
 
 
 def joined(parts: Mapping[str, Mapping[str, float]], size: int) -> dict[str, float]:
-    """The figures of one size from those of its moves, under their names, and over all moves the longest
-    time until a change was in force."""
+    """The figures of one size from those of its moves, under their names, and the worst over all moves."""
     found: dict[str, float] = {}
     for move, figures in parts.items():
         found |= named(figures, "" if move in ("ordinary", "idle") else f"{move}_", f"_{size}")
-    forces = [figures["force_s"] for figures in parts.values() if "force_s" in figures]
-    if forces:
-        found[f"force_s_{size}"] = rounded(max(forces))
+    for name, worst in WORST.items():
+        values = [figures[name] for figures in parts.values() if name in figures]
+        if values:
+            found[f"{worst}_{size}"] = rounded(max(values))
     found[f"force_seen_{size}"] = sum(int(figures.get("force_seen", 0)) for figures in parts.values())
     ordinary, idle = parts.get("ordinary", {}), parts.get("idle", {})
     for part in ("p50_ms", "p99_ms"):
--- a/benchmarks/scale/moves.py
+++ b/benchmarks/scale/moves.py
@@ -15,7 +15,7 @@
 from benchmarks.scale.tier import SPREAD, Tier
 
 BURST, BURST_EVERY_S = 50, 0.05  # changes one after the other, to see what one costs
-SETTLE_S = 2.5
+SETTLE_S = 2.0
 Figures = dict[str, float]
 
 
--- a/benchmarks/scale/play.py
+++ b/benchmarks/scale/play.py
@@ -11,12 +11,10 @@
 from random import Random
 
 from benchmarks.scale import ladders, moves, troubles
-from benchmarks.scale.doors import counts_in
 from benchmarks.scale.figures import joined, named, rounded
 from benchmarks.scale.moves import Figures
 from benchmarks.scale.stage import Size, Stage
 from benchmarks.scale.tier import backend_address
-from benchmarks.turns import MARK
 from rig.doors import die_with_parent
 from rig.sockets import Address, own_host
 
@@ -41,7 +39,7 @@
     rung: float = 5.0
 
 
-QUICK = Spans(2.0, 5.0, 2.5, 2.0, 2, drain=2.0)
+QUICK = Spans(2.0, 4.5, 2.0, 2.0, 2, drain=2.0)
 WHOLE = Spans(5.0, 15.0, 12.0, 6.0, 3, drain=5.5, ladders=True)
 
 
@@ -53,7 +51,6 @@
         self.random, self.host = Random(seed), own_host()
         self.parts: dict[str, Figures] = {}  # by move: also what a run had that ran out of time
         self.small: Figures = {}
-        self.turns: dict[str, float] = {}
         self.extra: Figures = {}
         self.fits: dict[str, dict[str, object]] = {}
         self.port = FIRST_PORT + os.getpid() % PORTS * PORTS_A_RUN + run * PORTS_A_RUN // 2
@@ -77,29 +74,26 @@
                 await asyncio.gather(full.begin_load({BARE: bare}), small.begin_load())
                 await asyncio.sleep(self.spans.warm)
                 sides = {"full": full, "small": small}
+                warm = await turn(full)
                 still(full, True)
                 both = await moves.ordinary(sides, self.random, self.spans.traffic, self.spans.drain, BARE)
                 still(full, False)
                 self.small = both["small"]
-                self.note("ordinary", both["full"])
+                self.note("ordinary", both["full"] | warm)
+                await turn(full)  # in which it caught up with what came while it stood still
                 lost, _ = await asyncio.gather(troubles.rack(full, self.random, self.spans.loss), small.end())
-                self.note("rack", lost)
-                self.note("zone", await troubles.zone(full, self.spans.loss))
-                self.note("reset", await troubles.reset(full, self.random, self.spans.loss))
+                self.note("rack", lost | await turn(full))
+                self.note("zone", await troubles.zone(full, self.spans.loss) | await turn(full))
+                back = await troubles.reset(full, self.random, self.spans.loss)
+                self.note("reset", back | await turn(full))
                 await full.end_load()
             idle = moves.idle(full, self.random, self.spans.idle, self.spans.drain)
-            figures, _ = await asyncio.gather(idle, self.end_watched(full))
+            figures, _ = await asyncio.gather(idle, end_watched(full))
             self.note("idle", figures)
             self.note("restart", await troubles.restarts(full, self.spans.restarts, starts))
         finally:
             await asyncio.gather(full.end(), small.end())
 
-    async def end_watched(self, stage: Stage) -> None:
-        """Hear of the longest turn; it is over before a door without traffic is looked at."""
-        watched, stage.watched = stage.watched, None
-        if watched:
-            self.turns = counts_in(await watched.end(), MARK)
-
     async def more(self) -> None:
         """In a whole run: what a hollow door costs others beside a real one, and the ladders."""
         spans = self.spans
@@ -120,14 +114,25 @@
     def figures(self) -> Figures:
         """Of all moves that were played to their end."""
         found = joined(self.parts, FULL.backends) | joined({"ordinary": self.small}, SMALL.backends)
-        if self.turns:
-            found["longest_turn_ms_93000"] = rounded(self.turns["longest_us"] / 1000)
         if self.small:
             ratio = self.parts["ordinary"]["request_us"] / max(1e-9, self.small["request_us"])
             found["request_ratio"] = rounded(ratio)
         return found | self.extra
 
 
+async def turn(stage: Stage) -> Figures:
+    """The longest one of a move, if a door is watched."""
+    longest_ms = await stage.turn_ms()
+    return {} if longest_ms is None else {"turn_ms": longest_ms}
+
+
+async def end_watched(stage: Stage) -> None:
+    """It is over before doors without traffic are looked at."""
+    watched, stage.watched = stage.watched, None
+    if watched:
+        await watched.end()
+
+
 def still(stage: Stage, on: bool) -> None:
     """Have the watched door stand still while times are measured: its watch never rests."""
     if stage.watched:
--- a/benchmarks/scale/stage.py
+++ b/benchmarks/scale/stage.py
@@ -13,9 +13,11 @@
 from benchmarks.scale.doors import Real
 from benchmarks.scale.helper import Helper
 from benchmarks.scale.tier import Requests, Tier
+from benchmarks.turns import MARK
 from rig.sockets import Address
 
 HOLLOW_A_PROCESS, LOADS_A_PROCESS = 16, 4
+LINE_S, LOOKS = 0.5, 25  # for a line that a door was asked for
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,6 +124,19 @@
         """The answers of all processes of hollow doors."""
         return await asyncio.gather(*(helper.ask(do, **values) for helper, _ in self.hollow))
 
+    async def turn_ms(self) -> float | None:
+        """The longest turn of the watched door's loop since the last look, in ms of CPU."""
+        if not self.watched:
+            return None
+        log = self.watched.door.log
+        said = sum(MARK in line for line in log)
+        self.watched.door.signal(signal.SIGUSR2)
+        for _ in range(LOOKS):
+            await asyncio.sleep(LINE_S / LOOKS)
+            if sum(MARK in line for line in log) > said:
+                return float(doors.counts_in(list(log), MARK)["longest_us"]) / 1000
+        return None
+
     # --- load ---
 
     async def begin_load(self, more: dict[str, Address] | None = None) -> None:
--- a/benchmarks/scale/troubles.py
+++ b/benchmarks/scale/troubles.py
@@ -10,7 +10,7 @@
 
 from benchmarks.result import quantile
 from benchmarks.scale.catalogue import DELETED, SERVING
-from benchmarks.scale.day import FORCE_S, SEEN_S, Day, unix_ms
+from benchmarks.scale.day import SEEN_S, Day, unix_ms
 from benchmarks.scale.doors import READY_S, write_known
 from benchmarks.scale.moves import Figures, forced, latencies, memory, shares
 from benchmarks.scale.stage import Stage
@@ -19,6 +19,7 @@
 
 RACK, ZONE = 40, 3
 TOLD_S = 1.0  # from when backends die to the word of it
+QUIET_S = 2.0  # without a request, after which a change of several backends is in force
 
 
 async def lose(stage: Stage, numbers: list[int], seconds: float) -> Figures:
@@ -78,7 +79,8 @@
     day, look = Day(stage, random), await stage.look()
     sent = await stage.ask("agent", "reset")
     used = await stage.ask("backends", "used", since_s=time.monotonic() - SEEN_S)
-    await day.drain([number for counts in used.values() for number, _ in counts[:3]], max(seconds, FORCE_S))
+    asked = [number for counts in used.values() for number, _ in counts[:3]]
+    await day.drain(asked, seconds, quiet_s=QUIET_S)
     window = await look.window()
     return {**shares(window, stage.names), **latencies(window, stage.names),
             "whole_bytes": sent["line_bytes"], **forced(day),
--- a/benchmarks/turns.py
+++ b/benchmarks/turns.py
@@ -2,7 +2,7 @@
 
 A turn is what lies between two callbacks that are each due in the next one, in CPU time of the thread: what
 else the machine does adds nothing. The watch keeps the loop awake, so it has no place where CPU for a request
-is measured. SIGUSR1 begins the count anew.
+is measured. SIGUSR1 begins the count anew; SIGUSR2 has it said before.
 """
 
 import asyncio
@@ -40,14 +40,22 @@
 
     def end(self) -> None:
         self.ended = True
+        self.say()
+
+    def say(self) -> None:
         log.info("%s%s", MARK, json.dumps({"longest_us": round(self.longest_us), "turns": self.count}))
 
+    def next(self) -> None:
+        self.say()
+        self.begin()
+
 
 async def attach(door: FrontDoor) -> Callable[[], None]:
     """Beside a front door, from before its start to after its drain."""
     loop = asyncio.get_running_loop()
     watch = TurnWatch(loop)
     loop.add_signal_handler(signal.SIGUSR1, watch.begin)
+    loop.add_signal_handler(signal.SIGUSR2, watch.next)
     return watch.end
 
 
--- a/tests/benchmarks/test_scale_page.py
+++ b/tests/benchmarks/test_scale_page.py
@@ -62,12 +62,14 @@
     assert len(page_faults(text, FIGURES)) == 2
 
 
-def test_figures_of_a_size_carry_the_moves_names_and_the_longest_time_to_force() -> None:
+def test_figures_of_a_size_carry_the_moves_names_and_the_worst_of_all() -> None:
     parts = {"ordinary": {"p99_ms": 5.0, "bare_p99_ms": 1.5, "force_s": 0.5, "force_seen": 3,
                           "words_bytes_per_s": 100.0, "words_payload_bytes_per_s": 60.0},
-             "idle": {"changes_bytes_per_s": 20.0}, "zone": {"force_s": 2.25, "force_seen": 4}}
+             "idle": {"changes_bytes_per_s": 20.0}, "reset": {"turn_ms": 3.0},
+             "zone": {"force_s": 2.25, "force_seen": 4, "turn_ms": 7.0}}
     found = joined(parts, 200)
     assert found["added_p99_ms_200"] == 3.5 and found["force_s_200"] == 2.25 and found["force_seen_200"] == 7
     assert found["control_bytes_per_s_200"] == 120.0 and found["control_payload_bytes_per_s_200"] == 80.0
     assert found["zone_force_s_200"] == 2.25
+    assert found["longest_turn_ms_200"] == 7.0 and found["reset_turn_ms_200"] == 3.0
     assert rounded(0.0123456) == 0.01235 and rounded(93_000) == 93_000 and rounded(123_456.7) == 123_457
