--- a/tests/crossings/test_descriptors.py
+++ b/tests/crossings/test_descriptors.py
@@ -68,7 +68,7 @@
                 first.close()
                 watch.reset()  # discovery is down
                 crowd = Crowd(door, CROWD)
-                assert 0 < await crowd.greet() < CROWD  # not all found a place: one that only pings may lose it
+                assert 0 < await crowd.greet() < CROWD  # not all found a place; who only pings may lose it
                 await until(lambda: door.descriptors() > PLACES)  # all places are taken
                 assert door.descriptors() <= DESCRIPTORS
                 assert await client.ask(request("a2")) == b"ok"
