Scale run: slow doors are heard out on their turns, and a late driver fails the run

The program before takes turns of over a second, so that its line came after it was looked for and the figure was missing. Under load of other work a run's added p99 was 18 ms and then -9 ms, with a driver late by 43 ms: a run whose driver is late by more than 5 ms for one request in a hundred is not ok.

--- a/benchmarks/scale/figures.py
+++ b/benchmarks/scale/figures.py
@@ -15,6 +15,7 @@
     "force_seen_93000": 10.0,  # pairs of a change and a door that had asked there: else it says nothing
     "most_request_ratio": 1.25,  # CPU of a request at 93,000 backends over that at 200
     "most_added_p99_ms_93000": 7.7,
+    "most_driver_late_p99_ms_93000": 5.0,  # past it the run's own lateness stands in its times
     "served_share_93000": 0.99,
     "served_share_200": 0.99,
 }
--- a/benchmarks/scale/ladders.py
+++ b/benchmarks/scale/ladders.py
@@ -16,11 +16,12 @@
 from benchmarks.scale.figures import rounded
 from benchmarks.scale.fit import Fit, fit
 from benchmarks.scale.moves import Figures
-from benchmarks.scale.stage import LINE_S, Size, Stage
+from benchmarks.scale.stage import Size, Stage
 from benchmarks.scale.tier import SPREAD
 
 MB = 1 << 20
 TURNS = 3  # of each side of a comparison
+LINE_S = 0.3  # for a line that a door was asked for
 REAL = 2
 
 
--- a/benchmarks/scale/stage.py
+++ b/benchmarks/scale/stage.py
@@ -17,7 +17,7 @@
 from rig.sockets import Address
 
 HOLLOW_A_PROCESS, LOADS_A_PROCESS = 16, 4
-LINE_S, LOOKS = 0.5, 25  # for a line that a door was asked for
+SAID_S, LOOKS = 5.0, 250  # for a line that a door was asked for, whose turns may be long
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,7 +132,7 @@
         said = sum(MARK in line for line in log)
         self.watched.door.signal(signal.SIGUSR2)
         for _ in range(LOOKS):
-            await asyncio.sleep(LINE_S / LOOKS)
+            await asyncio.sleep(SAID_S / LOOKS)
             if sum(MARK in line for line in log) > said:
                 return float(doors.counts_in(list(log), MARK)["longest_us"]) / 1000
         return None
