An entry of a long list costs less to stage and to take over

A name was encoded twice, by the handler for halves of pairs; each record was read for its name; each group made an array.

--- a/molereach/routing/groups.py
+++ b/molereach/routing/groups.py
@@ -24,7 +24,10 @@
         self.members: dict[int, array[int]] = {}
 
     def add(self, place: int, record: bytes) -> None:
-        places = self.members.setdefault(self.of(record), array("Q"))
+        group = self.of(record)
+        places = self.members.get(group)
+        if places is None:
+            places = self.members[group] = array("Q")
         places.insert(bisect_left(places, place), place)
 
     def remove(self, place: int, record: bytes) -> None:
--- a/molereach/routing/records.py
+++ b/molereach/routing/records.py
@@ -12,20 +12,24 @@
 
 
 def name_bytes(name: str) -> bytes:
-    return name.encode(*TEXT)
+    try:
+        return name.encode()
+    except UnicodeEncodeError:
+        return name.encode(*TEXT)
 
 
-def pack(server: i.Server, address: Address | None) -> bytes:
-    """ListError for what fits no record, as a name of over 65,535 bytes. One that is gone has none."""
+def pack(server: i.Server, address: Address | None, name: bytes = b"") -> bytes:
+    """ListError for what fits no record, as a name of over 65,535 bytes. One that is gone has none. `name` is
+    the server's in bytes, where it is there already."""
     host, port = address or ("", 0)
-    name = name_bytes(server.name)
+    name = name or name_bytes(server.name)
     state = UP if server.state is i.ServerState.UP else DRAINING
     figures = server.zone, server.kind, server.cell, server.size, server.started_us, port
     try:
         head = HEAD.pack(state, *figures, len(name))
     except error as reason:
         raise ListError(f"an entry that fits no record: {name[:80]!r}: {reason}") from reason
-    return head + name + host.encode(*TEXT)
+    return head + name + name_bytes(host)
 
 
 def unpack(record: bytes) -> tuple[i.Server, Address | None]:
--- a/molereach/routing/ring.py
+++ b/molereach/routing/ring.py
@@ -51,7 +51,9 @@
         bucket = self.buckets[number]
         if bucket is None:
             bucket = self.buckets[number] = Bucket()
-        at, there = bucket.index(place, name_of(record))
+        at, there = bisect_left(bucket.places, place), False
+        if at < len(bucket.places) and bucket.places[at] == place:  # seldom: it is read for its name
+            at, there = bucket.index(place, name_of(record))
         self.touched += 1
         before = bucket.records[at] if there else None
         if there:
--- a/molereach/routing/staging.py
+++ b/molereach/routing/staging.py
@@ -17,7 +17,7 @@
     name = name_bytes(server.name)
     if server.state is i.ServerState.GONE:
         return place_of(name), name, True
-    return place_of(name), pack(server, address), False
+    return place_of(name), pack(server, address, name), False
 
 
 class Slice:
--- a/molereach/routing/view.py
+++ b/molereach/routing/view.py
@@ -23,7 +23,11 @@
     def put(self, place: int, record: bytes) -> bytes | None:
         """The record before, if any."""
         before = self.ring.put(place, record)
-        self.regroup(place, before, record)
+        if before is not None:
+            self.regroup(place, before, record)
+        elif is_up(record):
+            for groups in self.groups:
+                groups.add(place, record)
         return before
 
     def remove(self, place: int, name: bytes) -> bytes | None:
