A takeover that is left before its end has told nothing

Cause: Routing.take_over noted the new view as told and then let go of the list before in further steps. A call dropped in those (another call kept, a move of discovery) never handed the view on, and the next changes were compared with what the module had not heard: drains in it would never be told. Ruled out: steps before that, as what is stale stays so. The list before goes now ahead of the telling, which is the last step.

--- a/molereach/routing/routing.py
+++ b/molereach/routing/routing.py
@@ -62,6 +62,7 @@
             whole = Whole(self.kinds)
             yield from self.build(whole, staged)
             self.whole, self.stale = whole, True
+            yield from old.ring.release()  # before the view is told: whoever leaves now has told nothing
         else:
             if self.short is not None:
                 self.whole, self.stale = Whole(self.kinds), True
@@ -69,12 +70,8 @@
             yield from self.change(staged)
         self.short = None
         if self.whole.ring.count <= self.size * (LONG if was_short else 1):
-            told: Seen | None = self.shorten(kind, version)
-        else:
-            told = self.tell(kind, version, was_short)
-        if old is not self.whole:
-            yield from old.ring.release()
-        return told
+            return self.shorten(kind, version)
+        return self.tell(kind, version, was_short)
 
     def stage_short(self, short: Short) -> Staging:
         staged = self.stage()
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -319,3 +319,24 @@
     assert left[-1] == held[-1] == 0
     assert max(before - after for before, after in pairwise(left)) == 1
     assert max(before - after for before, after in pairwise(held)) <= 256
+
+
+@pytest.mark.parametrize("kind", [FULL, CHANGES])
+def test_takeover_left_at_any_step_counts_nothing_as_told(kind: i.ListKind) -> None:
+    """What the module has not heard of must not pass for told: it would never hear of it again."""
+    for taken in range(1, 100):
+        world = World(settings_of(doors=100), 20, most=9_000)
+        play(world, FULL, [server(number) for number in range(600)], 0)
+        before = dict(world.routing.told)
+        staged = world.routing.stage()
+        entries = [server(number) for number in range(600, 1_300)]
+        staged.add(entries, addresses_of(entries))
+        steps = world.routing.take_over(staged, kind, 2)
+        try:
+            for _ in range(taken):
+                next(steps)
+        except StopIteration:
+            return
+        steps.close()
+        assert world.routing.told == before
+    raise AssertionError("it never ends")
