--- /dev/null
+++ b/tests/backends/sender.py
@@ -0,0 +1,40 @@
+"""What the tests of pools share: attempts that are sent, and a listener that never answers a dial."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+
+from fennelwinch import interface as i
+from molereach.backends.attempt import Attempt
+from molereach.backends.pools import Backends
+from molereach.door.config import Address
+from tests.sockets import HOST, resp
+
+S = 1_000_000
+
+
+class Sender:
+    """Sends attempts through a pool and keeps how they ended."""
+
+    def __init__(self, address: Address, idle_us: int = 30 * S, most: int = 50) -> None:
+        self.backends = Backends(idle_us, 200_000, most)
+        self.backends.update({"s": i.ServerState.UP}, {"s": address}, whole=True)
+        self.ended: asyncio.Queue[tuple[i.Result, bytes | None, i.LoadReport | None]] = asyncio.Queue()
+
+    def send(self, payload: bytes = resp("PING"), timeout_us: int = 5 * S) -> Attempt:
+        attempt = Attempt("a", 0, "s", payload, lambda _, *how: self.ended.put_nowait(how))
+        self.backends.send(attempt, timeout_us)
+        return attempt
+
+    async def result(self) -> i.Result:
+        return (await self.ended.get())[0]
+
+
+@contextlib.asynccontextmanager
+async def deaf() -> AsyncIterator[tuple[Address, socket.socket]]:
+    """A machine that takes connections and reads nothing."""
+    with socket.socket() as listener:
+        listener.bind((HOST, 0))
+        listener.listen()
+        yield listener.getsockname(), listener
--- a/tests/backends/test_pools.py
+++ b/tests/backends/test_pools.py
@@ -4,44 +4,13 @@
 import contextlib
 import os
 import socket
-from collections.abc import AsyncIterator
 
 import pytest
 
 from fennelwinch import interface as i
 from molereach.backends import pool, reuse
-from molereach.backends.attempt import Attempt
-from molereach.backends.pools import Backends
-from molereach.door.config import Address
-from tests.sockets import HOST, Backend, refusing_address, resp, run, value
-
-S = 1_000_000
-
-
-class Sender:
-    """Sends attempts through a pool and keeps how they ended."""
-
-    def __init__(self, address: Address, idle_us: int = 30 * S, most: int = 50) -> None:
-        self.backends = Backends(idle_us, 200_000, most)
-        self.backends.update({"s": i.ServerState.UP}, {"s": address}, whole=True)
-        self.ended: asyncio.Queue[tuple[i.Result, bytes | None, i.LoadReport | None]] = asyncio.Queue()
-
-    def send(self, payload: bytes = resp("PING"), timeout_us: int = 5 * S) -> Attempt:
-        attempt = Attempt("a", 0, "s", payload, lambda _, *how: self.ended.put_nowait(how))
-        self.backends.send(attempt, timeout_us)
-        return attempt
-
-    async def result(self) -> i.Result:
-        return (await self.ended.get())[0]
-
-
-@contextlib.asynccontextmanager
-async def deaf() -> AsyncIterator[tuple[Address, socket.socket]]:
-    """A machine that takes connections and reads nothing."""
-    with socket.socket() as listener:
-        listener.bind((HOST, 0))
-        listener.listen()
-        yield listener.getsockname(), listener
+from tests.backends.sender import S, Sender, deaf
+from tests.sockets import HOST, Backend, refusing_address, run, value
 
 
 def test_connection_is_reused_and_carries_one_command_at_a_time(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -364,51 +333,3 @@
         sender.backends.close()
 
     run(job())
-
-
-def test_number_of_connections_is_that_of_all_pools_after_all_kinds_of_ends() -> None:
-    """It is kept as a number, as each dial asks for it: one that is off would hold the door open or shut."""
-    async def job() -> None:
-        answers = [value(b"x"), b"", b"?", None, b"-BUSY\r\n"]
-        backend = Backend(lambda words: answers[len(backend.commands) % len(answers)])
-        at = await backend.start()
-        sender = Sender(at, most=8)
-        backends, seen = sender.backends, set()
-        async with deaf() as (silent, _):
-            for number in range(60):
-                address = (at, at, refusing_address(), silent)[number % 4]
-                if number % 3 == 0:  # moves: what is out stays out on the old pool
-                    backends.update({"s": i.ServerState.UP}, {"s": address}, True, {"s": number})
-                sender.send(timeout_us=20_000)
-                walked = sum(len(pool.connections) for pool in (*backends.pools.values(), *backends.old))
-                assert backends.count() == walked
-                seen.add(walked)
-                if number % 4 == 0:
-                    await asyncio.sleep(0.005)
-            for _ in range(60):
-                await sender.result()
-            backends.update({}, {}, whole=True)
-            async with asyncio.timeout(5):
-                while any(pool.connections for pool in backends.old):
-                    await asyncio.sleep(0.005)
-            assert backends.count() == 0 and len(seen) > 3
-            backends.close()
-
-    run(job())
-
-
-def test_connection_that_is_let_go_of_twice_counts_once() -> None:
-    """A dial that failed may still be told of its connection's end."""
-    async def job() -> None:
-        async with deaf() as (silent, _):
-            sender = Sender(silent)
-            sender.send()
-            sender.send()
-            each = sender.backends.pools["s"]
-            gone = next(iter(each.connections))
-            each.lost(gone)
-            each.lost(gone)
-            assert sender.backends.count() == len(each.connections) == 1
-            sender.backends.close()
-
-    run(job())
--- a/tests/door/made.py
+++ b/tests/door/made.py
@@ -1,12 +1,16 @@
 """Long lists, and a stand-in for what holds them."""
 
+import asyncio
+import contextlib
 import json
-from collections.abc import Generator, Iterable, Mapping
+from collections.abc import AsyncIterator, Generator, Iterable, Mapping
+from dataclasses import replace
 
 from fennelwinch import interface as i
 from molereach.door.config import Address
+from molereach.door.frontdoor import FrontDoor
 from molereach.routing.interface import ListError, Seen, Staged
-from tests.sockets import HOST
+from tests.sockets import CONFIG, HOST, Watch, entry
 
 SIZE = 93_000  # backends of the fleet that is coming
 
@@ -68,3 +72,29 @@
         if kind is i.ListKind.FULL and len({one.name for one in staged.servers}) < len(staged.servers):
             raise ListError("the whole list names a server twice")
         return Seen(i.ServerList(kind, version, tuple(staged.servers)), staged.addresses)
+
+
+def says(*pieces: bytes, stay: bool = True) -> object:
+    async def play(writer: asyncio.StreamWriter) -> None:
+        for piece in pieces:
+            writer.write(piece)
+            await writer.drain()
+        if stay:
+            await asyncio.Event().wait()
+
+    return play
+
+
+@contextlib.asynccontextmanager
+async def door_before(*scripts: object, memory_mb: int = 64) -> AsyncIterator[tuple[FrontDoor, Watch]]:
+    """A front door with a known list, that calls on these."""
+    watch = Watch(*scripts)  # type: ignore[arg-type]
+    known = {"generation": 3, "reset": True, "instances": [entry("s1", ("127.0.0.1", 9))]}
+    settings = replace(CONFIG.settings, must_subscribe=False)
+    door = FrontDoor(replace(
+        CONFIG, known=known, discovery=await watch.start(), settings=settings, memory_mb=memory_mb))
+    door.discovery.start()
+    try:
+        yield door, watch
+    finally:
+        door.close()
--- a/tests/door/test_long_lists.py
+++ b/tests/door/test_long_lists.py
@@ -1,27 +1,23 @@
 """A list too long to be held as text: it is heard in parts, taken over in turns, or refused as a whole."""
 
 import asyncio
-import contextlib
 import json
 import time
-from collections.abc import AsyncIterator, Generator, Mapping
 from dataclasses import replace
 from functools import cache
 
 import pytest
 
 from fennelwinch import interface as i
-from molereach.door import calling, documents, frontdoor, source
+from molereach.door import calling, documents, source
 from molereach.door.calls import CallPacing
 from molereach.door.catalog import Catalog, LongNews, News
-from molereach.door.config import Address
 from molereach.door.discovery import Discovery
 from molereach.door.frontdoor import FrontDoor
 from molereach.door.watch import TURN_BYTES, Steps
-from molereach.routing.interface import Seen, Staged
 from molereach.routing.routing import Routing
 from tests.crossings.wire import until
-from tests.door.made import SIZE, AllSeen, entries_text, list_text
+from tests.door.made import SIZE, AllSeen, door_before, entries_text, list_text, says
 from tests.sockets import CONFIG, HEAD, Client, Watch, chunk, entry, front_door, query, run, value
 from tests.sockets import Backend as Served
 
@@ -73,17 +69,6 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
 
-def says(*pieces: bytes, stay: bool = True) -> object:
-    async def play(writer: asyncio.StreamWriter) -> None:
-        for piece in pieces:
-            writer.write(piece)
-            await writer.drain()
-        if stay:
-            await asyncio.Event().wait()
-
-    return play
-
-
 def test_list_of_the_coming_fleet_is_read_in_pieces_with_a_turn_for_others_between(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -244,21 +229,6 @@
 }
 
 
-@contextlib.asynccontextmanager
-async def door_before(*scripts: object, memory_mb: int = 64) -> AsyncIterator[tuple[FrontDoor, Watch]]:
-    """A front door with a known list, that calls on these."""
-    watch = Watch(*scripts)  # type: ignore[arg-type]
-    known = {"generation": 3, "reset": True, "instances": [entry("s1", ("127.0.0.1", 9))]}
-    settings = replace(CONFIG.settings, must_subscribe=False)
-    door = FrontDoor(replace(
-        CONFIG, known=known, discovery=await watch.start(), settings=settings, memory_mb=memory_mb))
-    door.discovery.start()
-    try:
-        yield door, watch
-    finally:
-        door.close()
-
-
 @pytest.mark.parametrize("what", BAD)
 def test_list_that_cannot_be_taken_costs_its_call_and_the_old_one_holds(
     what: str, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
@@ -326,93 +296,3 @@
             assert not door.discovery.source.staged and list(door.backends.pools) == ["s0"]
 
     run(job())
-
-
-# --- the view ---
-
-
-@pytest.mark.parametrize(("sockets", "memory_mb", "view", "most"), [
-    (48, 1, 256, 819), (1024, 64, 256, 52_428), (2000, 128, 394, 104_857), (4000, 128, 512, 104_857),
-])
-def test_view_follows_from_the_connections_and_the_list_from_the_memory(
-    sockets: int, memory_mb: int, view: int, most: int, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    asked = []
-    monkeypatch.setattr(frontdoor, "Routing", lambda *values: asked.append(values) or AllSeen())
-    monkeypatch.setattr(frontdoor.resource, "getrlimit", lambda _: (1 << 20, 1 << 20))
-
-    async def job() -> None:
-        FrontDoor(replace(CONFIG, sockets=sockets, memory_mb=memory_mb)).close()
-
-    run(job())
-    assert asked == [(CONFIG.settings, view, most)]
-
-
-@pytest.mark.parametrize("count", [3, 1000])
-def test_module_hears_what_the_view_shows_under_the_orders_that_lie_over_it(
-    count: int, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """Of a list that is whole or in parts; nothing where nothing of it concerns the view."""
-    class First(AllSeen):
-        """A view of one server, or of none."""
-
-        size = 1
-
-        def shown(self, event: i.ServerList, addresses: Mapping[str, Address]) -> Seen | None:
-            some = event.servers[: self.size]
-            addresses = {server.name: addresses[server.name] for server in some}
-            return Seen(replace(event, servers=some), addresses) if some else None
-
-        def take(self, event: i.ServerList, addresses: Mapping[str, Address]) -> Seen | None:
-            return self.shown(event, addresses)
-
-        def take_over(
-            self, staged: Staged, kind: i.ListKind, version: int
-        ) -> Generator[None, None, Seen | None]:
-            seen = yield from super().take_over(staged, kind, version)
-            assert seen
-            return self.shown(seen.event, seen.addresses)
-
-    lists = First()
-    monkeypatch.setattr(frontdoor, "Routing", lambda *values: lists)
-
-    async def job() -> None:
-        gate = asyncio.Event()
-
-        async def play(writer: asyncio.StreamWriter) -> None:
-            writer.write(HEAD + chunk(list_text(4, entries_text(count))))
-            await gate.wait()
-            writer.write(chunk(list_text(5, entries_text(count))))
-            await asyncio.Event().wait()
-
-        async with door_before(play) as (door, _):
-            assert door.known and door.known.event.servers[0].name == "s1"
-            heard: list[i.ServerList] = []
-            door.see = lambda news: replace(news, seen_by=7)
-            hear = door.hear
-            door.hear = lambda event, addresses: (heard.append(event), hear(event, addresses))  # type: ignore
-            await until(lambda: door.discovery.version == 4)
-            assert [[one.name for one in event.servers] for event in heard] == [["s-00000000"]]
-            assert heard[0].seen_by == 7 and list(door.backends.pools) == ["s-00000000"]
-            lists.size = 0
-            gate.set()
-            await until(lambda: door.discovery.version == 5)
-            assert len(heard) == 1 and list(door.backends.pools) == ["s-00000000"]
-
-    run(job())
-
-
-def test_known_list_of_which_nothing_is_in_the_view_has_a_version_all_the_same(
-    monkeypatch: pytest.MonkeyPatch
-) -> None:
-    class Blind(AllSeen):
-        def take(self, event: i.ServerList, addresses: Mapping[str, Address]) -> Seen | None:
-            return None
-
-    monkeypatch.setattr(frontdoor, "Routing", lambda *values: Blind())
-
-    async def job() -> None:
-        async with door_before(says(HEAD)) as (door, _):
-            assert door.known is None and door.discovery.version == 3 and not door.backends.pools
-
-    run(job())
