--- a/tests/sim/test_loopback.py
+++ b/tests/sim/test_loopback.py
@@ -9,15 +9,17 @@
 
 import pytest
 
+import tests.backends.sender
 import tests.sockets
 from sim.loop import SimLoop
 from sim.network.network import Network
 from sim.seam import simulated
-from tests.backends import test_pools
+from tests.backends import test_counts, test_pools
 from tests.clients import test_resp
 from tests.door import test_discovery, test_frontdoor
 
-MODULES = (test_pools, test_resp, test_discovery, test_frontdoor)
+MODULES = (test_pools, test_counts, test_resp, test_discovery, test_frontdoor)
+SHARED = (tests.sockets, tests.backends.sender)  # what they share opens sockets as well
 # These are about the kernel itself: its buffers, sockets made by hand, its way with descriptors.
 KERNEL = {
     "test_refused_or_out_of_time_before_the_last_byte_never_ran": "accepts on a raw socket by the loop",
@@ -60,7 +62,7 @@
         with simulated(loop, network, lambda env: None, lambda code: None):
             asyncio.set_event_loop(loop)
             with pytest.MonkeyPatch.context() as inner:
-                for place in (tests.sockets, module):
+                for place in (*SHARED, module):
                     if hasattr(place, "socket"):
                         inner.setattr(place, "socket", network.socket_module())
                 try:
