What leaves a home wrong by little is told late, as one word a customer

By part: 117 datagrams a second, each let-in request a word of 18 bytes, gathered for 80 ms for each peer. Ruled out: the list's changes (240 bytes a second); answers of homes (none while a store is over half full). Change (words.py: note, tell_late; store.py: may_be_late): what asks nothing, of a part that is half full and of which at most a quarter was spent untold, waits for half of the time for which a home's word holds (0.5 s), and is one word then. A home's store is so off by a quarter of the others' parts at most; small parts are told of each unit at once, as before. An ask takes with it what waits. Demand that waited is told as it has aged. Breaks seen by the tests: no bound on what is untold, late also where a part runs low, no wake-up, a wake-up each tick, told twice, demand not aged, time counted from the last.

--- a/fennelwinch/rules/admission.py
+++ b/fennelwinch/rules/admission.py
@@ -48,7 +48,7 @@
         heard = now - customer.heard_us < WORD_FRESH_US and self.random.random() * customer.demand > most
         if not customer.plan.max_out and customer.part >= units and not customer.is_short(units):
             self.decide(job, 1.0)
-            self.words.tell(home, customer, 0.0)
+            self.words.note(now, customer)
         elif home == self.set.me or heard or self.peers.is_silent(now, home) or not customer.plan.rate:
             self.draw(now, job)
         else:
--- a/fennelwinch/rules/gateway.py
+++ b/fennelwinch/rules/gateway.py
@@ -57,7 +57,7 @@
         self.actions += self.words.leave(now_us)
         # An idle gateway wakes up only to end its periods.
         busy = self.held or self.words.waiting or self.attempts.jobs
-        due = max(now_us + TICK_US, 0 if busy else cap.period_us + cap.cc_us)
+        due = max(now_us + TICK_US, 0 if busy else min(cap.period_us + cap.cc_us, self.words.due_us))
         if limits:
             due = min(due, max(now_us + TICK_US, limits.wake_us))
         if due < self.alarm_us:
--- a/fennelwinch/rules/store.py
+++ b/fennelwinch/rules/store.py
@@ -12,6 +12,8 @@
 DEMAND_US = 0.1 * S  # ageing of demand: short, as the level of the store carries the longer memory
 SMALL_STORE_US = 0.5 * S  # of its rate, that a store which holds no whole request may owe
 WORD_FRESH_US = S  # how long a word from home holds
+# What its home need not hear of at once: a part that is so full, of which so little was spent since.
+LATE_FULL, LATE_SPENT = 1 / 2, 1 / 4
 # Of a ceiling whose parts would hold fewer units than the first: the share that is split over the set. The
 # rest is its home's, which gives it out with its words; for how long after the ask such units may be used.
 SMALL_PART, SPLIT_SHARE, GRANT_US = 4, 0.5, 300_000
@@ -70,6 +72,12 @@
         """That of the whole set, as far as it is known."""
         return self.own + self.others
 
+    def may_be_late(self) -> bool:
+        """Whether the home need not hear at once of what is spent here: its store is off by a quarter of the
+        parts at most then. Of small parts it hears of each unit."""
+        full = self.plan.burst / self.size
+        return self.part >= full * LATE_FULL and self.spent <= full * LATE_SPENT
+
     def chance(self, units: float) -> float:
         """Quota over summed demand: of what the set has left, as the home counts it, and of late asked."""
         if self.plan.max_out and self.out >= max(1, self.plan.max_out // self.size):
--- a/fennelwinch/rules/words.py
+++ b/fennelwinch/rules/words.py
@@ -1,6 +1,7 @@
 """Words to homes and their answers, until they leave: at once, but spaced where the set is small.
 
-At the home, an answer may bring units of the ceiling that are the home's to give.
+What leaves the home wrong by little is gathered for longer: all of a customer is one word then. At the home,
+an answer may bring units of the ceiling that are the home's to give.
 """
 
 from collections.abc import Sequence
@@ -8,21 +9,24 @@
 from fennelwinch import interface as i
 from fennelwinch.rules.customers import Customers
 from fennelwinch.rules.peers import Peers
-from fennelwinch.rules.store import Customer
-from fennelwinch.rules.times import S
+from fennelwinch.rules.store import WORD_FRESH_US, Customer
+from fennelwinch.rules.times import NEVER, S
 
 MARK_US = 3 * S  # how often a peer is told that this is kept to; older ones speak without
 SPACE_US = 80_000  # between words to one peer, at most
+LATE_US = WORD_FRESH_US // 2  # what may be told late: the home's own words hold for twice as long
 
 
 class Words:
     """The words that wait to leave, by peer."""
 
-    __slots__ = ("customers", "marked_us", "peers", "set", "told_us", "waiting")
+    __slots__ = ("customers", "late", "marked_us", "peers", "set", "since_us", "told_us", "waiting")
 
     def __init__(self, settings: i.Settings, customers: Customers, peers: Peers) -> None:
         self.set, self.customers, self.peers = settings, customers, peers
         self.waiting: dict[int, list[i.Word | i.LimitWord]] = {}
+        self.late: dict[int, dict[i.Key, Customer]] = {}  # of whom there is something to tell late
+        self.since_us: dict[int, int] = {}  # from when, the eldest first
         self.told_us: dict[int, int] = {}  # when words last left for it
         self.marked_us: dict[int, int] = {}  # when each peer was told that ceilings are split here
 
@@ -37,6 +41,27 @@
             self.waiting.setdefault(peer, []).append(word)
         customer.untold = customer.spent = 0.0
 
+    def note(self, now: int, customer: Customer) -> None:
+        """Something was asked and spent of the part here: told now, or late where the home can do without."""
+        if customer.home == self.set.me or not customer.may_be_late():
+            return self.tell(customer.home, customer, 0.0)
+        self.since_us.setdefault(customer.home, now)
+        self.late.setdefault(customer.home, {})[customer.key] = customer
+
+    @property
+    def due_us(self) -> int:
+        """When words that are told late leave."""
+        return next(iter(self.since_us.values()), NEVER) + LATE_US
+
+    def tell_late(self, now: int) -> None:
+        """What was told late is told now, less what the home has heard of since."""
+        while now >= self.due_us:
+            del self.since_us[(peer := next(iter(self.since_us)))]
+            for customer in self.late.pop(peer).values():
+                customer.untold = min(customer.untold, customer.refill(now).own)  # it ages here as there
+                if customer.untold or customer.spent:
+                    self.tell(customer.home, customer, 0.0)
+
     def give(self, customer: Customer, units: float) -> bool:
         """At the home: give out units of the ceiling that are its own. Those that are not used are lost.
 
@@ -56,6 +81,7 @@
     def leave(self, now: int) -> Sequence[i.Tell]:
         """Words leave at once, but in a small set spaced so that all peers together take half an intake."""
         limits, waiting = self.customers.limits, self.waiting
+        self.tell_late(now)
         for peer, word in limits.due(now) if limits else ():
             waiting.setdefault(peer, []).extend([word] if word else [])
         if not waiting:
--- a/tests/fennelwinch/rules/test_words.py
+++ b/tests/fennelwinch/rules/test_words.py
@@ -7,8 +7,9 @@
 from fennelwinch import interface as i
 from fennelwinch.rules.customers import Customers
 from fennelwinch.rules.peers import Peers
-from fennelwinch.rules.words import MARK_US, SPACE_US, Words
-from tests.helpers import SETTINGS, S
+from fennelwinch.rules.store import LATE_SPENT, Customer
+from fennelwinch.rules.words import LATE_US, MARK_US, SPACE_US, Words
+from tests.helpers import MS, SETTINGS, S
 
 NOW = 100 * S
 PLAN = i.Plan(rate=10.0, burst=20.0, ceiling_rate=4.0, ceiling_burst=7.0)
@@ -74,3 +75,70 @@
     assert customer.pool == pytest.approx((7.0 - 1.2) / 4 - 1.0)
     customer.pool, customer.level = 1.0, 0.5
     assert not words.give(customer, 1.0)  # what the quota refuses would be lost
+
+
+def spend(words: Words, key: i.Key, now: int, units: float = 1.0) -> Customer:
+    """A request is let in by the part here."""
+    customer = words.customers.get(now, key)
+    customer.own, customer.untold = customer.own + units, customer.untold + units
+    words.customers.spend(now, customer, units)
+    words.note(now, customer)
+    return customer
+
+
+def test_what_a_full_part_spends_is_one_word_in_time() -> None:
+    """All of half a second is one word, however many requests there were; its demand has aged meanwhile."""
+    words = words_of(i.Plan(rate=10.0, burst=40.0))
+    assert words.due_us > NOW + MARK_US  # nothing wakes the gateway up for nothing
+    for number in range(4):
+        spend(words, THERE, NOW + number * MS)
+        assert not words.leave(NOW + number * MS)
+    assert words.due_us == NOW + LATE_US and not words.waiting
+    assert not words.leave(NOW + LATE_US - 1)
+    (tell,) = words.leave(NOW + LATE_US)
+    (word,) = tell.words
+    assert tell.peer == 1 and word.spent == 4.0 and word.asked == 0 and word.demand < 4.0 / 99
+    assert not words.late and not words.since_us and not words.leave(NOW + 2 * LATE_US)
+
+
+def test_ask_takes_with_it_what_would_have_been_told_late() -> None:
+    words = words_of(i.Plan(rate=10.0, burst=40.0))
+    customer = spend(words, THERE, NOW)
+    words.tell(1, customer, 1.0)
+    assert [word.spent for tell in words.leave(NOW + 1) for word in tell.words] == [1.0]
+    assert not words.leave(NOW + LATE_US) and not words.late
+
+
+@pytest.mark.parametrize(("part", "spent"), [(9.9, 0.0), (20.0, 5.0)])
+def test_part_that_runs_low_and_much_that_is_untold_are_told_at_once(part: float, spent: float) -> None:
+    """The home lets in what is asked by its store: that may be off by a quarter of the parts and no more."""
+    words = words_of(i.Plan(rate=10.0, burst=40.0))
+    customer = words.customers.get(NOW, THERE)
+    customer.part, customer.spent = part, spent
+    spend(words, THERE, NOW)
+    assert [word.spent for tell in words.leave(NOW) for word in tell.words] == [spent + 1.0]
+
+
+def test_small_part_is_told_of_each_unit_at_once() -> None:
+    words = words_of(i.Plan(rate=10.0, burst=2 * (1 / LATE_SPENT - 0.1)))
+    spend(words, THERE, NOW)
+    assert [word.spent for tell in words.leave(NOW) for word in tell.words] == [1.0]
+
+
+def test_words_told_late_come_in_the_order_in_which_their_time_is_up() -> None:
+    settings = replace(SETTINGS, plans=(i.Plan(rate=10.0, burst=60.0),), gateways=3)
+    words = Words(settings, Customers(settings, None), Peers())
+    first, second = (1, 0, 0, 3), (2, 0, 0, 3)
+    spend(words, second, NOW)
+    spend(words, first, NOW + MS)
+    spend(words, second, NOW + 2 * MS)
+    assert [tell.peer for tell in words.leave(NOW + LATE_US)] == [2]
+    assert words.due_us == NOW + MS + LATE_US
+    assert [tell.peer for tell in words.leave(NOW + MS + LATE_US)] == [1]
+
+
+def test_word_goes_to_the_home_that_there_is_by_then() -> None:
+    """Where shares move a customer may have another home by the time it is told of, or be at home here."""
+    words = words_of(i.Plan(rate=10.0, burst=40.0))
+    spend(words, THERE, NOW).home = 0
+    assert not words.leave(NOW + LATE_US) and words.customers.known[THERE].spent == 0
--- a/tests/fennelwinch/test_gateway_quotas.py
+++ b/tests/fennelwinch/test_gateway_quotas.py
@@ -2,10 +2,12 @@
 
 import zlib
 from dataclasses import replace
+from random import Random
 
 import pytest
 
 from fennelwinch import interface as i
+from fennelwinch.rules.words import LATE_US
 from tests.fennelwinch.gateways import UNSAFE, with_class
 from tests.helpers import MS, PLAN, SETTINGS, S, Set, World, of
 
@@ -87,6 +89,49 @@
         assert taken / 5 <= 60
 
 
+def test_home_is_wrong_by_little_and_for_a_short_time() -> None:
+    """What it has not heard of is a quarter of the others' parts at most, at any time, however the customer's
+    requests come; and nothing half a second after the last one."""
+    plan, size = replace(PLAN, rate=8.0, burst=64.0), 4
+    gates, random = Set(size, replace(SETTINGS, plans=(plan,))), Random(5)
+
+    def untold() -> float:
+        return sum(max(0.0, customer.spent) for world in gates.worlds
+                   for customer in world.gateway.customers.known.values())
+
+    most = 0.0
+    for n in range(400):
+        for m in range(random.choice((0, 0, 0, 1, 1, 8))):
+            gates.ask(random.choice((0, 1, 2, 3, 3, 3)), f"r{n}-{m}")
+        most = max(most, untold())
+        gates.run(20 * MS)
+    full = plan.burst / size
+    assert full / 8 < most <= (size - 1) * full / 4
+    gates.run(LATE_US + 100 * MS)
+    assert untold() == 0
+
+
+def test_quiet_customers_cost_few_messages_and_no_wake_ups() -> None:
+    """Ten of a home's customers ask at another gateway: they are one message in half a second."""
+    world = World(replace(SETTINGS, gateways=2, plans=(replace(PLAN, rate=40.0, burst=200.0),)))
+    names = [name for name in (f"c{n}" for n in range(40)) if zlib.crc32(name.encode()) % 2][:10]
+    for n in range(100):
+        world.ask(f"r{n}", customer=names[n % 10], set_size=2)
+        world.answer(f"r{n}")
+        world.run(50 * MS)
+    tells = of(i.Tell, [action for _, action in world.log])
+    assert 8 <= len(tells) <= 10 and all(len(tell.words) <= 10 for tell in tells)
+    world.run(S)
+    world.ask("last", customer=names[0], set_size=2)
+    world.answer("last")
+    asked, before = world.now, len(world.log)
+    world.run(2 * S)
+    after = world.log[before:]
+    (told,) = [at for at, action in after if isinstance(action, i.Tell)]
+    assert LATE_US <= told - asked <= LATE_US + 20 * MS
+    assert len([at for at, action in after if isinstance(action, i.SetTimer) and at <= told]) <= 3
+
+
 def test_words_from_outside_are_checked() -> None:
     world = World(replace(SETTINGS, gateways=2))
     huge = i.Word(1, 0, 0, 2, demand=1e9, asked=1e9, level=-1e9)
