All copies of long lists share one room in memory, also while discovery moves

Cause: the bound counted two copies of the longest list, but each staging had the whole of it to itself (Routing.stage: Staging(most)). While discovery moves, the list in service, one staged by the old address and one by the new are held at once; each of the latter becomes a list that is built in its steps. Ruled out as a fourth: calls side by side of one source, as the first part closes the other (Source.keep); a further move, as it lets go of the second address; what a call left open, which went with the connection's loss a turn later and goes at once now (WatchConnection.close).

Change: a room of entries for the process, that counts what is there by weak references; a part that finds none is refused as any list without room. What the old address has staged or is taking over gives way to the new one's list, to one call in each move: a refusal alone would have lost the first call of a move that succeeded until now. Objects that come whole need no room.

--- a/molereach/door/discovery.py
+++ b/molereach/door/discovery.py
@@ -37,6 +37,7 @@
         self.pacing, self.draw, self.stage = pacing, draw, stage
         self.source = Source(address, catalog, version, self.take, pacing(), draw, stage)
         self.next: Source | None = None  # it has told nothing yet
+        self.given_way: int | None = None  # to that call of it
 
     @property
     def version(self) -> int | None:
@@ -58,9 +59,22 @@
             self.next = None
         if address == self.source.address:
             return  # back, before the other has told anything: this one was never left
-        self.next = Source(address, self.catalog, None, self.take, self.pacing(), self.draw, self.stage)
+        self.given_way = None
+        self.next = Source(
+            address, self.catalog, None, self.take, self.pacing(), self.draw, self.stage, self.make_room
+        )
         self.spawn(self.next.run())
 
+    def make_room(self, source: Source, number: int) -> bool:
+        """Memory is for the list in service and one that comes: what the old address is telling gives way to
+        the new one's list. To one call in each move, as an address whose lists cannot be taken must not keep
+        the old one from telling its own."""
+        if source is not self.next or self.given_way not in (None, number):
+            return False
+        if gave_way := self.source.give_way():
+            self.given_way = number
+        return gave_way
+
     def take(self, source: Source, news: News | LongNews) -> Steps | None:
         """What could not be taken changes nothing, and what needs several turns counts at the end of the
         last: until then the old source is heard."""
--- a/molereach/door/frontdoor.py
+++ b/molereach/door/frontdoor.py
@@ -31,6 +31,7 @@
 from molereach.door.peers import Peers
 from molereach.door.watch import Steps
 from molereach.routing.interface import Lists, Seen
+from molereach.routing.room import COPIES
 from molereach.routing.routing import Routing
 
 log = logging.getLogger(__name__)
@@ -47,7 +48,7 @@
 HELD_SHARE = 1 / 8  # of the memory: for commands that are not answered yet
 WAITING_SHARE = 1 / 8  # of the memory: for commands in part, and answers that clients don't read
 LIST_SHARE = 1 / 4  # of the memory: for the whole list of backends
-ENTRY_BYTES = 2 * 160  # that an entry of the list takes: it is held, and staged when the list comes anew
+ENTRY_BYTES = 160  # that an entry of a list takes, in each copy
 LEAST_VIEW, MOST_VIEW = 256, 512  # backends that are decided on; a shorter list is seen whole
 REQUEST_BYTES = 4096  # that an open request takes besides its command
 
@@ -91,7 +92,8 @@
             lambda: ClientConnection(self.clients, self), self.backends.spawn,
         )
         view = min(MOST_VIEW, max(LEAST_VIEW, self.backends.most))
-        self.lists: Lists = Routing(config.settings, view, round(memory * LIST_SHARE) // ENTRY_BYTES)
+        most = round(memory * LIST_SHARE) // (COPIES * ENTRY_BYTES)
+        self.lists: Lists = Routing(config.settings, view, most)
         self.peers = Peers(config.peers, config.settings.me, self.post)
         self.catalog = Catalog(config)
         self.known: News | None = None  # the list that it started with, as it was heard
--- a/molereach/door/source.py
+++ b/molereach/door/source.py
@@ -11,7 +11,7 @@
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, TypeVar
 
 from fennelwinch import interface as i
 from molereach.door.calling import Calling
@@ -19,7 +19,7 @@
 from molereach.door.catalog import Catalog, LongNews, News
 from molereach.door.config import Address
 from molereach.door.watch import Steps, WatchConnection
-from molereach.routing.interface import Staged
+from molereach.routing.interface import RoomError, Staged
 
 log = logging.getLogger(__name__)
 
@@ -29,10 +29,12 @@
 TURN_S = 0.001  # for the loop to read what has come
 LIST_S = 30.0  # from an object's first part to its last
 
+Done = TypeVar("Done")
+
 
 @dataclass(frozen=True, slots=True)
 class Staging:
-    """Parts of an object that has not ended, and when it should have, in seconds."""
+    """Parts of an object that does not count yet, and when it should have ended, in seconds."""
 
     staged: Staged
     until_s: float
@@ -45,13 +47,16 @@
         self, address: Address, catalog: Catalog, version: int | None,
         heard: Callable[["Source", News | LongNews], Steps | None], pacing: CallPacing,
         draw: Callable[[], float], stage: Callable[[], Staged],
+        make_room: Callable[["Source", int], bool] = lambda source, number: False,
     ) -> None:
+        """`make_room`: whether what else is staged gives way to what a call of this one brings."""
         self.address, self.catalog, self.heard, self.stage = address, catalog, heard, stage
+        self.make_room = make_room
         self.version = version  # None: the whole list comes first
         self.pacing, self.draw = pacing, draw
         self.calling = Calling(pacing, draw)
         self.calls: dict[int, tuple[asyncio.Task[None], WatchConnection]] = {}
-        self.staged: dict[int, Staging] = {}  # parts of objects that have not ended, by their calls
+        self.staged: dict[int, Staging] = {}  # parts of objects that do not count yet, by their calls
         self.changed = asyncio.Event()
         self.closed = False
 
@@ -123,7 +128,7 @@
     def drop(self, number: int) -> None:
         """End a call from here; nothing more of it is heard."""
         task, connection = self.calls.pop(number)
-        self.staged.pop(number, None)
+        self.staged.pop(number, None)  # with `close` all that is held of it has gone
         connection.close()
         task.cancel()
 
@@ -150,7 +155,28 @@
             staged = self.staged[number] = Staging(self.stage(), now_s + LIST_S)
         if now_s > staged.until_s:
             raise ValueError(f"a list that takes over {LIST_S:.0f} s")
-        staged.staged.add(*self.catalog.part(text))
+        servers, addresses = self.catalog.part(text)
+        self.with_room(number, lambda: staged.staged.add(servers, addresses))
+
+    def with_room(self, number: int, add: Callable[[], Done]) -> Done:
+        """RoomError where nothing gives way to it."""
+        try:
+            return add()
+        except RoomError:
+            if not self.make_room(self, number):
+                raise
+            return add()
+
+    def give_way(self) -> bool:
+        """End the call of which entries are held; whether there was one. It is called again as after a
+        failure, and brings them again."""
+        holding = list(self.staged)
+        for number in holding:
+            log.warning("entries of a list from %s:%d give way to those of another address", *self.address)
+            self.drop(number)
+            self.calling.ended(number, time.monotonic())
+        self.changed.set()
+        return bool(holding)
 
     def word(self, number: int, whole: bool, word: bytes) -> Steps | None:
         """A whole object, or an empty line. Where it fails, the version stays, and the next watch brings it
@@ -161,18 +187,16 @@
         if not word:
             self.calling.taken()
             return None
-        news = self.news(json.loads(word), i.ListKind.FULL if whole else None, self.staged.pop(number, None))
+        news = self.news(json.loads(word), i.ListKind.FULL if whole else None, number)
         version = news.version if isinstance(news, LongNews) else news.event.version
         if steps := self.heard(self, news):
             return self.take_over(steps, number, whole, version)
         self.taken(number, whole, version)
         return None
 
-    def news(
-        self, value: Mapping[str, Any], kind: i.ListKind | None, staging: Staging | None
-    ) -> News | LongNews:
-        if staging:
-            return self.catalog.long_news(value, staging.staged, kind)
+    def news(self, value: Mapping[str, Any], kind: i.ListKind | None, number: int) -> News | LongNews:
+        if staging := self.staged.get(number):
+            return self.with_room(number, lambda: self.catalog.long_news(value, staging.staged, kind))
         return self.catalog.news(value, kind)
 
     def take_over(self, steps: Steps, number: int, whole: bool, version: int) -> Steps:
@@ -182,6 +206,7 @@
     def taken(self, number: int, whole: bool, version: int) -> None:
         """An object counts."""
         self.version = version
+        self.staged.pop(number, None)
         self.calling.taken()
         if number not in self.calls:
             return
--- a/molereach/door/watch.py
+++ b/molereach/door/watch.py
@@ -88,9 +88,10 @@
         return self.transport is not None and not self.transport.is_closing() and has_unread(self.transport)
 
     def close(self) -> None:
-        """Let go of it, and of all that waits, at once."""
+        """Let go of it, of all that waits and of what a step left open, at once: a list may be in there."""
         self.closed = True
         self.waiting.clear()
+        self.steps = None
         if self.transport:
             self.transport.abort()
         if self.is_lost:
--- a/molereach/routing/interface.py
+++ b/molereach/routing/interface.py
@@ -3,7 +3,7 @@
 A list that is no longer than the view passes through as it came: same events in, same events out.
 """
 
-from collections.abc import Generator, Iterable, Mapping
+from collections.abc import Generator, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -16,6 +16,10 @@
     """A list that cannot be taken over; the text is one line, and the list before it holds."""
 
 
+class RoomError(ListError):
+    """There is no room for it beside the lists that are held: it may be had once one of them has gone."""
+
+
 @dataclass(frozen=True, slots=True)
 class Seen:
     """News for the module, and the addresses of the servers that it names."""
@@ -27,8 +31,9 @@
 class Staged(Protocol):
     """Entries of one object that comes in parts; nothing of them counts until they are taken over."""
 
-    def add(self, servers: Iterable[i.Server], addresses: Mapping[str, Address]) -> None:
-        """The next part; ListError where the list would need more memory than it may have."""
+    def add(self, servers: Sequence[i.Server], addresses: Mapping[str, Address]) -> None:
+        """The next part; ListError where the list would need more memory than it may have, RoomError where
+        others have it just now. Then nothing of the part was added."""
 
 
 class Lists(Protocol):
--- a/molereach/routing/ring.py
+++ b/molereach/routing/ring.py
@@ -91,7 +91,10 @@
     def release(self) -> Iterator[None]:
         """Let go of all, in steps: to free 100,000 records at once would take a turn of its own."""
         for number in range(0, BUCKETS, RELEASED):
+            some = self.buckets[number : number + RELEASED]
+            self.count -= sum(len(bucket.records) for bucket in some if bucket)
             self.buckets[number : number + RELEASED] = [None] * RELEASED
+            del some
             yield
 
     def up_at(self, place: int) -> Iterator[bytes]:
--- a/molereach/routing/routing.py
+++ b/molereach/routing/routing.py
@@ -12,11 +12,13 @@
 from molereach.routing.interface import Address, ListError, Seen, Staged
 from molereach.routing.places import LEAST_DOORS, door_place, least_reach
 from molereach.routing.records import name_of, unpack
+from molereach.routing.room import COPIES, Room
 from molereach.routing.staging import STEP_ENTRIES, Staging, entry_of
 from molereach.routing.view import View, Whole
 
 LONG = 2  # times the view's size: from there on a list has a view
 WHOLE_KINDS = (i.ListKind.FULL, i.ListKind.SAVED)
+MORE_ENTRIES = 2 * STEP_ENTRIES  # that a list may have beyond the most between the steps of changes to it
 Steps = Generator[None, None, Seen | None]
 Short = dict[str, tuple[i.Server, Address | None]]
 
@@ -27,7 +29,8 @@
     def __init__(self, settings: i.Settings, size: int, most: int) -> None:
         self.doors, self.size, self.most, self.kinds = settings.gateways, size, most, kinds(settings)
         self.short: Short | None = {}  # None: the list is long, and stands in `whole`
-        self.whole = Whole(self.kinds)
+        self.room = Room(COPIES * most + MORE_ENTRIES)
+        self.whole = self.empty()
         self.view = View(door_place(settings.me), least_reach(settings.me, settings.gateways), size)
         self.told: dict[bytes, bytes] = {}  # members of the view by name, as the module has them
         self.stale = False  # the view is to be chosen anew
@@ -37,8 +40,12 @@
         """Entries of the whole list."""
         return self.whole.ring.count if self.short is None else len(self.short)
 
+    def empty(self) -> Whole:
+        """A list with nothing in it yet."""
+        return self.room.count(Whole(self.kinds))
+
     def stage(self) -> Staging:
-        return Staging(self.most)
+        return self.room.count(Staging(self.most, self.room))
 
     def take(self, event: i.ServerList, addresses: Mapping[str, Address]) -> Seen | None:
         """An object that came whole, and so holds few entries."""
@@ -50,7 +57,7 @@
             if len(known) <= LONG * self.size:
                 self.short = known
                 return Seen(event, dict(addresses))
-        staged = self.stage()
+        staged = Staging(self.most)
         staged.add(event.servers, addresses)
         return finish(self.take_over(staged, event.kind, event.version))
 
@@ -59,13 +66,13 @@
         assert isinstance(staged, Staging)
         was_short, old = self.short is not None, self.whole
         if kind in WHOLE_KINDS:
-            whole = Whole(self.kinds)
+            whole = self.empty()
             yield from self.build(whole, staged)
             self.whole, self.stale = whole, True
             yield from old.ring.release()  # before the view is told: whoever leaves now has told nothing
         else:
             if self.short is not None:
-                self.whole, self.stale = Whole(self.kinds), True
+                self.whole, self.stale = self.empty(), True
                 yield from self.build(self.whole, self.stage_short(self.short))
             yield from self.change(staged)
         self.short = None
@@ -74,7 +81,7 @@
         return self.tell(kind, version, was_short)
 
     def stage_short(self, short: Short) -> Staging:
-        staged = self.stage()
+        staged = Staging(self.most)
         for known in short.values():
             staged.append(entry_of(*known))
         return staged
@@ -105,7 +112,7 @@
         kind = kind if kind in WHOLE_KINDS else i.ListKind.FULL
         listed = [unpack(record) for record in self.whole.ring]
         self.short = {server.name: (server, address) for server, address in listed}
-        self.whole, self.told, self.stale = Whole(self.kinds), {}, False
+        self.whole, self.told, self.stale = self.empty(), {}, False
         return seen(kind, version, listed)
 
     def tell(self, kind: i.ListKind, version: int, whole: bool) -> Seen | None:
--- a/molereach/routing/staging.py
+++ b/molereach/routing/staging.py
@@ -2,12 +2,13 @@
 
 from array import array
 from collections import deque
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 
 from fennelwinch import interface as i
 from molereach.routing.interface import Address, ListError
 from molereach.routing.places import place_of
 from molereach.routing.records import name_bytes, pack
+from molereach.routing.room import Room
 
 STEP_ENTRIES = 500  # taken over in one turn: some milliseconds
 Entry = tuple[int, bytes, bool]  # the place, the record (or the name of one that is gone), whether it is gone
@@ -41,21 +42,25 @@
 
 
 class Staging:
-    """In the order in which they came; `most` of them at most.
+    """In the order in which they came; `most` of them at most, and no more than there is room for.
 
     They stand in slices that are let go of one by one: to free 100,000 at once takes a turn of its own."""
 
-    __slots__ = ("count", "most", "slices")
+    __slots__ = ("__weakref__", "count", "held", "most", "room", "slices")
 
-    def __init__(self, most: int) -> None:
+    def __init__(self, most: int, room: Room | None = None) -> None:
+        """Without a `room` for what came whole, and so is few entries for a moment."""
         self.slices: deque[Slice] = deque()
-        self.count, self.most = 0, most
-
-    def add(self, servers: Iterable[i.Server], addresses: Mapping[str, Address]) -> None:
-        """ListError where the list would need more memory than it may have."""
+        self.most, self.room = most, room
+        self.count = self.held = 0  # all that came, and those that have not been taken
+
+    def add(self, servers: Sequence[i.Server], addresses: Mapping[str, Address]) -> None:
+        """ListError where the list needs more memory than it may have; RoomError where others have it."""
+        if self.count + len(servers) > self.most:
+            raise ListError(f"a list of over {self.most} entries has no room in memory")
+        if self.room:
+            self.room.need(len(servers))
         for server in servers:
-            if self.count >= self.most:
-                raise ListError(f"a list of over {self.most} entries has no room in memory")
             self.append(entry_of(server, addresses.get(server.name)))
 
     def append(self, entry: Entry) -> None:
@@ -63,8 +68,11 @@
             self.slices.append(Slice())
         self.slices[-1].append(*entry)
         self.count += 1
+        self.held += 1
 
     def take(self) -> Iterator[Slice]:
         """Each slice once."""
         while self.slices:
-            yield self.slices.popleft()
+            some = self.slices.popleft()
+            self.held -= len(some.records)
+            yield some
--- a/molereach/routing/view.py
+++ b/molereach/routing/view.py
@@ -15,11 +15,16 @@
 class Whole:
     """The whole list: the ring and its groups."""
 
-    __slots__ = ("groups", "ring")
+    __slots__ = ("__weakref__", "groups", "ring")
 
     def __init__(self, kinds: Sequence[Callable[[bytes], int]]) -> None:
         self.ring, self.groups = Ring(), [Groups(of) for of in kinds]
 
+    @property
+    def held(self) -> int:
+        """Entries in it."""
+        return self.ring.count
+
     def put(self, place: int, record: bytes) -> bytes | None:
         """The record before, if any."""
         before = self.ring.put(place, record)
--- /dev/null
+++ b/tests/routing/test_room.py
@@ -0,0 +1,56 @@
+"""The room for long lists: what is there counts, wherever it is held."""
+
+import contextlib
+
+import pytest
+
+from fennelwinch import interface as i
+from molereach.routing.interface import RoomError
+from molereach.routing.routing import finish
+from tests.routing.model import World, addresses_of, server, settings_of
+
+FULL, CHANGES = i.ListKind.FULL, i.ListKind.CHANGES
+
+
+@pytest.mark.parametrize("kind", [FULL, CHANGES])
+def test_room_counts_what_is_there_at_each_step_and_after_a_takeover_that_is_left(kind: i.ListKind) -> None:
+    """Entries move from what was staged to the list; none is counted for what has gone."""
+    world = World(settings_of(doors=100), 20, most=2_000)
+    world.hear(world.give(FULL, [server(number) for number in range(600)])[0])
+    for taken in range(100):
+        staged = world.routing.stage()
+        entries = [server(number) for number in range(600, 1_900)]
+        staged.add(entries, addresses_of(entries))
+        before, steps = world.routing.count, world.routing.take_over(staged, kind, 2)
+        assert world.routing.room.held == before + 1_300
+        try:
+            for _ in range(taken):
+                next(steps)
+                assert 1_300 <= world.routing.room.held <= before + 1_300
+        except StopIteration:
+            assert world.routing.room.held == world.routing.count
+            return
+        del staged, steps
+        assert world.routing.room.held == world.routing.count
+    raise AssertionError("it never ends")
+
+
+def test_third_copy_has_no_room_until_another_has_gone() -> None:
+    """Not even while a list is taken over, or let go of: all of that is held."""
+    world = World(settings_of(doors=100), 20, most=3_000)
+    entries = [server(number) for number in range(2_900)]
+    world.hear(world.give(FULL, entries)[0])
+    first, other = world.routing.stage(), world.routing.stage()
+    first.add(entries, addresses_of(entries))
+    other.add(entries[:200], {})
+    with pytest.raises(RoomError, match="7000"):
+        other.add(entries[200:], {})
+    assert (other.count, first.count) == (200, 2_900)
+    steps, refused = world.routing.take_over(first, FULL, 2), 0
+    for _ in steps:
+        with contextlib.suppress(RoomError):
+            other.add(entries[200:], {})
+            break
+        refused += 1
+    assert refused >= 2 and other.count == 2_900
+    assert finish(steps) is not None and world.routing.room.held == 5_800
