A drain told while a new address's list is taken over is in that list as well

Cause: a long list of a new address is built in steps while the old address is heard (Routing.take_over, kinds that are whole). What that told between the steps went to the list in service and to the module, and the last step put the new list over both: a backend that had been told to drain, to be gone or to have started anew got work as before until the new address's own changes named it. A change is told when discovery has written it, and this one was written after the list had come whole. Found for short and long lists in service.

Only ends and later starts of what the list names; the rest is in the new address's changes, and a lagging word would stay for ever. Notes are bounded by a list's length and count as held; beyond that the new list is refused. A list that was short lets go of no ring.

Breaks, each seen to fail: all that was told taken, all that the list does not name, one step, no bound; and of the room before: steps kept open at a close, a ring that is let go of not counted down, way given to each call.

--- a/molereach/routing/records.py
+++ b/molereach/routing/records.py
@@ -50,6 +50,12 @@
     return record[0] == UP
 
 
+def is_later(record: bytes, other: bytes) -> bool:
+    """Whether one entry of a backend must be later than another: of a later start, or its end."""
+    started_us, other_us = HEAD.unpack_from(record)[5], HEAD.unpack_from(other)[5]
+    return bool(started_us > other_us or (started_us == other_us and not is_up(record)))
+
+
 def zone_of(record: bytes) -> int:
     return int(HEAD.unpack_from(record)[1])
 
--- a/molereach/routing/ring.py
+++ b/molereach/routing/ring.py
@@ -45,6 +45,12 @@
         self.buckets: list[Bucket | None] = [None] * BUCKETS
         self.count = self.up = self.touched = 0
 
+    def get(self, place: int, name: bytes) -> bytes | None:
+        bucket = self.buckets[place >> SHIFT]
+        at, there = bucket.index(place, name) if bucket else (0, False)
+        self.touched += 1
+        return bucket.records[at] if bucket and there else None
+
     def put(self, place: int, record: bytes) -> bytes | None:
         """Add or replace a record; the one before, if any."""
         number = place >> SHIFT
--- a/molereach/routing/routing.py
+++ b/molereach/routing/routing.py
@@ -10,6 +10,7 @@
 from fennelwinch import interface as i
 from molereach.routing.groups import kinds
 from molereach.routing.interface import Address, ListError, Seen, Staged
+from molereach.routing.meanwhile import Meanwhile
 from molereach.routing.places import LEAST_DOORS, door_place, least_reach
 from molereach.routing.records import name_of, unpack
 from molereach.routing.room import COPIES, Room
@@ -34,6 +35,7 @@
         self.view = View(door_place(settings.me), least_reach(settings.me, settings.gateways), size)
         self.told: dict[bytes, bytes] = {}  # members of the view by name, as the module has them
         self.stale = False  # the view is to be chosen anew
+        self.meanwhile = Meanwhile(self.stage)
 
     @property
     def count(self) -> int:
@@ -56,6 +58,8 @@
             learn(known, event.servers, addresses)
             if len(known) <= LONG * self.size:
                 self.short = known
+                if event.kind not in WHOLE_KINDS:
+                    self.meanwhile.note_short(event.servers, addresses)
                 return Seen(event, dict(addresses))
         staged = Staging(self.most)
         staged.add(event.servers, addresses)
@@ -64,18 +68,19 @@
     def take_over(self, staged: Staged, kind: i.ListKind, version: int) -> Steps:
         """All that was staged, in short steps; what the module has holds until the last."""
         assert isinstance(staged, Staging)
-        was_short, old = self.short is not None, self.whole
         if kind in WHOLE_KINDS:
-            whole = self.empty()
+            whole, since = self.empty(), self.meanwhile.begin()
             yield from self.build(whole, staged)
-            self.whole, self.stale = whole, True
-            yield from old.ring.release()  # before the view is told: whoever leaves now has told nothing
+            yield from self.meanwhile.catch_up(whole, since)
+            old, self.whole, self.stale = self.whole, whole, True
+            if self.short is None:  # before the view is told: whoever leaves now has told nothing
+                yield from old.ring.release()
         else:
             if self.short is not None:
                 self.whole, self.stale = self.empty(), True
                 yield from self.build(self.whole, self.stage_short(self.short))
             yield from self.change(staged)
-        self.short = None
+        was_short, self.short = self.short is not None, None
         if self.whole.ring.count <= self.size * (LONG if was_short else 1):
             return self.shorten(kind, version)
         return self.tell(kind, version, was_short)
@@ -102,6 +107,7 @@
             for place, record, gone in entries:
                 before = whole.remove(place, record) if gone else whole.put(place, record)
                 self.stale = self.stale or view.concerns(whole, place, before, None if gone else record)
+            self.meanwhile.note(entries)
             if whole.ring.count > self.most + (STEP_ENTRIES if staged.slices else 0):
                 raise ListError(f"a list of over {self.most} entries has no room in memory")
             if staged.slices:
--- a/molereach/routing/staging.py
+++ b/molereach/routing/staging.py
@@ -64,7 +64,7 @@
             self.append(entry_of(server, addresses.get(server.name)))
 
     def append(self, entry: Entry) -> None:
-        if self.count % STEP_ENTRIES == 0:
+        if not self.slices or len(self.slices[-1].records) >= STEP_ENTRIES:
             self.slices.append(Slice())
         self.slices[-1].append(*entry)
         self.count += 1
--- a/tests/door/test_room.py
+++ b/tests/door/test_room.py
@@ -204,6 +204,44 @@
     assert LONG < held.most <= ROOM and not said(caplog, "give way")
 
 
+@pytest.mark.parametrize("count", [1, LONG])
+def test_drain_told_while_a_list_of_the_new_address_is_taken_over_holds(
+    count: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The old address tells it when that list has come; nothing goes there after the move either."""
+    async def job() -> None:
+        begun = asyncio.Event()
+        monkeypatch.setattr("molereach.routing.staging.STEP_ENTRIES", 1)
+
+        async def old(writer: asyncio.StreamWriter) -> None:
+            writer.write(HEAD + chunk(list_text(4, entries_text(count))))
+            await begun.wait()
+            drained = entries_text(1).replace(b"SERVING", b"DRAINING")
+            writer.write(chunk(list_text(5, drained, reset=False)))
+            await asyncio.Event().wait()
+
+        async with long_door(old) as (door, _):
+            await until(lambda: door.discovery.version == 4)
+            new = Watch(says(HEAD + chunk(text_of(9))), says(HEAD))  # type: ignore[arg-type]
+            door.discovery.move(await new.start())
+            await until(lambda: door.discovery.next is not None and bool(door.discovery.next.calls))
+            heard, take = [], door.discovery.take
+
+            def taking(of: Source, news: News | LongNews) -> Steps | None:
+                begun.set()
+                return take(of, news)
+
+            assert door.discovery.next
+            door.discovery.next.heard = taking
+            hear = door.hear
+            door.hear = lambda event, addresses: (heard.append(event.version), hear(event, addresses))  # type: ignore
+            await until(lambda: door.discovery.version == 9)
+            assert heard == [5, 9]
+            assert "s-00000000" not in door.backends.pools and "s-00000001" in door.backends.pools
+
+    run(job())
+
+
 def test_new_address_is_given_way_to_in_one_call(held: Held, caplog: pytest.LogCaptureFixture) -> None:
     """One whose lists cannot be taken must not keep the old one from telling its own."""
     async def job() -> None:
