Long lists share one room, and what is told meanwhile holds

Need: two open faults of long lists while discovery moves: three copies where the bound counts two, and a drain told between the steps of a takeover that was undone at its end.

--- a/molereach/routing/ring.py
+++ b/molereach/routing/ring.py
@@ -45,6 +45,12 @@
         self.buckets: list[Bucket | None] = [None] * BUCKETS
         self.count = self.up = self.touched = 0
 
+    def get(self, place: int, name: bytes) -> bytes | None:
+        bucket = self.buckets[place >> SHIFT]
+        at, there = bucket.index(place, name) if bucket else (0, False)
+        self.touched += 1
+        return bucket.records[at] if bucket and there else None
+
     def put(self, place: int, record: bytes) -> bytes | None:
         """Add or replace a record; the one before, if any."""
         number = place >> SHIFT
@@ -91,7 +97,10 @@
     def release(self) -> Iterator[None]:
         """Let go of all, in steps: to free 100,000 records at once would take a turn of its own."""
         for number in range(0, BUCKETS, RELEASED):
+            some = self.buckets[number : number + RELEASED]
+            self.count -= sum(len(bucket.records) for bucket in some if bucket)
             self.buckets[number : number + RELEASED] = [None] * RELEASED
+            del some
             yield
 
     def up_at(self, place: int) -> Iterator[bytes]:
--- a/molereach/routing/routing.py
+++ b/molereach/routing/routing.py
@@ -10,13 +10,16 @@
 from fennelwinch import interface as i
 from molereach.routing.groups import kinds
 from molereach.routing.interface import Address, ListError, Seen, Staged
+from molereach.routing.meanwhile import Meanwhile
 from molereach.routing.places import LEAST_DOORS, door_place, least_reach
 from molereach.routing.records import name_of, unpack
+from molereach.routing.room import COPIES, Room
 from molereach.routing.staging import STEP_ENTRIES, Staging, entry_of
 from molereach.routing.view import View, Whole
 
 LONG = 2  # times the view's size: from there on a list has a view
 WHOLE_KINDS = (i.ListKind.FULL, i.ListKind.SAVED)
+MORE_ENTRIES = 2 * STEP_ENTRIES  # that a list may have beyond the most between the steps of changes to it
 Steps = Generator[None, None, Seen | None]
 Short = dict[str, tuple[i.Server, Address | None]]
 
@@ -27,18 +30,24 @@
     def __init__(self, settings: i.Settings, size: int, most: int) -> None:
         self.doors, self.size, self.most, self.kinds = settings.gateways, size, most, kinds(settings)
         self.short: Short | None = {}  # None: the list is long, and stands in `whole`
-        self.whole = Whole(self.kinds)
+        self.room = Room(COPIES * most + MORE_ENTRIES)
+        self.whole = self.empty()
         self.view = View(door_place(settings.me), least_reach(settings.me, settings.gateways), size)
         self.told: dict[bytes, bytes] = {}  # members of the view by name, as the module has them
         self.stale = False  # the view is to be chosen anew
+        self.meanwhile = Meanwhile(self.stage)
 
     @property
     def count(self) -> int:
         """Entries of the whole list."""
         return self.whole.ring.count if self.short is None else len(self.short)
 
+    def empty(self) -> Whole:
+        """A list with nothing in it yet."""
+        return self.room.count(Whole(self.kinds))
+
     def stage(self) -> Staging:
-        return Staging(self.most)
+        return self.room.count(Staging(self.most, self.room))
 
     def take(self, event: i.ServerList, addresses: Mapping[str, Address]) -> Seen | None:
         """An object that came whole, and so holds few entries."""
@@ -49,32 +58,35 @@
             learn(known, event.servers, addresses)
             if len(known) <= LONG * self.size:
                 self.short = known
+                if event.kind not in WHOLE_KINDS:
+                    self.meanwhile.note_short(event.servers, addresses)
                 return Seen(event, dict(addresses))
-        staged = self.stage()
+        staged = Staging(self.most)
         staged.add(event.servers, addresses)
         return finish(self.take_over(staged, event.kind, event.version))
 
     def take_over(self, staged: Staged, kind: i.ListKind, version: int) -> Steps:
         """All that was staged, in short steps; what the module has holds until the last."""
         assert isinstance(staged, Staging)
-        was_short, old = self.short is not None, self.whole
         if kind in WHOLE_KINDS:
-            whole = Whole(self.kinds)
+            whole, since = self.empty(), self.meanwhile.begin()
             yield from self.build(whole, staged)
-            self.whole, self.stale = whole, True
-            yield from old.ring.release()  # before the view is told: whoever leaves now has told nothing
+            yield from self.meanwhile.catch_up(whole, since)
+            old, self.whole, self.stale = self.whole, whole, True
+            if self.short is None:  # before the view is told: whoever leaves now has told nothing
+                yield from old.ring.release()
         else:
             if self.short is not None:
-                self.whole, self.stale = Whole(self.kinds), True
+                self.whole, self.stale = self.empty(), True
                 yield from self.build(self.whole, self.stage_short(self.short))
             yield from self.change(staged)
-        self.short = None
+        was_short, self.short = self.short is not None, None
         if self.whole.ring.count <= self.size * (LONG if was_short else 1):
             return self.shorten(kind, version)
         return self.tell(kind, version, was_short)
 
     def stage_short(self, short: Short) -> Staging:
-        staged = self.stage()
+        staged = Staging(self.most)
         for known in short.values():
             staged.append(entry_of(*known))
         return staged
@@ -95,6 +107,7 @@
             for place, record, gone in entries:
                 before = whole.remove(place, record) if gone else whole.put(place, record)
                 self.stale = self.stale or view.concerns(whole, place, before, None if gone else record)
+            self.meanwhile.note(entries)
             if whole.ring.count > self.most + (STEP_ENTRIES if staged.slices else 0):
                 raise ListError(f"a list of over {self.most} entries has no room in memory")
             if staged.slices:
@@ -105,7 +118,7 @@
         kind = kind if kind in WHOLE_KINDS else i.ListKind.FULL
         listed = [unpack(record) for record in self.whole.ring]
         self.short = {server.name: (server, address) for server, address in listed}
-        self.whole, self.told, self.stale = Whole(self.kinds), {}, False
+        self.whole, self.told, self.stale = self.empty(), {}, False
         return seen(kind, version, listed)
 
     def tell(self, kind: i.ListKind, version: int, whole: bool) -> Seen | None:
