--- /dev/null
+++ b/tests/benchmarks/test_views.py
@@ -0,0 +1,25 @@
+"""Rows of all front doors' views."""
+
+import pytest
+
+from benchmarks.views import Row, Tier
+
+ROWS = [  # as measured at commit 40dc8ad, seed 1, three backends that go and three that come
+    Row(5, 600, False, 256, 265.8, 305, 2, 3, 1.406, 0.862, 0.0032606, 0.0032606, 2.0, 0.17757713,
+        0.10082769, 1.84, 0, 291, 0, 1.332),
+    Row(5, 600, True, 256, 281.2, 341, 2, 4, 1.727, 0.782, 0.00213371, 0.00213371, 2.0, 0.20625889,
+        0.08108108, 1.46, 0, 701, 0, 0.939),
+    Row(40, 20, True, 20, 20, 20, 40, 40, 1.0, 1.0, 0.05, 0.05, 1.0, 0.0, 0.0, 0.0, 0, 0, 0, 1.0),
+    Row(40, 600, False, 256, 256, 256, 15, 19, 1.113, 0.879, 0.00325521, 0.00338542, 2.0, 0.0,
+        0.11289062, 2.0, 0, 291, 0, 1.056),
+    Row(40, 600, True, 256, 256, 256, 13, 24, 1.406, 0.762, 0.00299479, 0.00299479, 2.0, 0.0,
+        0.11269531, 2.0, 0, 701, 0, 0.939),
+    Row(12, 2_000, True, 387, 456, 635, 2, 6, 2.275, 0.537, 0.00073099, 0.00048733, 1.5, 0.0621345,
+        0.04824561, 1.0, 0, 944, 0, 1.167),
+]
+
+
+@pytest.mark.parametrize("row", ROWS, ids=lambda row: f"{row.doors}-{row.backends}-{row.cells}")
+def test_row_of_a_seed_stays_as_it_is(row: Row) -> None:
+    """A figure is a function of size and seed, so that a run can be compared with the one before it."""
+    assert Tier(row.doors, row.backends, row.cells, 1).row(3) == row
