The view's benchmark plays its rows in three processes, and a row that fails ends it

Rows know nothing of one another, so they go to a pool of three processes, costliest first; the list of rows keeps the order of the sizes and no figure depends on how many processes there are. What one front door's own routing does with a lost zone stands in benchmarks/told.py, unchanged. Tests: rows of two processes equal those of one in the order of the sizes (fails where the order is that of the pool's work); a row that fails ends the run and leaves what has not begun (fails where results are not asked, or none is cancelled).

--- a/benchmarks/views.py
+++ b/benchmarks/views.py
@@ -5,24 +5,22 @@
 
 import statistics
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from random import Random
 
+from benchmarks.told import LOST_ZONE, SIZE, zone_told
 from fennelwinch import interface as i
 from molereach.routing.places import LEAST_DOORS, RING, behind, door_place
 from molereach.routing.records import cell_of, name_of
-from molereach.routing.routing import LONG, Routing
+from molereach.routing.routing import LONG
 from molereach.routing.staging import entry_of
 from molereach.routing.view import View, Whole
 
-SIZE = 256  # of a view
 ZONES, CELLS, OF_BACKENDS = 26, 2_900, 93_000
 LEAST_SAMPLE = 3  # of backends that go, and come, one by one
 SAMPLED_MEMBERS = 100_000  # of views chosen anew, about: where one is seen by many, fewer are sampled
 DOOR_RATE_PER_S = 293.0  # at the peak
-LOST_ZONE = 3
-KEYED = i.RequestClass(1, 3, effect=i.Effect.KEYED, group=i.Group.CELL, window_us=1)
 Views = list[View]
 
 
@@ -148,20 +146,6 @@
             not_full += len(new.members) < wanted or bool(gone & new.members.keys())
         return changed, lost_pairs, not_full
 
-    def zone_told(self) -> tuple[int, int]:
-        """Through a front door's own routing: entries touched by the loss, and events after it until full."""
-        settings = i.Settings(1, 0, self.doors, (KEYED,) if self.cells else (), ())
-        routing = Routing(settings, SIZE, 2 * self.backends)
-        take(routing, i.ListKind.FULL, self.servers)
-        start = routing.whole.ring.touched
-        lost = [each for each in self.servers if each.zone == LOST_ZONE]
-        take(routing, i.ListKind.CHANGES, [replace(each, state=i.ServerState.GONE) for each in lost])
-        touched = routing.whole.ring.touched - start
-        told = routing.told if routing.short is None else routing.short
-        left = self.backends - len(lost)
-        is_full = len(told) >= min(SIZE, left) if routing.short is None else len(told) == left
-        return touched, 0 if is_full else 1
-
     def row(self, sample: int) -> Row:
         seen, load = Counter[bytes](), dict[bytes, float]()
         for view in self.views:
@@ -176,7 +160,7 @@
         goes = [self.one_goes(each) for each in chosen]
         comes = [self.one_comes(server(self.backends + n, self.backends, self.seed)) for n in range(sample)]
         door, (zone, lost, not_full) = self.door_goes(), self.zone_goes()
-        touched, events = self.zone_told()
+        touched, events = zone_told(self.servers, self.doors, self.cells)
         ratios = [pairs / own for pairs, own in [*goes, *(each[:2] for each in comes)] if own]
         return Row(
             self.doors, self.backends, self.cells, min(sizes), round(statistics.mean(sizes), 1), max(sizes),
@@ -190,11 +174,3 @@
 
     def part(self, pairs: float) -> float:
         return round(pairs / self.pairs, 8)
-
-
-def take(routing: Routing, kind: i.ListKind, servers: Sequence[i.Server]) -> None:
-    """As an object that came in parts."""
-    staged = routing.stage()
-    staged.add(servers, {each.name: ("10.0.0.1", 80) for each in servers})
-    for _ in routing.take_over(staged, kind, 1):
-        pass
--- a/tests/benchmarks/test_views.py
+++ b/tests/benchmarks/test_views.py
@@ -1,8 +1,14 @@
 """Rows of all front doors' views."""
 
+import multiprocessing
+from concurrent.futures import Executor, Future, ProcessPoolExecutor, ThreadPoolExecutor
+from typing import Any
+
 import pytest
 
+from benchmarks.view import rows_of
 from benchmarks.views import Row, Tier
+from sim.run import JOBS_CONTEXT
 
 ROWS = [  # as measured at commit 40dc8ad, seed 1, three backends that go and three that come
     Row(5, 600, False, 256, 265.8, 305, 2, 3, 1.406, 0.862, 0.0032606, 0.0032606, 2.0, 0.17757713,
@@ -23,3 +29,37 @@
 def test_row_of_a_seed_stays_as_it_is(row: Row) -> None:
     """A figure is a function of size and seed, so that a run can be compared with the one before it."""
     assert Tier(row.doors, row.backends, row.cells, 1).row(3) == row
+
+
+def test_rows_of_processes_are_those_of_one_in_the_order_of_the_sizes() -> None:
+    """Small sizes stand behind a large one, which is the last to end."""
+    sizes = [(40, 2_000, True), (5, 20, False), (7, 20, True), (5, 600, False)]
+    with ProcessPoolExecutor(2, multiprocessing.get_context(JOBS_CONTEXT)) as pool:
+        assert rows_of(pool, sizes, 2, 3, False) == [Tier(*size, 3).row(2) for size in sizes]
+
+
+class Held(Executor):
+    """Nothing is played; each future is ended by hand."""
+
+    def __init__(self) -> None:
+        self.futures: list[Future[Any]] = []
+
+    def submit(self, *_: Any, **__: Any) -> Future[Any]:  # noqa: ANN401
+        self.futures.append(Future())
+        if len(self.futures) == 2:
+            self.futures[-1].set_exception(ZeroDivisionError())
+        return self.futures[-1]
+
+
+def test_row_that_fails_ends_the_run_and_those_not_begun_are_left() -> None:
+    held = Held()
+    with ThreadPoolExecutor(1) as thread:
+        run = thread.submit(rows_of, held, [(5, 20, False)] * 4, 2, 3, False)
+        try:
+            with pytest.raises(ZeroDivisionError):
+                run.result(timeout=20)
+            assert [each.cancelled() for each in held.futures] == [True, False, True, True]
+        finally:
+            for each in held.futures:
+                if not each.done():
+                    each.set_result(None)
