--- a/molereach/cache/purge/holdings.py
+++ b/molereach/cache/purge/holdings.py
@@ -65,6 +65,7 @@
     Holding(f"{LIMITS}.reach.Reach", "homes", "spending told here", Effect.KEPT, FULL_AGAIN),
     # Words to homes
     Holding(f"{RULES}.words.Words", "waiting", "words to homes", Effect.ENDS, "80 ms"),
+    Holding(f"{RULES}.words.Words", "late", "words to homes", Effect.ENDS, "0.5 s"),
     Holding(f"{LIMITS}.escrow.Escrow", "out", "words of loans", Effect.ENDS, "the next look, 20 ms"),
     Holding(f"{LIMITS}.core.Limits", "answers", "words of limits", Effect.ENDS, "the next look, 20 ms"),
     Holding(f"{LIMITS}.reach.Reach", "fresh", "spending to be told", Effect.ENDS, "until it is told"),
