--- a/tests/benchmarks/test_views.py
+++ b/tests/benchmarks/test_views.py
@@ -1,7 +1,8 @@
 """Rows of all front doors' views."""
 
-import multiprocessing
-from concurrent.futures import Executor, Future, ProcessPoolExecutor, ThreadPoolExecutor
+import subprocess
+import sys
+from concurrent.futures import Executor, Future, ThreadPoolExecutor
 from typing import Any
 
 import pytest
@@ -13,7 +14,7 @@
 from molereach.routing.places import RING, door_place
 from molereach.routing.staging import entry_of
 from molereach.routing.view import View
-from sim.run import JOBS_CONTEXT
+from tests.docs.shell import ROOT
 
 ROWS = [  # as measured at commit 40dc8ad, seed 1, three backends that go and three that come
     Row(5, 600, False, 256, 265.8, 305, 2, 3, 1.406, 0.862, 0.0032606, 0.0032606, 2.0, 0.17757713,
@@ -30,6 +31,17 @@
 ]
 
 
+POOLED = """
+import ast, multiprocessing, sys
+from concurrent.futures import ProcessPoolExecutor
+from benchmarks.view import rows_of
+from sim.run import JOBS_CONTEXT
+if __name__ == "__main__":
+    with ProcessPoolExecutor(2, multiprocessing.get_context(JOBS_CONTEXT)) as pool:
+        print(*rows_of(pool, ast.literal_eval(sys.argv[1]), 2, 3, False), sep="\\n")
+"""
+
+
 @pytest.mark.parametrize("row", ROWS, ids=lambda row: f"{row.doors}-{row.backends}-{row.cells}")
 def test_row_of_a_seed_stays_as_it_is(row: Row) -> None:
     """A figure is a function of size and seed, so that a run can be compared with the one before it."""
@@ -37,10 +49,14 @@
 
 
 def test_rows_of_processes_are_those_of_one_in_the_order_of_the_sizes() -> None:
-    """Small sizes stand behind a large one, which is the last to end."""
+    """Small sizes stand behind a large one, which is the last to end.
+
+    They are played from a process of its own: what starts workers stays for as long as its parent does.
+    """
     sizes = [(40, 2_000, True), (5, 20, False), (7, 20, True), (5, 600, False)]
-    with ProcessPoolExecutor(2, multiprocessing.get_context(JOBS_CONTEXT)) as pool:
-        assert rows_of(pool, sizes, 2, 3, False) == [Tier(*size, 3).row(2) for size in sizes]
+    command = [sys.executable, "-c", POOLED, repr(sizes)]
+    done = subprocess.run(command, cwd=ROOT, stdout=subprocess.PIPE, check=True)
+    assert done.stdout.decode().splitlines() == [repr(Tier(*size, 3).row(2)) for size in sizes]
 
 
 class Held(Executor):
