--- a/benchmarks/door.py
+++ b/benchmarks/door.py
@@ -22,8 +22,9 @@
 
 from benchmarks.result import Result
 from benchmarks.turns import LOG_PREFIX
-from rig.clients import ClientConnection, encode
+from rig.clients import encode
 from rig.discovery import Agent
+from rig.door_pool import ClientConnection
 from rig.doors import FRONT_DOOR, Door, die_with_parent
 from rig.facts import Fact, Listed
 from rig.member import MemberSpec
--- a/rig/clients.py
+++ b/rig/clients.py
@@ -1,137 +1,20 @@
-"""Clients on sockets: open-loop arrivals, connection pools, retries, early departures and hostile clients."""
+"""Clients on sockets: open-loop arrivals, retries and early departures."""
 
 import asyncio
-import contextlib
-from collections import deque
-from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
-from typing import Any, cast
 
 import hiredis
 
 from rig.clock import now_us
-from rig.facts import Answered, Asked, Ended, Extra, Fact, Kind, Left
+from rig.door_pool import ClientConnection, DoorPool, LostError
+from rig.facts import Answered, Asked, Ended, Fact, Kind, Left
 from rig.front import ClientRouter
-from rig.sockets import Address
 from rig.workload import Arrival, work_us
 
 MAX_TRIES = 4
-CONNECT_TIMEOUT_S = 1.0
-MAX_IDLE_US = 1_500_000  # idle connections are not reused after it: front doors keep them for at least 2 s
-MAX_IDLE_CONNECTIONS = 64  # for each front door
 LATE_ANSWER_US = 600_000  # for which clients listen after their timeout, to observe late answers
 RETRY_DELAY_MS = (50, 250)
-MAX_LATENCY_SAMPLES = 4096  # for each front door
-
-
-class LostError(Exception):
-    """The connection ended before an answer."""
-
-
-class ClientConnection(asyncio.Protocol):
-    """A client's connection, which carries one request at a time."""
-
-    def __init__(self, door: str, facts: list[Fact]) -> None:
-        self.door, self.facts = door, facts
-        self.reader: Any = hiredis.Reader()
-        self.waiter: asyncio.Future[object] | None = None
-        self.transport: asyncio.Transport | None = None
-        self.used, self.idle_since_us, self.ended, self.departed = False, 0, False, False
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)
-
-    def data_received(self, data: bytes) -> None:
-        if self.departed:
-            return
-        try:
-            self.reader.feed(data)
-            while (reply := self.reader.gets()) is not False:
-                self.on_reply(reply)
-        except hiredis.ProtocolError:
-            self.facts.append(Extra(now_us(), self.door, f"an answer that cannot be read: {data!r:.100}"))
-            self.abort()
-
-    def on_reply(self, reply: object) -> None:
-        """Complete the pending request; a reply without one is a fact for the auditor."""
-        waiter, self.waiter = self.waiter, None
-        if waiter is not None and waiter.cancelled():
-            return  # the client stopped waiting in this turn of the event loop: no fault
-        if waiter is None:
-            self.facts.append(Extra(now_us(), self.door, f"an answer that nobody waits for: {reply!r:.100}"))
-        else:
-            waiter.set_result(reply)
-
-    def connection_lost(self, error: Exception | None) -> None:
-        self.ended = True
-        if self.waiter and not self.waiter.done():
-            self.waiter.set_exception(LostError())
-
-    def ask(self, data: bytes) -> "asyncio.Future[object]":
-        """Write a request; the future completes with the reply, or fails with LostError."""
-        assert self.transport is not None and self.waiter is None
-        self.waiter = asyncio.get_running_loop().create_future()
-        self.transport.write(data)
-        return self.waiter
-
-    def abort(self) -> None:
-        """Close the connection at once."""
-        if self.transport:
-            self.transport.abort()
-
-
-@dataclass(slots=True)
-class DoorCounts:
-    """Requests of one front door as its clients saw them, for the live table."""
-
-    served: int = 0
-    refused: int = 0
-    failed: int = 0
-    lost: int = 0
-    open: int = 0
-
-
-class DoorPool:
-    """The pool of client connections to one front door."""
-
-    def __init__(self, name: str, address: Address, facts: list[Fact]) -> None:
-        self.name, self.address, self.facts = name, address, facts
-        self.idle: list[ClientConnection] = []
-        self.all: dict[ClientConnection, None] = {}  # a dict for its fixed order: runs are reproducible
-        self.counts = DoorCounts()
-        self.latencies_us: deque[int] = deque(maxlen=MAX_LATENCY_SAMPLES)
-
-    async def acquire(self, fresh: bool = False) -> ClientConnection:
-        """An idle connection, or a new one; OSError or TimeoutError if it cannot be opened."""
-        while self.idle and not fresh:
-            connection = self.idle.pop()
-            if not connection.ended and now_us() - connection.idle_since_us <= MAX_IDLE_US:
-                return connection
-            self.drop(connection)
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            _, connection = await asyncio.get_running_loop().create_connection(
-                lambda: ClientConnection(self.name, self.facts), *self.address
-            )
-        self.all[connection] = None
-        return connection
-
-    def release(self, connection: ClientConnection) -> None:
-        """Return a connection for reuse."""
-        connection.used, connection.idle_since_us = True, now_us()
-        self.idle.append(connection)
-        if len(self.idle) > MAX_IDLE_CONNECTIONS:
-            self.drop(self.idle.pop(0))
-
-    def drop(self, connection: ClientConnection) -> None:
-        """Close a connection."""
-        self.all.pop(connection, None)
-        connection.abort()
-
-    def close(self) -> None:
-        """Close all connections."""
-        for connection in list(self.all):
-            self.drop(connection)
 
 
 @dataclass(slots=True)
@@ -341,87 +224,3 @@
         """Cancel all clients."""
         for task in list(self.tasks):
             task.cancel()
-
-
-async def idle_client(address: Address, leave: asyncio.Event) -> None:
-    """A client of a crowd: sends one PING, then stays idle until it has to leave."""
-    with contextlib.suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(*address)
-        try:
-            writer.write(b"*1\r\n$4\r\nPING\r\n")
-            await reader.readline()
-            await leave.wait()
-        finally:
-            writer.close()
-
-
-HOSTILE_LIMIT_S = 6.0  # within which a front door must close the connection of a hostile client
-SendGarbage = Callable[[asyncio.StreamWriter], None]
-
-
-def half_command(writer: asyncio.StreamWriter) -> None:
-    """Sends an incomplete command."""
-    writer.write(b"*4\r\n$9\r\nSVC.QUERY\r\n$16\r\n0000")
-
-
-def wrong_length(writer: asyncio.StreamWriter) -> None:
-    """Announces a word of excessive length."""
-    writer.write(b"*4\r\n$99999999999\r\nSVC.QUERY\r\n")
-
-
-def endless_count(writer: asyncio.StreamWriter) -> None:
-    """Announces far more words than it sends."""
-    writer.write(b"*1000000\r\n" + b"$1\r\na\r\n" * 64)
-
-
-def wrong_commands(writer: asyncio.StreamWriter) -> None:
-    """Sends unknown commands."""
-    writer.write(b"*1\r\n$5\r\nWRONG\r\n" * 200)
-
-
-def no_resp(writer: asyncio.StreamWriter) -> None:
-    """Sends HTTP instead of RESP."""
-    writer.write(b"GET / HTTP/1.1\r\nHost: door\r\n\r\n")
-
-
-def unread_flood(writer: asyncio.StreamWriter) -> None:
-    """Requests large answers and reads none, so that all buffers fill."""
-    writer.write((b"*2\r\n$4\r\nPING\r\n$16384\r\n" + b"x" * 16384 + b"\r\n") * 4)
-
-
-HOSTILE_CLIENTS: tuple[SendGarbage, ...] = (
-    half_command,
-    wrong_length,
-    endless_count,
-    wrong_commands,
-    no_resp,
-    unread_flood,
-)
-
-
-async def hostile_client(
-    door: str, address: Address, send: SendGarbage, facts: list[Fact], down: Callable[[], bool]
-) -> None:
-    """One hostile client; a front door that keeps its connection is a fact for the auditor."""
-    reads = send is not unread_flood
-    try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(*address, limit=1 << 16)
-    except (OSError, TimeoutError):
-        return
-    try:
-        async with asyncio.timeout(HOSTILE_LIMIT_S):
-            send(writer)
-            while not reads or await reader.read(1 << 16):
-                if not reads:
-                    send(writer)
-                    await writer.drain()  # blocks once the front door stops reading
-    except TimeoutError:
-        if not down():
-            text = f"a hostile client ({send.__name__}) was kept for {HOSTILE_LIMIT_S} s"
-            facts.append(Extra(now_us(), door, text))
-    except OSError:
-        return
-    finally:
-        writer.transport.abort()
--- a/rig/world/faults.py
+++ b/rig/world/faults.py
@@ -5,11 +5,11 @@
 from collections.abc import Sequence
 from random import Random
 
-from rig.clients import HOSTILE_CLIENTS, hostile_client, idle_client
 from rig.clock import now_us
 from rig.doors import Door
 from rig.facts import Fact, Listed, Told
 from rig.front import ClientRouter
+from rig.hostile_clients import HOSTILE_CLIENTS, hostile_client, idle_client
 from rig.mail import DatagramSpec
 from rig.member import SetDraining, SetSlow
 from rig.relay import Network
--- a/rig/world/world.py
+++ b/rig/world/world.py
@@ -7,8 +7,9 @@
 from rig import scenario as sc
 from rig.audit.auditor import Auditor
 from rig.audit.ledger import Outcome
-from rig.clients import Clients, DoorPool
+from rig.clients import Clients
 from rig.clock import Heartbeat, now_us
+from rig.door_pool import DoorPool
 from rig.doors import FRONT_DOOR, Door
 from rig.facts import Extra, Fact, Started
 from rig.front import ClientRouter
--- a/tests/rig/test_clients.py
+++ b/tests/rig/test_clients.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from rig.clients import ClientConnection, LostError, encode, retry_after_us
+from rig.clients import encode, retry_after_us
+from rig.door_pool import ClientConnection, LostError
 from rig.facts import Extra, Fact
 
 
