Report shows whose delay it was: front door's event loop, first reads, test bed's timers

A request that counted as lost could have been delayed in three places, and no figure told them apart: the front door's event loop, the time from accepting a connection to its first read, and the test bed, whose timers run before it reads what arrived during a stall. Verdicts stay as they were: such a client still gives up.

--- a/molereach/__main__.py
+++ b/molereach/__main__.py
@@ -104,6 +104,7 @@
     await proxy.drain(shutdown_from_us)
     if detach:
         detach()
+    log.info("%s", proxy.clients.delays.describe())
     log.info("%s ends", config.name)
 
 
--- a/molereach/clients/listener.py
+++ b/molereach/clients/listener.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Coroutine
 
 from molereach.clients.connection_state import TOO_MANY_CLIENTS, Connection, State
+from molereach.clients.delays import REPORTED_LOOP_DELAY_US, ListenerDelays
 from molereach.clients.disconnect_watch import DisconnectWatch
 from molereach.clients.eviction import EvictionQueues
 from molereach.clock import now_us
@@ -51,6 +52,7 @@
         self.is_stopped = False  # permanently accepts no connections
         self.is_draining = False
         self.disconnect_watch = DisconnectWatch()
+        self.delays = ListenerDelays()
         self.all_closed = asyncio.Event()
 
     # --- accepting ---
@@ -193,6 +195,10 @@
         """End connections whose state has timed out, enforce the limits and schedule the next sweep."""
         current_us = now_us()
         self.loop.call_later(SWEEP_INTERVAL_S, self.sweep)  # first, so that exceptions do not end it
+        delay_us = self.delays.on_timer(current_us)
+        self.delays.on_timer_set(current_us + round(SWEEP_INTERVAL_S * 1e6))
+        if delay_us > REPORTED_LOOP_DELAY_US:
+            log.warning("event loop delayed by %d ms", delay_us // 1000)
         for connection in [each for each in self.connections if each.timeout_at_us <= current_us]:
             try:
                 connection.on_timeout()
--- a/molereach/clients/resp.py
+++ b/molereach/clients/resp.py
@@ -37,6 +37,7 @@
         self.replies: deque[Reply] = deque()
         self.is_closing = False
         self.is_reading = True
+        self.has_read = False  # whether any bytes have been read
         self.is_write_blocked = False
         self.is_processing = False
         self.sent_valid_command = False
@@ -66,6 +67,9 @@
 
     def buffer_updated(self, count: int) -> None:
         """Process `count` bytes that the transport has read."""
+        if not self.has_read:
+            self.has_read = True
+            self.listener.delays.on_first_read(now_us() - self.state_entered_us)
         if self.is_closing:
             self.discarded_bytes += count
             self.update()
--- a/rig/clients.py
+++ b/rig/clients.py
@@ -9,6 +9,7 @@
 from rig.clock import now_us
 from rig.door_pool import ClientConnection, DoorPool, LostError
 from rig.facts import Answered, Asked, Ended, Fact, Kind, Left
+from rig.final_poll import LateCounts, wait_and_poll
 from rig.front import ClientRouter
 from rig.workload import Arrival, work_us
 
@@ -50,8 +51,10 @@
         facts: list[Fact],
         random: Random,
         seed: int,
+        late_counts: LateCounts,
     ) -> None:
         self.pools, self.router, self.facts, self.random = pools, router, facts, random
+        self.late_counts = late_counts
         self.seed, self.serial = seed, 0
         self.requests: dict[str, ClientRequest] = {}
         self.tasks: dict[asyncio.Task[None], None] = {}
@@ -147,12 +150,18 @@
             abandon_us = round(request.timeout_us * arrival.abandon_fraction)
             listen_us = abandon_us if arrival.abandon_fraction < 1 else request.timeout_us + LATE_ANSWER_US
             try:
-                reply = await asyncio.wait_for(pending_reply, listen_us / 1e6)
-            except TimeoutError:
-                connection.departed = True  # an answer that arrives meanwhile is no fault
-                self.facts.append(Left(now_us(), request.id, pool.name))
-                pool.drop(connection)
-                return None
+                is_in_time = await wait_and_poll(pending_reply, listen_us / 1e6)
+                if not is_in_time:
+                    self.late_counts.replies += pending_reply.done()
+                    self.late_counts.departures += (
+                        arrival.abandon_fraction < 1 and now_us() > asked_us + request.timeout_us
+                    )
+                    pending_reply.cancel()
+                    connection.departed = True  # an answer that arrives meanwhile is no fault
+                    self.facts.append(Left(now_us(), request.id, pool.name))
+                    pool.drop(connection)
+                    return None
+                reply = pending_reply.result()
             except LostError:
                 pool.drop(connection)
                 # A front door may close an idle connection while a request is on its way and unread. The
--- a/rig/door_pool.py
+++ b/rig/door_pool.py
@@ -9,6 +9,7 @@
 
 from rig.clock import now_us
 from rig.facts import Extra, Fact
+from rig.final_poll import LateCounts, wait_and_poll
 from rig.sockets import Address
 
 CONNECT_TIMEOUT_S = 1.0
@@ -87,8 +88,8 @@
 class DoorPool:
     """The pool of client connections to one front door."""
 
-    def __init__(self, name: str, address: Address, facts: list[Fact]) -> None:
-        self.name, self.address, self.facts = name, address, facts
+    def __init__(self, name: str, address: Address, facts: list[Fact], late_counts: LateCounts) -> None:
+        self.name, self.address, self.facts, self.late_counts = name, address, facts, late_counts
         self.idle: list[ClientConnection] = []
         self.all: dict[ClientConnection, None] = {}  # a dict for its fixed order: runs are reproducible
         self.counts = DoorCounts()
@@ -101,13 +102,29 @@
             if not connection.ended and now_us() - connection.idle_since_us <= MAX_IDLE_US:
                 return connection
             self.drop(connection)
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            _, connection = await asyncio.get_running_loop().create_connection(
-                lambda: ClientConnection(self.name, self.facts), *self.address
-            )
+        connection = await self.connect()
         self.all[connection] = None
         return connection
 
+    async def connect(self) -> ClientConnection:
+        """Open a connection; OSError, or TimeoutError if the front door does not take it in time."""
+        loop = asyncio.get_running_loop()
+        connecting = loop.create_task(
+            loop.create_connection(lambda: ClientConnection(self.name, self.facts), *self.address)
+        )
+        try:
+            is_in_time = await wait_and_poll(connecting, CONNECT_TIMEOUT_S)
+            if not connecting.done():
+                raise TimeoutError
+            transport, connection = connecting.result()
+            if not is_in_time:
+                self.late_counts.connects += 1
+                transport.abort()
+                raise TimeoutError
+            return connection
+        finally:
+            connecting.cancel()
+
     def release(self, connection: ClientConnection) -> None:
         """Return a connection for reuse."""
         connection.used, connection.idle_since_us = True, now_us()
--- a/rig/doors.py
+++ b/rig/doors.py
@@ -18,6 +18,7 @@
 from pathlib import Path
 
 from rig.clock import now_us
+from rig.door_delays import DoorDelays
 from rig.facts import DoorDown, DoorUp, Down, Fact
 from rig.sockets import Address, free_datagram_port, reserve
 
@@ -64,6 +65,7 @@
         self.config_fd = os.memfd_create(f"molereach-{name}", 0)
         self.process: subprocess.Popen[bytes] | None = None
         self.log: deque[str] = deque(maxlen=MAX_LOG_LINES)
+        self.delays = DoorDelays()
         self.partial_line = b""
         self.tracebacks = self.starts = 0
         self.stop_requested = self.killed = False
@@ -138,6 +140,7 @@
         for line in lines:
             text = line.decode("utf-8", "replace")
             self.tracebacks += text.startswith("Traceback")
+            self.delays.read_line(text)
             self.log.append(text)
         self.partial_line = self.partial_line[-READ_BYTES:]
 
--- a/rig/world/report.py
+++ b/rig/world/report.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from rig.audit.ledger import Ledger, Outcome
+from rig.final_poll import LateCounts
 
 
 @dataclass(slots=True)
@@ -23,6 +24,8 @@
     starts: int = 0
     tracebacks: int = 0
     state: str = "up"
+    loop_delay_ms: int = 0
+    first_read_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -37,6 +40,7 @@
     trouble: list[str] = field(default_factory=list)
     mail_lost: int = 0
     mail_delivered: int = 0
+    late_counts: LateCounts = field(default_factory=LateCounts)
 
     @property
     def ok(self) -> bool:
@@ -63,6 +67,9 @@
             "rig_late_ms": round(self.ledger.late_us / 1000, 1),
             "times_judged": self.ledger.times_judged,
             "rig_trouble": self.trouble,
+            "rig_late_connects": self.late_counts.connects,
+            "rig_late_replies": self.late_counts.replies,
+            "rig_late_departures": self.late_counts.departures,
             "repeats_dropped": self.ledger.repeats_dropped,
             "most_over_ceiling_units": round(self.ledger.units_over, 2),
             "most_over_quota_units": round(self.ledger.quota_over, 2),
--- a/rig/world/world.py
+++ b/rig/world/world.py
@@ -12,6 +12,7 @@
 from rig.door_pool import DoorPool
 from rig.doors import FRONT_DOOR, Door
 from rig.facts import Extra, Fact, Started
+from rig.final_poll import LateCounts
 from rig.front import ClientRouter
 from rig.mail import MAX_DATAGRAM_BYTES, DatagramModel, DatagramSpec
 from rig.member import MemberSpec
@@ -53,8 +54,11 @@
             door_type(name, number, self.host, self.facts, command) for number, name in enumerate(names)
         ]
         self.router = ClientRouter(scenario.doors, FAILURE_DETECTION_US)
-        self.pools = [DoorPool(door.name, door.address, self.facts) for door in self.doors]
-        self.clients = Clients(self.pools, self.router, self.facts, self.randoms["clients"], seed)
+        self.late_counts = LateCounts()
+        self.pools = [DoorPool(door.name, door.address, self.facts, self.late_counts) for door in self.doors]
+        self.clients = Clients(
+            self.pools, self.router, self.facts, self.randoms["clients"], seed, self.late_counts
+        )
         self.machines = Machines(
             names, self.host, self.spec, self.facts, self.randoms["servers"], self.clients.work_of, self.jobs
         )
@@ -171,6 +175,8 @@
             door.starts,
             door.tracebacks,
             door.state,
+            door.delays.loop_ms,
+            door.delays.first_read_ms,
         )
 
     def report(self) -> Report:
@@ -196,4 +202,5 @@
             self.jobs.trouble + self.clients.trouble,
             model.lost,
             model.delivered,
+            self.late_counts,
         )
--- a/sim/world.py
+++ b/sim/world.py
@@ -21,6 +21,7 @@
 from molereach.proxy.config import Config, parse
 from rig import scenario as sc
 from rig.clock import now_us
+from rig.door_delays import DoorDelays
 from rig.doors import FRONT_DOOR, MAX_LOG_LINES, Door
 from rig.facts import DoorDown, Down, Fact
 from rig.member import MemberSpec
@@ -65,6 +66,7 @@
         self.config: dict[str, object] = {}
         self.process = None
         self.log: deque[str] = deque(maxlen=MAX_LOG_LINES)
+        self.delays = DoorDelays()
         self.tracebacks = self.starts = 0
         self.stop_requested = self.killed = False
         self.ended, self.log_ended = asyncio.Event(), asyncio.Event()
@@ -178,7 +180,9 @@
         door = DOOR_BY_NODE.get(node) if node else None
         if door is not None:
             door.tracebacks += record.exc_info is not None
-            door.log.append(self.format(record))
+            line = self.format(record)
+            door.delays.read_line(line)
+            door.log.append(line)
 
 
 @dataclass(slots=True)
