Fleet: an order is not done while every front door has ended; orders and status say 3

What operators saw: with a whole tier down, an order ended as done with exit code 0, and orders showed 0/0, nothing lacking, code 0. Cause: a front door that has ended was left out of confirmed(), of the verdict and of the rows of orders, since it gets the orders when it starts; with all of them left out nobody was left to say no. Now an ended front door is excused only while another one that has not ended has the order; orders lists ended ones as lacking if none runs, and those that only the fleet's file names; status and orders end with 3 if no front door is up.

--- a/molereach/fleet/cli/commands/orders.py
+++ b/molereach/fleet/cli/commands/orders.py
@@ -3,14 +3,16 @@
 import asyncio
 import json
 from collections.abc import Iterator
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 import click
 import msgspec
 
-from molereach.fleet.api_bodies import Orders, ProxyStatus, Status
+from molereach.fleet.api_bodies import Orders, Status
 from molereach.fleet.cli.client import Fleet
+from molereach.fleet.cli.commands.status import is_tier_down, unknown_proxies
 from molereach.fleet.cli.exits import error_texts, print_errors, query_exit_code, successful_answers
 from molereach.fleet.cli.session import as_json, run_command
 from molereach.fleet.cli.tables import Printer
@@ -31,7 +33,7 @@
         results, statuses = await asyncio.gather(
             fleet.call_all("/v1/orders", Orders), fleet.call_all("/v1/status", Status)
         )
-        proxies = listed_proxies(successful_answers(statuses))
+        proxies = listed_proxies(successful_answers(statuses), fleet.settings.expected_proxies())
         rows = [
             *decided_rows(successful_answers(results), proxies, len(fleet.urls), everything),
             *pending_rows(successful_answers(results), len(proxies), len(fleet.urls)),
@@ -40,23 +42,42 @@
         if not json_only:
             printer.table("orders", ORDER_COLUMNS, map(table_row, rows))
             print_errors(printer, error_texts(results))
-        return query_exit_code(results, False)
+        return query_exit_code(results, is_tier_down(successful_answers(statuses)))
 
     run_command(file, command)
 
 
-def listed_proxies(statuses: dict[str, Status]) -> list[tuple[str, ProxyStatus]]:
-    """Return the proxies that have not ended, each as `AGENT/PROXY` and its status."""
-    return [
-        (f"{agent}/{proxy.name}", proxy)
-        for agent, status in statuses.items()
-        for proxy in status.proxies
+@dataclass(frozen=True, slots=True)
+class ListedProxy:
+    """A proxy that is to have the orders in force, as `AGENT/PROXY`; `revision` is the one it has."""
+
+    name: str
+    revision: int = 0
+
+
+def listed_proxies(statuses: dict[str, Status], expected: dict[str, tuple[str, ...]]) -> list[ListedProxy]:
+    """Return the proxies that agents know and those that the fleet's file lists.
+
+    Proxies that have ended are left out while others run: they get the orders when they start. If all have
+    ended they hold no orders, and each is listed as lacking them.
+    """
+    known = [(agent, proxy) for agent, status in statuses.items() for proxy in status.proxies]
+    running = [
+        ListedProxy(f"{agent}/{proxy.name}", proxy.revision)
+        for agent, proxy in known
         if proxy.reachability != "ended"
     ]
+    ended = [ListedProxy(f"{agent}/{proxy.name}") for agent, proxy in known if proxy.reachability == "ended"]
+    unknown = [
+        ListedProxy(f"{agent}/{name}")
+        for agent, name in unknown_proxies(expected, statuses)
+        if agent in statuses
+    ]
+    return [*(running or ended), *unknown]
 
 
 def decided_rows(
-    answers: dict[str, Orders], proxies: list[tuple[str, ProxyStatus]], agent_count: int, everything: bool
+    answers: dict[str, Orders], proxies: list[ListedProxy], agent_count: int, everything: bool
 ) -> Iterator[dict[str, Any]]:
     """Yield a row for each decided order, by revision; `everything` includes those no longer in force."""
     by_revision: dict[int, Decided] = {}
@@ -65,15 +86,13 @@
             by_revision[decided.revision] = decided
     for revision, decided in sorted(by_revision.items()):
         agents_informed = {agent for agent, answer in answers.items() if answer.revision >= revision}
-        proxies_applied = {name for name, proxy in proxies if proxy.revision >= revision}
-        lacking = (answers.keys() - agents_informed) | {
-            name for name, _ in proxies if name not in proxies_applied
-        }
+        proxies_lacking = {proxy.name for proxy in proxies if proxy.revision < revision}
+        lacking = (answers.keys() - agents_informed) | proxies_lacking
         yield {
             **msgspec.to_builtins(decided.order),
             "stands": revision,
             "agents": f"{len(agents_informed)}/{agent_count}",
-            "doors": f"{len(proxies_applied)}/{len(proxies)}",
+            "doors": f"{len(proxies) - len(proxies_lacking)}/{len(proxies)}",
             "lacking": sorted(lacking),
         }
 
--- a/molereach/fleet/cli/commands/status.py
+++ b/molereach/fleet/cli/commands/status.py
@@ -52,7 +52,7 @@
             for agent_status in statuses.values()
             for proxy in agent_status.proxies
         )
-        return query_exit_code(results, unreachable or bool(unknown))
+        return query_exit_code(results, unreachable or bool(unknown) or is_tier_down(statuses))
 
     run_command(file, command)
 
@@ -68,6 +68,14 @@
     return [proxy for proxy in listed if proxy not in known]
 
 
+def is_tier_down(statuses: dict[str, Status]) -> bool:
+    """Return whether the agents know proxies and none of them is up: no order is applied anywhere."""
+    reachabilities = {
+        proxy.reachability for agent_status in statuses.values() for proxy in agent_status.proxies
+    }
+    return bool(reachabilities) and "up" not in reachabilities
+
+
 def print_status(printer: Printer, statuses: dict[str, Status], unknown: list[tuple[str, str]]) -> None:
     """Print a table of the proxies, unknown ones last, and a table of the agents."""
     rows = [
--- a/molereach/fleet/rollout/observations.py
+++ b/molereach/fleet/rollout/observations.py
@@ -72,11 +72,25 @@
         if snapshot is None or snapshot.order_state.revision < revision:
             return False
         proxies = snapshot.status.proxies
-        if not all(proxy.revision >= revision or proxy.reachability == "ended" for proxy in proxies):
-            return False
+        ended_are_excused = self.any_proxy_serves(revision)
+        for proxy in proxies:
+            if not (ended_are_excused if proxy.reachability == "ended" else proxy.revision >= revision):
+                return False
         names = {proxy.name for proxy in proxies}
         return all(name in names for name in self.expected_proxies.get(agent, ()))
 
+    def any_proxy_serves(self, revision: int) -> bool:
+        """Return whether a proxy that has not ended is known to have `revision`.
+
+        A proxy that has ended holds no orders and gets them when it starts. That excuses it while others
+        serve; with all of them ended, an order is carried out nowhere.
+        """
+        return any(
+            proxy.revision >= revision and proxy.reachability != "ended"
+            for snapshot in self.snapshots.values()
+            for proxy in snapshot.status.proxies
+        )
+
     def describe_unknown_subject(self, order: Order) -> str:
         """Return why an order's subject is unknown, or ''; an unknown subject is probably a mistyped name."""
         if order.verb is Verb.DRAIN and not self.is_ready(order.subject):
--- a/molereach/fleet/rollout/summary.py
+++ b/molereach/fleet/rollout/summary.py
@@ -47,11 +47,7 @@
         decision = f"{order.verb.value} {order.subject} stands at revision {self.decided.revision}"
         if self.notified_count() < self.majority:
             return Verdict.UNREACHABLE, f"{decision}; {self.describe_notified()}"
-        unconfirmed = [
-            report.proxy
-            for report in self.proxy_reports()
-            if not report.applied and report.reachability != "ended"
-        ]
+        unconfirmed = [report.proxy for report in self.proxy_reports() if not self.is_confirmed(report)]
         if not unconfirmed and self.notified_count() == len(self.agents):
             return Verdict.DONE, decision
         unnotified = [report.agent for report in self.agent_reports() if not report.notified]
@@ -62,6 +58,12 @@
         ]
         return Verdict.PARTIAL, "; ".join(clauses)
 
+    def is_confirmed(self, report: ProxyReport) -> bool:
+        """Return whether a proxy has the order, or has ended while others that have it serve."""
+        if report.reachability == "ended":
+            return self.observations.any_proxy_serves(self.target_revision)
+        return report.applied
+
     def describe_undecided(self) -> str:
         """Return in one line why no majority is known to have accepted the order."""
         responded_count = len(self.agents) - len(self.observations.failures)
--- a/tests/fleet/virtual.py
+++ b/tests/fleet/virtual.py
@@ -37,6 +37,7 @@
 
     name: str
     up: bool = True
+    has_ended: bool = False  # it has removed its socket
     pid: int = 1
     order_state: OrderState = field(default_factory=OrderState)
     applied: list[int] = field(default_factory=list)  # all revisions that it has applied, over restarts
@@ -142,11 +143,12 @@
         """The agent checks the socket of its proxy and requests the state, at intervals."""
         proxy = self.proxies[name]
         if name not in self.unreachable:
-            self.update_roster(name, SocketsListed(frozenset({proxy.name})))
+            sockets = frozenset[str]() if proxy.has_ended else frozenset({proxy.name})
+            self.update_roster(name, SocketsListed(sockets))
             if proxy.up and name not in self.connected:
                 self.connected.add(name)
                 self.update_roster(name, Connected(proxy.name))
-            elif not proxy.up:
+            elif not proxy.up and (name in self.connected or not proxy.has_ended):
                 self.connected.discard(name)
                 self.update_roster(name, Disconnected(proxy.name, "refused"))
             if proxy.up:
@@ -176,6 +178,11 @@
         proxy.pid += 1
         proxy.order_state = OrderState()
 
+    def end_proxy(self, name: str) -> None:
+        """Shut a proxy down regularly: its socket is removed."""
+        self.kill_proxy(name)
+        self.proxies[name].has_ended = True
+
     def snapshot(self, name: str) -> AgentSnapshot:
         acceptor = self.agents[name]
         status = Status(
--- a/tests/rig/test_orders.py
+++ b/tests/rig/test_orders.py
@@ -17,6 +17,7 @@
 from rig.world.world import World
 
 ROOT = Path(__file__).parents[2]
+LOAD_S = 600.0  # of load; the test ends it
 
 
 def test_killed_front_door_is_reported_correctly_and_drains_before_its_first_request() -> None:
@@ -53,7 +54,7 @@
 
     async def run() -> None:
         with tempfile.TemporaryDirectory() as folder:
-            world = World(scenario(3, 20.0, 30.0), 1)
+            world = World(scenario(3, LOAD_S, 30.0), 1)
             fleet = FleetRig(Path(folder), world.host, world.doors)
             ready = asyncio.Event()
             try:
@@ -106,6 +107,7 @@
                 assert code == 0
                 kinds = [(line["kind"], line["subject"]) for line in await watch_task]
                 assert ("order", "d1") in kinds
+                assert not world_run.done()  # front doors that end meanwhile would answer for another state
                 world_run.cancel()
                 await asyncio.gather(world_run, return_exceptions=True)
             finally:
