Fleet: an agent keeps one connection to a front door that has not answered yet

What operators saw: nothing, but a front door that was slow to give its first answer got a further connection from its agent every 0.1 s, up to its limit of 8, and the earlier ones stayed open. Cause: the roster connects to front doors that are new, gone or ended, and took back its mark as soon as a connection was open, while the front door is new until its first state.

--- a/molereach/fleet/roster.py
+++ b/molereach/fleet/roster.py
@@ -105,7 +105,8 @@
 class ProxyRecord:
     """What is known of a proxy.
 
-    `reported_ms` is the time of its last response, `changed_ms` that of the last change of reachability.
+    `reported_ms` is the time of its last response, `changed_ms` that of the last change of reachability, and
+    `has_connection` whether a connection is open or being opened.
     """
 
     reachability: Reachability = "new"
@@ -113,7 +114,7 @@
     changed_ms: int = 0
     reason: str = ""
     state: ProxyState | None = None
-    connecting: bool = False
+    has_connection: bool = False
 
 
 class Roster:
@@ -146,12 +147,11 @@
             return []
         match event:
             case Connected():
-                record.connecting = False
                 return [SendOrders(event.proxy)] if self.ready else []
             case StateReceived():
                 return self.on_state(now_ms, event.proxy, record, event.state)
             case Disconnected():
-                record.connecting = False
+                record.has_connection = False
                 if record.reachability != "gone":  # the first reason names the cause
                     self.set_reachability(now_ms, event.proxy, record, "gone", event.reason)
                 return []
@@ -177,8 +177,12 @@
             self.proxies[name] = ProxyRecord(changed_ms=now_ms)
         actions: list[Action] = []
         for name, record in list(self.proxies.items()):
-            if name in names and record.reachability in ("new", "gone", "ended") and not record.connecting:
-                record.connecting = True
+            if (
+                name in names
+                and record.reachability in ("new", "gone", "ended")
+                and not record.has_connection
+            ):
+                record.has_connection = True
                 actions.append(Connect(name))
             elif name not in names and record.reachability in ("new", "gone"):
                 self.set_reachability(now_ms, name, record, "ended", "its socket is no longer there")
@@ -189,6 +193,7 @@
     def on_state(self, now_ms: int, name: str, record: ProxyRecord, state: ProxyState) -> list[Action]:
         """Store the state that a proxy sent; send it the orders that it lacks."""
         if state.name != name:
+            record.has_connection = False
             self.set_reachability(
                 now_ms, name, record, "gone", f"another front door answers there: {state.name}"
             )
