Fleet: a response read with the end of its connection is no sign of life; the agent reconnects

What operators saw: an agent could take a front door for up or silent for good after it ended or was killed, and never connect to it again; its next process waited all of wait_for_orders_s and served without the orders in force. Hypotheses for the one CancelledError: the machine stood still for the test's limit of 30 s, or the test waits for what never comes. Evidence: held for 31 s the test shows that error, so the limit struck; a scripted front door that closes right behind its answer to a heartbeat is said to be up with no connection, and the agent never connects again: the same error after 30 s. Cause: the reader completes the request and handles the end at once; the task that waits goes on after it and reports the state. Now a response counts only while its connection is the front door's connection.

--- a/molereach/fleet/agent/agent.py
+++ b/molereach/fleet/agent/agent.py
@@ -177,9 +177,9 @@
             return
         self.update_roster(roster.Connected(proxy))
         try:
-            self.update_proxy_state(proxy, await connection.request("watch"))
+            self.update_proxy_state(proxy, await self.request_on(proxy, connection, "watch"))
         except ProxyConnectionError:  # the process may be suspended: keep the connection and its heartbeats
-            if proxy in self.connections:
+            if self.connections.get(proxy) is connection:
                 self.update_roster(roster.RequestUnanswered(proxy))
 
     def on_disconnected(self, proxy: str, reason: str) -> None:
@@ -203,7 +203,26 @@
         """Send a request to a proxy; return the response, or raise ProxyConnectionError if it fails."""
         if (connection := self.connections.get(proxy)) is None:
             raise ProxyConnectionError("not connected")
-        return await connection.request(kind, timeout_s, customer, order_state)
+        return await self.request_on(proxy, connection, kind, timeout_s, customer, order_state)
+
+    async def request_on(
+        self,
+        proxy: str,
+        connection: ProxyConnection,
+        kind: RequestKind,
+        timeout_s: float = REQUEST_TIMEOUT_S,
+        customer: str = "",
+        order_state: OrderStateRecord | None = None,
+    ) -> Response:
+        """Send a request on a connection; raise ProxyConnectionError if it has ended before this returns.
+
+        A response may be read together with the end of the connection, which is handled first. The roster
+        must not take it for a sign of life afterwards: it connects only to proxies that are not up.
+        """
+        response = await connection.request(kind, timeout_s, customer, order_state)
+        if self.connections.get(proxy) is not connection:
+            raise ProxyConnectionError("the connection ended with the response")
+        return response
 
     def update_proxy_state(self, proxy: str, response: Response) -> None:
         """Pass the state in a response, if any, to the roster."""
