Test bed: a cancelled client cancels what it waits for; an interrupted demo prints one line again

An interrupted run then printed 'Future exception was never retrieved' for each client that was still waiting; test_interrupted_demo_prints_one_line_and_no_traceback failed for it (16 lines in place of 1), beside load.

--- a/rig/final_poll.py
+++ b/rig/final_poll.py
@@ -32,6 +32,9 @@
     timer = loop.call_later(timeout_s, lambda: was_done.set_result(future.done()))
     try:
         await asyncio.wait((future, was_done), return_when=asyncio.FIRST_COMPLETED)
+    except asyncio.CancelledError:
+        future.cancel()  # nobody waits for it any more
+        raise
     finally:
         timer.cancel()
     if not was_done.done() or was_done.result():
--- a/tests/rig/test_late_test_bed.py
+++ b/tests/rig/test_late_test_bed.py
@@ -19,7 +19,7 @@
 from rig.door_pool import DoorPool
 from rig.doors import FRONT_DOOR
 from rig.facts import Answered, Asked, Effect, Fact, Left
-from rig.final_poll import LateCounts
+from rig.final_poll import LateCounts, wait_and_poll
 from rig.front import ClientRouter
 from rig.workload import PLANS, Arrival, ClassSpec, Customer
 from rig.world.report import Report
@@ -212,3 +212,21 @@
     assert not report.ledger.times_judged and not report.trouble
     assert any(violation.rule is Rule.LOST and text in violation.text for violation in report.ledger.broken)
     assert report.ledger.unaccounted > 0
+
+
+def test_client_that_is_cancelled_leaves_no_exception_behind() -> None:
+    """An interrupted run printed a line for each client that was still waiting."""
+    problems: list[dict[str, object]] = []
+
+    async def job() -> None:
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: problems.append(context))
+        future: asyncio.Future[object] = asyncio.get_running_loop().create_future()
+        waiting = asyncio.create_task(wait_and_poll(future, 10.0))
+        await asyncio.sleep(0)
+        waiting.cancel()
+        with suppress(asyncio.CancelledError):
+            await waiting
+        assert future.cancelled()
+
+    run(job)
+    assert not problems
