Trials of orders: the load lasts until the steps are done, 7 s at least

The world of kill_at ended after 7 s of load, whatever its steps took. All checks and bounds stay; the load lasts 7 s as before, so the drained server is observed for as long.

--- a/rig/clients.py
+++ b/rig/clients.py
@@ -58,6 +58,7 @@
         self.seed, self.serial = seed, 0
         self.requests: dict[str, ClientRequest] = {}
         self.tasks: dict[asyncio.Task[None], None] = {}
+        self.sends_no_more = False
         self.trouble: list[str] = []  # faults of the test bed itself
 
     def work_of(self, request_id: str) -> tuple[int, str, list[bytes]] | None:
@@ -66,17 +67,23 @@
         return (request.work_us, request.key, request.words) if request else None
 
     async def run(self, arrivals: list[Arrival], start_us: int) -> None:
-        """Send each request at its time, and wait until all have ended."""
+        """Send each request at its time until `stop`, and wait until all have ended."""
         for arrival in arrivals:
             delay_us = start_us + arrival.at_us - now_us()
             if delay_us > 0:
                 await asyncio.sleep(delay_us / 1e6)
+            if self.sends_no_more:
+                break
             task = asyncio.get_running_loop().create_task(self.run_client(arrival))
             self.tasks[task] = None
             task.add_done_callback(self.on_done)
         while self.tasks:
             await asyncio.wait(self.tasks)
 
+    def stop(self) -> None:
+        """Send no further first tries; requests in progress and their retries go on."""
+        self.sends_no_more = True
+
     def on_done(self, task: asyncio.Task[None]) -> None:
         """Forget a finished client and record its exception, if it raised one."""
         self.tasks.pop(task, None)
--- a/rig/orders.py
+++ b/rig/orders.py
@@ -37,7 +37,9 @@
 )
 SERVER = "s-1"
 DRAIN_GRACE_US = 1_000_000  # for new requests at a server after its drain was decided
-DOWN_S, TAIL_S, LOAD_S = 0.5, 1.5, 7.0
+DOWN_S = 0.5  # for which a killed front door is down
+MIN_LOAD_S = 7.0  # of load
+MAX_LOAD_S = 60.0  # the same, for a trial whose steps take longer
 
 
 @dataclass(slots=True)
@@ -78,7 +80,7 @@
 async def kill_at(step: str, seed: int) -> Trial:
     """Drain a server at five front doors under load, and kill and restart one at a step of the rollout."""
     with tempfile.TemporaryDirectory() as folder:
-        world = World(scenario(5, LOAD_S), seed)
+        world = World(scenario(5, MAX_LOAD_S), seed)
         fleet_rig = FleetRig(Path(folder), world.host, world.doors)
         victim = world.doors[seed % len(world.doors)]
         ready, decided_us, up_us = asyncio.Event(), 0, 0
@@ -105,6 +107,8 @@
                 await world.faults.restart(victim)
                 second_report = await give(fleet, draft("o1"))
                 waited = await wait_until_idle(fleet, SERVER, 3.0, lambda text: None)
+            await asyncio.sleep(world.start_us / 1e6 + MIN_LOAD_S - now_us() / 1e6)
+            world.clients.stop()
             trial = Trial(step, seed, report, await run)
             await fleet_rig.finish()
         finally:
