Fleet: orders lists what its recorded output lists; front doors of the file alone stay out

Cause: also listed front doors that only the fleet's file names, which is not needed for its fault and changes an output that scripts read.

--- a/molereach/fleet/cli/commands/orders.py
+++ b/molereach/fleet/cli/commands/orders.py
@@ -12,7 +12,7 @@
 
 from molereach.fleet.api_bodies import Orders, Status
 from molereach.fleet.cli.client import Fleet
-from molereach.fleet.cli.commands.status import is_tier_down, unknown_proxies
+from molereach.fleet.cli.commands.status import is_tier_down
 from molereach.fleet.cli.exits import error_texts, print_errors, query_exit_code, successful_answers
 from molereach.fleet.cli.session import as_json, run_command
 from molereach.fleet.cli.tables import Printer
@@ -33,7 +33,7 @@
         results, statuses = await asyncio.gather(
             fleet.call_all("/v1/orders", Orders), fleet.call_all("/v1/status", Status)
         )
-        proxies = listed_proxies(successful_answers(statuses), fleet.settings.expected_proxies())
+        proxies = listed_proxies(successful_answers(statuses))
         rows = [
             *decided_rows(successful_answers(results), proxies, len(fleet.urls), everything),
             *pending_rows(successful_answers(results), len(proxies), len(fleet.urls)),
@@ -55,8 +55,8 @@
     revision: int = 0
 
 
-def listed_proxies(statuses: dict[str, Status], expected: dict[str, tuple[str, ...]]) -> list[ListedProxy]:
-    """Return the proxies that agents know and those that the fleet's file lists.
+def listed_proxies(statuses: dict[str, Status]) -> list[ListedProxy]:
+    """Return the proxies that agents know.
 
     Proxies that have ended are left out while others run: they get the orders when they start. If all have
     ended they hold no orders, and each is listed as lacking them.
@@ -68,12 +68,7 @@
         if proxy.reachability != "ended"
     ]
     ended = [ListedProxy(f"{agent}/{proxy.name}") for agent, proxy in known if proxy.reachability == "ended"]
-    unknown = [
-        ListedProxy(f"{agent}/{name}")
-        for agent, name in unknown_proxies(expected, statuses)
-        if agent in statuses
-    ]
-    return [*(running or ended), *unknown]
+    return running or ended
 
 
 def decided_rows(
