--- a/review/world.py
+++ b/review/world.py
@@ -328,6 +328,11 @@
     }
 
 
+def end_early(*_: object) -> None:
+    """End with exit code 2, after all processes."""
+    raise SystemExit(2)
+
+
 class World:
     """A small deployment with figures of the site `salalah-network`."""
 
@@ -514,6 +519,7 @@
     def main(self, play: Callable[[], Awaitable[None]]) -> int:
         """Run the case and write the record; return the exit code that the issue asks for."""
         failure = ""
+        signal.signal(signal.SIGTERM, end_early)
         try:
             asyncio.run(self.run(play))
         except (CannotRunError, TimeoutError, OSError) as error:
