--- a/review/world.py
+++ b/review/world.py
@@ -113,12 +113,13 @@
         }
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Serve the commands of a connection, one after another."""
+        """Serve a connection: each command is begun at once, and answered after those before it."""
+        last: asyncio.Task[None] | None = None
         try:
             while True:
                 command = await read_command(reader)
                 self.world.on_command(self, command)
-                await self.world.answer(self, command, writer)
+                last = asyncio.create_task(self.world.answer(self, command, writer, last))
         except (*CLOSED, asyncio.CancelledError, ValueError):
             return
         finally:
@@ -414,11 +415,20 @@
         """Record a command whose last byte has come."""
         self.record.add(f"{server.name} runs {command[2].decode()}")
 
-    async def answer(self, server: Server, command: list[bytes], writer: asyncio.StreamWriter) -> None:
-        """Answer a command after its work."""
+    async def answer(
+        self,
+        server: Server,
+        command: list[bytes],
+        writer: asyncio.StreamWriter,
+        earlier: asyncio.Task[None] | None,
+    ) -> None:
+        """Answer a command after its work and after the command before it on the connection."""
         await asyncio.sleep(self.work_s(command))
-        writer.write(self.value(command))
-        self.record.add(f"{server.name} answers {command[2].decode()}")
+        if earlier:
+            await earlier
+        if not writer.is_closing():
+            writer.write(self.value(command))
+            self.record.add(f"{server.name} answers {command[2].decode()}")
 
     def work_s(self, command: list[bytes]) -> float:
         """Draw the work of a command."""
