--- a/review/bed2.py
+++ b/review/bed2.py
@@ -139,33 +139,6 @@
     )
 
 
-def short_deadlines() -> Site:
-    """The site short-deadlines of deploy/sites."""
-    return Site(
-        {
-            "alarm-write": request_class(0.13, 40, 0.4, 0.9, 5.0, UNSAFE),
-            "lock-hold": request_class(0.22, 55, 0.5, 1.2, 3.0, KEYED, group="cell", window=0.7),
-            "tally": request_class(0.22, 55, 0.6, 1.5, 2.0, KEYED, group="all", window=0.9),
-            "peek": request_class(0.31, 30, 0.25, 0.8, 1.0, SAFE),
-            "scan": request_class(0.12, 80, 0.9, 2.0, 2.0, SAFE),
-        },
-        {
-            "walk-in": plan(0.8, 4.4, 0.6, 0.41),
-            "desk-1": plan(2.0, 4.4, 0.8, 0.26),
-            "desk-2": plan(8.5, 2.0, 0.6, 0.33, ceiling=2.0),
-        },
-        ("north", "south"),
-        max_attempts=3,
-        may_cancel=False,
-        may_hedge=False,
-        marks_retry=False,
-        idle_s=8.0,
-        max_retry_after_s=0.4,
-        drain_grace_s=2.0,
-        stats=("pending", "busy_reqs"),
-    )
-
-
 def settings(site: Site, number: int, doors: int) -> dict[str, Any]:
     """The settings of one front door, with the names of the wire page."""
     return {
@@ -265,8 +238,6 @@
         self.busy = 0
         self.waiting: list[tuple[int, asyncio.Future[None]]] = []
         self.serial = 0
-        self.draining = False
-        self.keys: dict[bytes, float] = {}
 
     async def open(self) -> None:
         """Listen; a port that was given once stays the same."""
@@ -313,9 +284,9 @@
         bed = self.bed
         request_id = words[2].decode("ascii", "replace")
         bed.on_arrival(self, request_id, words, first)
-        if self.draining or len(self.waiting) >= self.QUEUE:
+        if len(self.waiting) >= self.QUEUE:
             bed.record.line("turned-away", server=self.name, id=request_id)
-            await self.answer(writer, before, b"-BUSY\r\n", request_id)
+            await self.answer(writer, before, b"-BUSY\r\n")
             return
         await self.take_core()
         try:
@@ -324,18 +295,16 @@
         finally:
             self.free_core()
         value = f"value-of-{request_id}-at-{self.name}".encode()
-        bed.made.setdefault(request_id, set()).add(value)
         util = min(1.0, self.busy / self.CORES)
         report = f"util={util:.2f},latency_ms=150,queue={len(self.waiting)},inflight={self.busy}".encode()
         data = b"*3\r\n" + bulk(value) + b"$-1\r\n" + bulk(report)
-        await self.answer(writer, before, data, request_id)
+        await self.answer(writer, before, data)
 
     async def answer(
         self,
         writer: asyncio.StreamWriter,
         before: "asyncio.Task[None] | None",
         data: bytes,
-        request_id: str,
     ) -> None:
         """Write an answer after those before it."""
         if before and not before.done():
@@ -343,7 +312,6 @@
                 await before
         if not writer.is_closing():
             writer.write(data)
-            await self.bed.after_answer(self, writer, data, request_id)
 
     async def take_core(self) -> None:
         """Wait for a core."""
@@ -445,8 +413,6 @@
         self.port = 0
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
-        self.news = asyncio.Event()
-        self.requests: list[float] = []
 
     async def open(self) -> None:
         """Listen."""
@@ -461,11 +427,6 @@
         for writer in list(self.writers):
             reset(writer)
 
-    def tell(self) -> None:
-        """Wake the watches after a change of the list."""
-        news, self.news = self.news, asyncio.Event()
-        news.set()
-
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer the requests of one connection."""
         self.writers.add(writer)
@@ -473,7 +434,6 @@
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 target = head.split(b" ", 2)[1].decode("ascii")
-                self.requests.append(now())
                 self.bed.record.line("discovery-request", agent=self.label, target=target)
                 query = parse_qs(urlsplit(target).query)
                 if "watch" in query:
@@ -500,14 +460,12 @@
         )
         version = after
         while not writer.is_closing():
-            news = self.news
             changes = self.registry.after(version)
             version = self.registry.generation
             line = (json.dumps(changes).encode() if changes else b"") + b"\n"
             writer.write(b"%x\r\n%b\r\n" % (len(line), line))
             await writer.drain()
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(news.wait(), 2.0)
+            await asyncio.sleep(2.0)
 
 
 # --- front doors ---
@@ -532,7 +490,6 @@
         self.log = self.folder / "log"
         self.up_since: float | None = None  # when it answered PING after its start
         self.down_at: float | None = None
-        self.told: dict[str, float] = {}  # when each server was told as draining or gone
         self.extra_env: dict[str, str] = {}
 
     def write_config(self, agent: Agent, known: dict[str, Any]) -> None:
@@ -695,9 +652,7 @@
         self.doors: list[Door] = []
         self.doors += [Door(self, number) for number in range(doors)]
         self.agents: list[Agent] = []
-        self.made: dict[str, set[bytes]] = {}
         self.arrivals: dict[str, list[tuple[float, str]]] = {}
-        self.runs: dict[str, list[tuple[float, str]]] = {}
         self.operations: list[Operation] = []
         self.by_id: dict[str, Try] = {}
         self.links: dict[str, list[Link]] = {door.name: [] for door in self.doors}
@@ -705,9 +660,6 @@
         self.breaks: list[str] = []
         self.notes: list[str] = []
         self.on_arrival_hook: Callable[[Server, str, float], None] = lambda server, request_id, first: None
-        self.after_answer_hook: (
-            Callable[[Server, asyncio.StreamWriter, bytes, str], Awaitable[None]] | None
-        ) = None
         self.customers = self.make_customers(customers)
         self.klass_weights = [each["share"] for each in self.site.classes.values()]
         self.customer_weights = [self.site.plans[each.plan]["rate"] for each in self.customers]
@@ -792,16 +744,8 @@
 
     def on_run(self, server: Server, request_id: str, words: list[bytes]) -> None:
         """A server runs a command."""
-        self.runs.setdefault(request_id, []).append((now(), server.name))
         self.record.line("ran", server=server.name, id=request_id)
 
-    async def after_answer(
-        self, server: Server, writer: asyncio.StreamWriter, data: bytes, request_id: str
-    ) -> None:
-        """An answer was written."""
-        if self.after_answer_hook:
-            await self.after_answer_hook(server, writer, data, request_id)
-
     # --- clients ---
 
     def doors_of(self, customer: Customer) -> list[Door]:
@@ -925,36 +869,6 @@
 
     # --- judges ---
 
-    def judge_values(self) -> int:
-        """Count served values that no server made for their request."""
-        wrong = 0
-        for request in self.by_id.values():
-            if request.kind == "served" and request.answer not in self.made.get(request.id, set()):
-                wrong += 1
-                self.breaks.append(f"{request.id} was served {request.answer!r}, made for another request")
-        return wrong
-
-    def judge_runs(self) -> int:
-        """Count operations of the unsafe class that ran more than once."""
-        twice = 0
-        for op in self.operations:
-            if self.site.classes[op.klass]["effect"] == UNSAFE:
-                runs = [each for request in op.tries for each in self.runs.get(request.id, [])]
-                if len(runs) > 1:
-                    twice += 1
-                    tries = [(each.id, each.kind) for each in op.tries]
-                    self.breaks.append(f"{op.id} ({op.klass}) ran {len(runs)} times: {runs}; tries {tries}")
-        return twice
-
-    def judge_answers(self) -> int:
-        """Count requests that a running front door took and never answered."""
-        lost = 0
-        for request in self.by_id.values():
-            if request.kind in ("none", "broken"):
-                lost += 1
-                self.breaks.append(f"{request.id} at {request.door.name} got no answer: {request.kind}")
-        return lost
-
     def judge_ceilings(self) -> float:
         """Play the ceilings' stores; return the lowest level of any, and report those that were passed.
 
