--- a/review/bed2.py
+++ b/review/bed2.py
@@ -30,6 +30,7 @@
 HOST = "127.0.0.1"
 CONNECT_TIMEOUT_S = 1.0
 KILL_AFTER_S = 3.7  # SIGKILL comes no sooner after SIGTERM, with deadlines of 3 s and more
+NEW_CONNECTIONS_S = 0.3  # after SIGTERM: "New connections go on coming for 0.2 to 0.4 s"
 # An answer later than that after the client's time counts as none: 0.5 s, and 50 ms on sockets.
 LATE_S = 0.55
 SLACK_S = 0.05  # by which each time limit of the simulator is longer on sockets
@@ -489,7 +490,7 @@
         self.process: asyncio.subprocess.Process | None = None
         self.log = self.folder / "log"
         self.up_since: float | None = None  # when it answered PING after its start
-        self.down_at: float | None = None
+        self.told_to_end: float | None = None  # when SIGTERM was sent to the running process
         self.extra_env: dict[str, str] = {}
 
     def write_config(self, agent: Agent, known: dict[str, Any]) -> None:
@@ -538,7 +539,6 @@
                 stderr=log,
                 start_new_session=True,
             )
-        self.down_at = None
         self.bed.record.line("door-started", door=self.name, pid=self.process.pid)
 
     async def ready(self, within_s: float = 30.0) -> bool:
@@ -562,8 +562,6 @@
         """Send a signal to the process."""
         if self.process and self.process.returncode is None:
             self.bed.record.line("signal", door=self.name, signal=number.name)
-            if number in (signal.SIGTERM, signal.SIGKILL):
-                self.down_at = now()
             self.process.send_signal(number)
 
     async def end(self) -> None:
@@ -749,10 +747,22 @@
     # --- clients ---
 
     def doors_of(self, customer: Customer) -> list[Door]:
-        """The front doors of a customer's set that the front takes for up."""
+        """The front doors of a customer's set that the front takes for up.
+
+        One that was told to end gets new connections for 0.3 s, and then what its open ones carry.
+        """
         count = len(self.doors)
-        listed = [self.doors[(customer.first + step) % count] for step in range(customer.spread)]
-        return [door for door in listed if door.up_since is not None]
+        found = []
+        for step in range(customer.spread):
+            door = self.doors[(customer.first + step) % count]
+            if door.up_since is None:
+                continue
+            if door.told_to_end is not None and now() - door.told_to_end > NEW_CONNECTIONS_S:
+                self.links[door.name] = [each for each in self.links[door.name] if not each.reader.at_eof()]
+                if not self.links[door.name]:
+                    continue
+            found.append(door)
+        return found
 
     async def load(self, rate: float, seconds: float, klass: str | None = None) -> None:
         """Begin operations at random times, `rate` a second."""
@@ -915,10 +925,9 @@
 async def restart(bed: Bed, door: Door) -> None:
     """A planned restart: SIGTERM, SIGKILL if it is still there when that may come, and a new process.
 
-    The front notices the end after a while; what comes for the front door meanwhile goes to the others of the
-    set, as clients would take it there after a refused connection.
+    Clients go on using the connections that they have, for as long as these stay open.
     """
-    door.up_since = None
+    door.told_to_end = now()
     door.signal(signal.SIGTERM)
     assert door.process
     try:
@@ -926,6 +935,7 @@
     except TimeoutError:
         door.signal(signal.SIGKILL)
         await door.process.wait()
+    door.up_since = door.told_to_end = None
     agent = bed.agents[door.number]
     door.write_config(agent, bed.registry.whole())
     await door.start(agent)
