Read clients while requests are open, so that their end is seen behind unread commands

Cause: with 16 requests open and 16 KB read ahead, the connection was not read any more. The end of a connection stands behind its bytes, so neither the event loop nor the poll for POLLRDHUP saw it.

Change: reading goes on while requests are open. A request is handed on only while its socket holds nothing unread. One full read a turn of the event loop.

--- a/molereach/clients/disconnect_watch.py
+++ b/molereach/clients/disconnect_watch.py
@@ -1,7 +1,7 @@
-"""Detects clients that disconnect while reading is paused, when the event loop reports neither EOF nor reset.
+"""Detects clients that disconnect while their connection is not read, when the event loop reports nothing.
 
-Without it, if a client sent more than is read at once, its disconnect would be detected only after the last
-of its requests had been forwarded in vain.
+It sees an end behind unread bytes only if the kernel's buffer has room for all of them, so connections with
+open requests are read (see `resp`).
 """
 
 import asyncio
--- a/molereach/clients/resp.py
+++ b/molereach/clients/resp.py
@@ -9,21 +9,26 @@
 from collections import deque
 from typing import cast
 
+from molereach.clients.command_buffer import CommandBuffer
 from molereach.clients.connection_state import TIMEOUTS_US, TOO_MANY_CLIENTS, Connection, State
 from molereach.clients.listener import READ_BYTES, ClientListener
 from molereach.clients.replies import CommandHandler, Reply
 from molereach.clients.requests import CommandError, OverloadedError
 from molereach.clock import now_us
-from molereach.resp import CommandReader, ProtocolError, has_unread
+from molereach.resp import has_unread
 
 log = logging.getLogger(__name__)
 
-MAX_PIPELINED = 16  # open requests per connection; further commands are not read
+MAX_PIPELINED = 16  # open requests per connection; further commands wait
+MAX_DIVIDED_PER_TURN = 64  # commands of a connection that are queued or rejected per loop iteration
+MAX_UNDRAINED_US = 500_000  # commands are rejected if the client sends without a pause for longer
 MAX_DISCARDED_BYTES = 256 * 1024  # read and discarded after the last reply, before reading stops
 MAX_CONSECUTIVE_ERRORS = 16  # consecutive invalid commands after which the connection is closed
 REQUEST_FAILED = b"-ERR failed\r\n"
+REJECTED = b"-BUSY\r\n"
 SHUTTING_DOWN = b"-ERR the front door ends\r\n"
 PING = b"PING"
+MAX_PING_ARGUMENTS = 2  # the command and a message
 PONG = b"+PONG\r\n"
 
 
@@ -33,7 +38,8 @@
     def __init__(self, listener: ClientListener, handler: CommandHandler) -> None:
         self.listener = listener
         self.handler = handler
-        self.reader = CommandReader()
+        self.commands = CommandBuffer()
+        self.reader = self.commands.reader
         self.replies: deque[Reply] = deque()
         self.is_closing = False
         self.is_reading = True
@@ -44,8 +50,8 @@
         self.sent_request = False
         self.consecutive_errors = 0
         self.stops_reading = False  # while closing: incoming data is not read
-        self.discarded_bytes = 0  # while closing: read and discarded
-        self.has_commands_left = False  # complete commands may be waiting in the reader
+        self.discarded_bytes = 0  # read and discarded after the last reply
+        self.undrained_since_us: int | None = None  # when commands were first held back for unread input
         self.is_processing_scheduled = False
         self.state = State.NEW
         self.state_entered_us = now_us()
@@ -70,17 +76,15 @@
         if not self.has_read:
             self.has_read = True
             self.listener.delays.on_first_read(now_us() - self.state_entered_us)
-        if self.is_closing:
+        if not self.is_closing:
+            self.commands.feed(self.listener.read_buffer[:count])
+        elif not self.replies:
             self.discarded_bytes += count
-            self.update()
-            return
-        self.reader.feed(self.listener.read_buffer[:count])
-        if self.state is State.NEW and count < READ_BYTES:
-            # Processing is deferred so that EOF is read first if the client has already disconnected: its
-            # requests are then not forwarded.
-            self.has_commands_left = True
+        if count == READ_BYTES:  # there may be more, but other connections are served in between
             self.schedule_processing()
-        elif not self.is_processing_scheduled:
+        if self.is_closing or self.is_processing_scheduled:
+            self.update()
+        else:
             self.process_commands()
 
     def eof_received(self) -> None:
@@ -113,22 +117,20 @@
     # --- commands and replies ---
 
     def on_disconnected(self) -> None:
-        """Discard the pending replies of a disconnected client and notify the handler."""
+        """Discard the commands and pending replies of a disconnected client and notify the handler."""
         self.is_closing = True
+        self.commands.clear()
         pending = [reply for reply in self.replies if reply.data is None]
         self.replies.clear()
         for reply in pending:
             self.handler.on_client_disconnected(reply)
 
     def process_commands(self) -> None:
-        """Handle complete commands up to the pipelining limit, then let other connections run."""
+        """Handle the commands that may be handled now and queue the others."""
         self.is_processing = True
-        self.has_commands_left = False
         try:
-            self.handle_complete_commands()
-        except ProtocolError as error:
-            log.warning("malformed command from a client: %s", error)
-            self.send_last_reply(b"-ERR Protocol error: %b\r\n" % str(error).encode())
+            self.handle_commands()
+            self.queue_commands()
         except Exception:
             # An internal error ends only this connection, and its pending requests are still answered.
             log.exception("internal error on a client connection")
@@ -138,31 +140,63 @@
             self.is_processing = False
         self.flush()
 
-    def handle_complete_commands(self) -> None:
-        """Handle up to `MAX_PIPELINED` commands; raises ProtocolError for malformed data."""
-        handled_count = 0
-        while not self.is_closing and len(self.replies) < MAX_PIPELINED and not self.is_write_blocked:
-            if handled_count >= MAX_PIPELINED:
-                self.has_commands_left = True
-                self.schedule_processing()
+    def handle_commands(self) -> None:
+        """Handle up to `MAX_PIPELINED` commands, then let other connections run."""
+        for _ in range(MAX_PIPELINED):
+            if self.is_closing or self.is_write_blocked or len(self.replies) >= MAX_PIPELINED:
                 return
-            arguments = self.reader.next()
-            if arguments is None:
+            arguments = self.commands.peek()
+            if arguments is None or not (is_ping(arguments) or self.is_input_drained()):
                 return
-            handled_count += 1
+            self.commands.pop()
             self.handle(arguments)
-        self.has_commands_left = not self.is_closing
+        self.schedule_processing()
+
+    def queue_commands(self) -> None:
+        """Queue or reject the commands that have been read, then end a connection with malformed input.
+
+        Rejections and the error are replies as well, so they follow those of the commands before them.
+        """
+        if self.is_closing:
+            return
+        if not self.commands.divide(MAX_DIVIDED_PER_TURN):
+            self.schedule_processing()
+        if not self.replies and (rejected_count := self.commands.take_rejected()):
+            self.replies.append(Reply(self, REJECTED * rejected_count))
+        if self.commands.error and not self.commands.has_commands():
+            log.warning("malformed command from a client: %s", self.commands.error)
+            self.send_last_reply(b"-ERR Protocol error: %b\r\n" % str(self.commands.error).encode())
+
+    def is_input_drained(self) -> bool:
+        """Whether all that the client has sent by now has been read, so that it is known to be connected.
+
+        A request of a client that has disconnected must not be forwarded, and EOF stands behind all unread
+        bytes. If there are any, the commands wait for the next read; those of a client that sends without a
+        pause are rejected after a while.
+        """
+        if not has_unread(self.transport):
+            self.undrained_since_us = None
+            return True
+        current_us = now_us()
+        if self.undrained_since_us is None:
+            self.undrained_since_us = current_us
+        elif current_us - self.undrained_since_us > MAX_UNDRAINED_US:
+            self.commands.reject_waiting()
+            self.undrained_since_us = None
+        return False
 
     def schedule_processing(self) -> None:
-        """Handle further commands in the next iteration of the event loop."""
+        """Process commands in the next iteration of the event loop; until then nothing more is read."""
         if not self.is_processing_scheduled:
             self.is_processing_scheduled = True
             self.listener.loop.call_soon(self.on_processing_due)
 
     def on_processing_due(self) -> None:
-        """Handle commands that were deferred to this iteration of the event loop."""
+        """Process commands that were deferred to this iteration of the event loop."""
         self.is_processing_scheduled = False
-        if self.has_commands_left and not self.is_closing:
+        if self.is_closing:
+            self.update()
+        else:
             self.process_commands()
 
     def handle(self, arguments: list[bytes]) -> None:
@@ -170,7 +204,7 @@
         reply = Reply(self)
         self.replies.append(reply)
         try:
-            if arguments[0].upper() == PING and len(arguments) <= 2:
+            if is_ping(arguments):
                 reply.send(pong(arguments))
             else:
                 self.handler.handle_command(arguments, reply)
@@ -204,7 +238,7 @@
             self.transport.write(b"".join(ready))
         if self.is_closing and not self.replies:
             self.half_close()
-        elif self.has_commands_left and ready:
+        elif ready and self.commands.has_commands():
             self.schedule_processing()
         self.update()
 
@@ -229,21 +263,25 @@
         should_read = self.should_read()
         if should_read and not self.is_reading:
             self.transport.resume_reading()
-            self.listener.disconnect_watch.unwatch(self)
         elif self.is_reading and not should_read:
             self.transport.pause_reading()
-            self.listener.disconnect_watch.watch(self)
         self.is_reading = should_read
+        if should_read or self.is_processing_scheduled:
+            self.listener.disconnect_watch.unwatch(self)
+        else:
+            self.listener.disconnect_watch.watch(self)
         state = self.current_state()
         if state is not self.state:
             self.enter_state(state)
 
     def should_read(self) -> bool:
-        """Whether to read; up to `READ_BYTES` are read ahead, in order to detect EOF behind them."""
-        if self.is_closing:
-            return not self.stops_reading and self.discarded_bytes < MAX_DISCARDED_BYTES
-        is_full = self.has_commands_left or self.is_write_blocked or len(self.replies) >= MAX_PIPELINED
-        return not is_full or len(self.reader.buffer) < READ_BYTES
+        """Whether to read: always while requests are open, as EOF stands behind all unread bytes."""
+        if self.is_processing_scheduled:
+            return False
+        if not self.is_closing:
+            return True
+        may_discard = bool(self.replies) or self.discarded_bytes < MAX_DISCARDED_BYTES
+        return may_discard and not self.stops_reading
 
     def enter_state(self, state: State) -> None:
         """Enter a state and start its timeout; that of `NEW` started with the connection."""
@@ -260,7 +298,7 @@
             return State.WRITE_BLOCKED if self.transport.get_write_buffer_size() else State.CLOSING
         if self.is_write_blocked:
             return State.WRITE_BLOCKED
-        if self.replies:
+        if self.replies or self.commands.has_commands():
             return State.BUSY
         if not self.sent_valid_command:
             return State.NEW
@@ -302,7 +340,9 @@
         The socket is closed once the client has closed its side, or after a timeout. Closing with unread
         bytes would reset the connection and lose the last reply (RFC 9112, section 9.6: lingering close).
         """
-        if self.replies or self.is_closing or self.reader.buffer or self.transport.is_closing():
+        if self.replies or self.is_closing or self.transport.is_closing():
+            return
+        if self.reader.buffer or self.commands.has_commands():
             return
         if not has_unread(self.transport):
             self.is_closing = True
@@ -317,12 +357,9 @@
         """
         if self.is_closing or self.transport.is_closing():
             return
-        try:
-            while self.reader.next() is not None:
-                self.replies.append(Reply(self, REQUEST_FAILED))
-        except ProtocolError:
-            pass  # the malformed data stays in the buffer
-        has_begun = self.state is State.NEW or bool(self.reader.buffer)
+        if failed_count := self.commands.take_all():
+            self.replies.append(Reply(self, REQUEST_FAILED * failed_count))
+        has_begun = self.state is State.NEW or bool(self.reader.buffer) or self.commands.error is not None
         self.stops_reading = not has_begun
         self.send_last_reply(SHUTTING_DOWN if has_begun else b"")
 
@@ -345,7 +382,12 @@
 
     def buffered_bytes(self) -> int:
         """Size of incomplete commands and unread replies in bytes."""
-        return len(self.reader.buffer) + self.transport.get_write_buffer_size()
+        return self.commands.buffered_bytes() + self.transport.get_write_buffer_size()
+
+
+def is_ping(arguments: list[bytes]) -> bool:
+    """Whether a command is PING, which is answered without a backend."""
+    return arguments[0].upper() == PING and len(arguments) <= MAX_PING_ARGUMENTS
 
 
 def pong(arguments: list[bytes]) -> bytes:
--- a/molereach/resp.py
+++ b/molereach/resp.py
@@ -86,17 +86,32 @@
             raise ProtocolError("too long")
         return int(digits), end + 2
 
-    def read_bulk_string(self, start: int, maximum: int) -> tuple[bytes | None, int] | None:
-        """Read a bulk string or a null; return it and the offset of the next value, None if incomplete."""
+    def find_bulk_string(self, start: int, maximum: int) -> tuple[int, int] | None:
+        """Return the offsets of a bulk string's first byte and of the next value, None if it is incomplete.
+
+        For a null, the first byte is behind the next value. Raises ProtocolError as `read_length` does.
+        """
         header = self.read_length(start, b"$", maximum)
-        if header is None or header[0] < 0:
-            return header and (None, header[1])
+        if header is None:
+            return None
         size, string_start = header
+        if size < 0:
+            return string_start + 1, string_start
         end = string_start + size
         line_end = self.buffer[end : end + 2]
         if not LINE_END.startswith(line_end):
             raise ProtocolError("a bulk string is longer than it says")
-        return (bytes(self.buffer[string_start:end]), end + 2) if len(line_end) == 2 else None
+        return (string_start, end + 2) if len(line_end) == 2 else None
+
+    def read_bulk_string(self, start: int, maximum: int) -> tuple[bytes | None, int] | None:
+        """Read a bulk string or a null; return it and the offset of the next value, None if incomplete."""
+        found = self.find_bulk_string(start, maximum)
+        if found is None:
+            return None
+        string_start, next_start = found
+        if string_start > next_start:
+            return None, next_start
+        return bytes(self.buffer[string_start : next_start - 2]), next_start
 
 
 class CommandReader(Reader):
@@ -104,6 +119,25 @@
 
     def next(self) -> list[bytes] | None:
         """Read the next command and return its arguments; None if it is incomplete."""
+        spans = self.find_arguments()
+        if spans is None:
+            return None
+        arguments = [bytes(self.buffer[start : next_start - 2]) for start, next_start in spans]
+        self.discard(spans[-1][1])
+        return arguments
+
+    def next_encoded(self) -> bytes | None:
+        """Read the next command and return it as it was received; None if it is incomplete."""
+        spans = self.find_arguments()
+        if spans is None:
+            return None
+        end = spans[-1][1]
+        encoded = bytes(self.buffer[:end])
+        self.discard(end)
+        return encoded
+
+    def find_arguments(self) -> list[tuple[int, int]] | None:
+        """Find the next command; return `find_bulk_string` of each argument, None if it is incomplete."""
         header = self.read_length(0, b"*", MAX_ARGUMENTS)
         if header is None:
             return None
@@ -111,17 +145,16 @@
         if count < 1:
             # It would have no answer, so that nothing would limit a flood of empty commands.
             raise ProtocolError("an empty command")
-        arguments = []
+        spans = []
         for _ in range(count):
-            bulk_string = self.read_bulk_string(offset, max(0, MAX_COMMAND_BYTES - offset))
-            if bulk_string is None:
+            span = self.find_bulk_string(offset, max(0, MAX_COMMAND_BYTES - offset))
+            if span is None:
                 return None
-            argument, offset = bulk_string
-            if argument is None:
+            start, offset = span
+            if start > offset:
                 raise ProtocolError("a null in a command")
-            arguments.append(argument)
-        self.discard(offset)
-        return arguments
+            spans.append(span)
+        return spans
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/races/proxy_processes.py
+++ b/tests/races/proxy_processes.py
@@ -18,6 +18,9 @@
 )
 
 
+MAX_SHOWN_LINES = 5  # the last lines of a log that ended too early
+
+
 class ProxyProcess:
     """A proxy process that can be started several times; `directory` must not exist yet."""
 
@@ -36,8 +39,10 @@
     async def wait_for_log(self, text: bytes) -> None:
         """Read the log until a line contains this text."""
         assert self.process and self.process.stderr
+        lines = []
         while text not in (line := await self.process.stderr.readline()):
-            assert line, f"the log ended before {text!r}"
+            lines.append(line)
+            assert line, f"the log ended before {text!r}: {lines[-MAX_SHOWN_LINES:]}"
 
     async def connect_when_ready(self) -> Client:
         """Wait until the proxy serves and return a client that has received +PONG."""
--- a/tests/races/test_clients_disconnect.py
+++ b/tests/races/test_clients_disconnect.py
@@ -8,11 +8,13 @@
 
 from molereach.clients import disconnect_watch
 from molereach.clients import resp as clients
+from molereach.clients.command_buffer import MAX_WAITING_BYTES
 from molereach.clients.listener import READ_BYTES
 from molereach.policy.interface.actions import Action
 from molereach.policy.interface.events import ClientDisconnected, Event, RequestReceived
 from molereach.policy.interface.settings import Plan
 from molereach.proxy.proxy import Proxy
+from molereach.resp import MAX_COMMAND_BYTES
 from tests.races.scripted_peers import HeldConnects, Peer, run_loop_iterations, wait_until
 from tests.sockets import CUSTOMER, SETTINGS, Backend, Client, front_door, query, resp, run, submit, value
 
@@ -107,11 +109,8 @@
 
 
 @EACH_DISCONNECT
-def test_disconnect_behind_data_that_is_not_read(
-    monkeypatch: pytest.MonkeyPatch, disconnect: Callable[[Peer], None]
-) -> None:
-    """EOF stands behind bytes that stay unread, so the disconnect watch polls for it."""
-    monkeypatch.setattr(disconnect_watch, "POLL_INTERVAL_S", 0.01)
+def test_disconnect_behind_more_commands_than_may_be_open(disconnect: Callable[[Peer], None]) -> None:
+    """The commands behind are read within bounds, without the disconnect watch, so that EOF is seen."""
 
     async def job() -> None:
         limit = clients.MAX_PIPELINED
@@ -119,9 +118,10 @@
             events, peer = record_events(proxy), Peer.connect(address)
             await send_and_wait_open(proxy, peer, queries(limit), limit)
             (connection,) = proxy.clients.connections
-            peer.send(submit("b1", body=b"x" * 60_000))
-            await wait_until(lambda: not connection.is_reading)
-            assert READ_BYTES <= len(connection.reader.buffer) < 3 * READ_BYTES
+            peer.send(submit("b1", body=b"x" * 60_000) + queries(MAX_WAITING_BYTES // 50))
+            await wait_until(lambda: connection.commands.rejected_count > 0)
+            assert MAX_WAITING_BYTES < connection.buffered_bytes() <= MAX_COMMAND_BYTES + READ_BYTES
+            assert not proxy.clients.disconnect_watch.watched
             disconnect(peer)
             await wait_until(lambda: len(disconnected_requests(events)) == limit)
             await wait_until(lambda: not proxy.clients.connections)
@@ -210,8 +210,8 @@
     run(job())
 
 
-def test_request_that_arrives_together_with_eof_is_withdrawn() -> None:
-    """On a connection that is in use; the attempt of the request is cancelled at once."""
+def test_request_that_arrives_together_with_eof_is_not_forwarded() -> None:
+    """On a connection that is in use: the front door looks for EOF before it hands a request on."""
 
     async def job() -> None:
         backend = Backend(lambda words: None if words[2] == b"a2" else value(b"ok"))
@@ -221,9 +221,12 @@
             assert await peer.receive_until(b"ok\r\n")
             peer.send(query("a2"))
             peer.half_close()
-            await wait_until(lambda: disconnected_requests(events) == ["a2"])
-            await wait_until(lambda: not proxy.requests.answered)
             assert await peer.receive_all() == b""
+            assert await proxy.clients.wait_closed(10)
+            received = [event.request_id for event in events if isinstance(event, RequestReceived)]
+            assert received == ["a1"] and disconnected_requests(events) == []
+            assert len(backend.commands) == 1
+            assert not proxy.requests.open and not proxy.requests.answered
 
     run(job())
 
--- a/tests/races/test_clients_disconnect_waiting.py
+++ b/tests/races/test_clients_disconnect_waiting.py
@@ -42,7 +42,7 @@
 
 
 def test_eof_behind_unread_data_is_polled_for_often_enough() -> None:
-    """A connection that is not read is polled at this interval; one that is read reports EOF by itself."""
+    """A closing connection that is not read is polled at this interval; others report EOF by themselves."""
     assert disconnect_watch.POLL_INTERVAL_S + MAX_LOOP_ITERATION_S < MAX_DETECTION_S
 
 
@@ -175,8 +175,7 @@
 
 @pytest.mark.parametrize("is_half_closed", [False, True])
 def test_pipelined_commands_before_a_disconnect_are_not_forwarded(is_half_closed: bool) -> None:
-    """The maximum of requests is open, and more data than is read ahead waits behind them: none of it is
-    forwarded."""
+    """The maximum of requests is open, and a further command waits behind them: it is not forwarded."""
 
     async def job() -> None:
         backend = Backend(lambda words: None)
@@ -187,9 +186,7 @@
             await wait_until(lambda: len(proxy.requests.open) == limit)
             (connection,) = proxy.clients.connections
             peer.send(submit("b1", body=b"x" * READ_BYTES)[: READ_BYTES + 9000 * is_half_closed])
-            await wait_until(
-                lambda: not connection.is_reading or len(connection.reader.buffer) >= READ_BYTES // 2
-            )
+            await wait_until(lambda: connection.buffered_bytes() >= READ_BYTES // 2)
             # The other requests wait for the limit.
             await wait_until(lambda: len(backend.commands) == IN_FLIGHT_LIMIT)
             (peer.half_close if is_half_closed else peer.close)()
