Do not execute a request again whose id comes again after its client has left

Cause: the registry forgot a request once its client had left and its attempt was cancelled. A cancelled attempt may be executed all the same. While the first request is open the second is answered "this id is in use", and each command had one attempt, so neither that check nor the policy's retries are at fault.

This works because an id stands for one request: what may have run under it must not be handed to a backend again.

--- a/molereach/proxy/__init__.py
+++ b/molereach/proxy/__init__.py
@@ -1,6 +1,6 @@
 """The front door: passes events to the policy and executes its actions on sockets.
 
 In reading order: `errors`, `config`, `config_file`, `resources` (limits on sockets and memory), `gossip`,
-`request_registry`, `policy_driver` (batches and timers), `action_execution`, `endpoint_updates`,
-`graceful_shutdown` (its times), `connection_draining` (its steps), `proxy` (which combines them).
+`executed_requests`, `request_registry`, `policy_driver` (batches and timers), `action_execution`,
+`endpoint_updates`, `graceful_shutdown` (its times), `connection_draining` (its steps), `proxy` (which combines them).
 """
--- a/molereach/proxy/action_execution.py
+++ b/molereach/proxy/action_execution.py
@@ -76,7 +76,7 @@
         # Answered before the event is posted, which states whether the request has been answered.
         if result is AttemptResult.OK and value is not None and request_id in self.requests.open:
             self.answer(request_id, b"$%d\r\n%b\r\n" % (len(value), value))
-        is_answered = self.requests.finish_attempt(request_id, attempt.number)
+        is_answered = self.requests.finish_attempt(attempt, result)
         latency_us = now_us() - attempt.sent_us
         self.post(
             AttemptEnded(
--- a/molereach/proxy/proxy.py
+++ b/molereach/proxy/proxy.py
@@ -39,6 +39,7 @@
 from molereach.proxy.config import Config
 from molereach.proxy.connection_draining import drain
 from molereach.proxy.endpoint_updates import EndpointUpdates
+from molereach.proxy.executed_requests import ExecutedRequests
 from molereach.proxy.gossip import GossipTransport
 from molereach.proxy.graceful_shutdown import GracefulShutdown
 from molereach.proxy.policy_driver import Handlers, PolicyDriver
@@ -71,7 +72,9 @@
         budget = ResourceBudget.from_config(config)
         self.gateway = Gateway(config.settings)
         self.driver = PolicyDriver(self.gateway)
-        self.requests = RequestRegistry(config.max_open, budget.open_command_bytes)
+        self.requests = RequestRegistry(
+            config.max_open, budget.open_command_bytes, ExecutedRequests(config.settings.classes)
+        )
         self.backends = Backends(config.conn_idle_us, config.connect_timeout_us, budget.backend_sockets)
         self.actions = ActionExecutor(config.settings, self.requests, self.backends, self.driver.post)
         self.parser = CommandParser(config)
--- a/molereach/proxy/request_registry.py
+++ b/molereach/proxy/request_registry.py
@@ -6,7 +6,9 @@
 from molereach.clients.commands import Command
 from molereach.clients.replies import Reply
 from molereach.clients.requests import CommandError, OverloadedError
+from molereach.clock import now_us
 from molereach.policy.interface.events import AttemptResult
+from molereach.proxy.executed_requests import ExecutedRequests
 
 OPEN_REQUEST_BYTES = 4096  # memory of an open request, besides its command
 
@@ -28,7 +30,8 @@
 class RequestRegistry:
     """Requests by id; the open ones are limited in number and in bytes."""
 
-    def __init__(self, max_open: int, max_open_bytes: int) -> None:
+    def __init__(self, max_open: int, max_open_bytes: int, executed: ExecutedRequests) -> None:
+        self.executed = executed
         self.max_open = max_open
         self.max_open_bytes = max_open_bytes
         self.open: dict[str, OpenRequest] = {}  # not answered yet
@@ -36,8 +39,12 @@
         self.open_bytes = 0
 
     def check_admission(self, request_id: str) -> None:
-        """Raise CommandError if the id is in use, or OverloadedError if a limit is reached."""
-        if request_id in self.open or request_id in self.answered:
+        """Raise CommandError if the id is in use, or OverloadedError if a limit is reached.
+
+        An id stays in use after the request has ended if executing it again could have a second effect.
+        """
+        is_known = request_id in self.open or request_id in self.answered
+        if is_known or self.executed.contains(now_us(), request_id):
             raise CommandError("this id is in use")
         if len(self.open) >= self.max_open or self.open_bytes > self.max_open_bytes:
             raise OverloadedError("too many requests are open")
@@ -66,12 +73,15 @@
             attempt.cancel_if_unwritten(AttemptResult.CANCELLED)
         return request
 
-    def finish_attempt(self, request_id: str, number: int) -> bool:
+    def finish_attempt(self, attempt: Attempt, result: AttemptResult) -> bool:
         """Remove an attempt that is no longer in flight; return whether its request has been answered."""
+        request_id = attempt.request_id
         is_answered = request_id not in self.open
         request = self.answered.get(request_id) if is_answered else self.open[request_id]
         if request:
-            request.in_flight.pop(number, None)
+            request.in_flight.pop(attempt.number, None)
+            if attempt.is_written and result is not AttemptResult.REJECTED:
+                self.executed.record(now_us(), request_id, request.command.request.class_index)
             if is_answered and not request.in_flight:
                 del self.answered[request_id]
         return is_answered
