Limit the fields of a command before they are divided, as many of them held the event loop

Callers saw: beside 150 clients that each sent 16 commands of 7,635 short fields every 2 s, a client got 3 answers in 8 s, two of them failures, after up to 6.7 s; the front door logged that its event loop was delayed by 1.7 s.

Cause: the length of a command was bounded, the number of its fields was not. One such command took 4.8 ms to divide and 0.07 ms to read, so reading is not at fault; memory peaked at 65 MB of 192 and 700 slow or halted writers caused no delay, so neither is memory.

Change: at most 64 fields in 4,096 bytes, checked before the text is divided.

Test: tests/clients/test_requests.py::test_fields_are_limited_in_number_and_length failed before (no error was raised).

--- a/molereach/clients/commands.py
+++ b/molereach/clients/commands.py
@@ -11,6 +11,8 @@
 SUBMIT = b"SVC.SUBMIT"  # takes the value to write as an additional argument
 QUERY_ARGUMENTS = 4  # the command, customer, request id, fields
 FIELDS_INDEX = 3
+MAX_FIELDS = 64  # of a command; the platform's protocol has eight
+MAX_FIELDS_BYTES = 4096
 WAIT_FIELD = "d"  # the client's timeout in milliseconds
 
 
@@ -60,7 +62,12 @@
 
 
 def parse_fields(fields: bytes) -> dict[str, str]:
-    """Parse `name=value,...` with unique names; raises CommandError for any other text."""
+    """Parse `name=value,...` with unique names; raises CommandError for any other text.
+
+    The limits are checked first, as dividing a long text would hold the event loop.
+    """
+    if len(fields) > MAX_FIELDS_BYTES or fields.count(b",") >= MAX_FIELDS:
+        raise CommandError("too many fields")
     try:
         pairs = [field.partition("=") for field in fields.decode().split(",")]
     except UnicodeDecodeError:
--- a/tests/clients/test_requests.py
+++ b/tests/clients/test_requests.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from molereach.clients.commands import MAX_FIELDS, MAX_FIELDS_BYTES, parse_fields
 from molereach.clients.requests import CommandError, RequestValidator
 from tests.sockets import CONFIG, CUSTOMER
 
@@ -58,3 +59,18 @@
 def test_customer_and_request_id_are_validated(customer: bytes, request_id: bytes) -> None:
     with pytest.raises(CommandError):
         RequestValidator(CONFIG).validate(customer, request_id, FIELDS, True, 0)
+
+
+def test_fields_are_limited_in_number_and_length() -> None:
+    """Guards against a stall: dividing heads of thousands of short fields held the event loop for seconds."""
+    names = [f"f{number}" for number in range(9000)]
+    most = ",".join(f"{name}=1" for name in names[:MAX_FIELDS])
+    assert list(parse_fields(most.encode())) == names[:MAX_FIELDS]
+    longest = b"f=" + b"1" * (MAX_FIELDS_BYTES - len(b"f="))
+    assert list(parse_fields(longest)) == ["f"]
+    for too_much in (",".join(f"{name}=1" for name in names).encode(), longest + b"1"):
+        with pytest.raises(CommandError, match="too many fields"):
+            parse_fields(too_much)
+    one_more = ",".join(f"{name}=1" for name in names[: MAX_FIELDS + 1])
+    with pytest.raises(CommandError, match="too many fields"):
+        parse_fields(one_more.encode())
