Bound the number of customers' accounts: unused ones are replaced by new names

Callers saw: beside one client that sent requests under ever new names the front door grew from 26 to 116 MB in 40 s, and to 144 MB in 16 s once evicting no longer held it up (limit 192 MB).

Cause: each name got an account before its request was judged, kept for 10 s or more, and no number bounded them. Wrong commands under new names, which make no account, did not grow the process, so held replies or log lines are not at fault.

Change: beyond 32,768 accounts a new one replaces such of the four used least recently that hold no less than a new account and have no pending request. This works because a new account is what they would be anyway; accounts that spent something stay, so no ceiling gives a second burst. Decisions change only beyond that number.

Tests: tests/policy/test_many_customers.py, test_unused_accounts_are_replaced_beyond_the_limit and test_account_that_is_replaced_gives_no_second_burst, failed before (1,001 accounts, 11 allowed).

--- a/molereach/policy/customers.py
+++ b/molereach/policy/customers.py
@@ -18,6 +18,10 @@
 from molereach.policy.time_units import NEVER_US, SECOND_US
 
 MIN_IDLE_TTL_US = 10 * SECOND_US  # an idle customer is kept at least this long
+# Accounts beyond this number replace unused ones. Those in use are bounded by what backends can execute, as
+# an account is unused again once it has refilled.
+MAX_ACCOUNTS = 32_768
+EXAMINED_PER_NEW_ACCOUNT = 4  # of the accounts used least recently, for unused ones
 MAX_EVICTIONS_PER_PERIOD = 4096  # the event loop serves requests in between
 
 
@@ -69,6 +73,8 @@
         """The customer's account, refilled and with its current owner; created if it is unknown."""
         account = self.accounts.pop(key, None)
         if account is None:
+            if len(self.accounts) >= MAX_ACCOUNTS:
+                self.evict_unused(now_us)
             account = self.create_account(now_us, key)
         self.accounts[key] = account
         if self.limits:
@@ -109,9 +115,27 @@
             key, oldest = next(iter(self.accounts.items()))
             if oldest.in_flight or now_us - oldest.refilled_at_us <= self.idle_ttl_us:
                 return
-            del self.accounts[key]
-            if self.first_keys.get(key[:2]) == key:
-                del self.first_keys[key[:2]]
+            self.remove(key)
+
+    def evict_unused(self, now_us: int) -> None:
+        """Remove accounts that hold no less than a new one, among those used least recently.
+
+        Only their recent demand is lost. Accounts that are in use stay, however many they are.
+        """
+        for _ in range(EXAMINED_PER_NEW_ACCOUNT):
+            key, account = next(iter(self.accounts.items()))
+            new_account = self.create_account(now_us, key)
+            is_in_use = account.pending_requests or account.unreported_units
+            if is_in_use or not account.refill(now_us).holds_as_much_as(new_account):
+                self.accounts.move_to_end(key)
+            else:
+                self.remove(key)
+
+    def remove(self, key: CustomerKey) -> None:
+        """Remove an account."""
+        del self.accounts[key]
+        if self.first_keys.get(key[:2]) == key:
+            del self.first_keys[key[:2]]
 
     def spend(self, now_us: int, account: CustomerAccount, units: float) -> None:
         """Spend units of the quota at this gateway; negative units are returned."""
--- a/molereach/policy/gateway.py
+++ b/molereach/policy/gateway.py
@@ -132,6 +132,7 @@
         elapsed_us = self.client_timeouts.elapsed_us(request)
         pending = PendingRequest(request, request_class, account, self.now_us, elapsed_us)
         self.attempts.pending[request.request_id] = pending
+        account.pending_requests += 1
         if not self.give_up_if_late(pending, is_waiting=False):
             self.admission.admit(self.now_us, pending)
 
@@ -244,5 +245,6 @@
                 self.customers.spend(self.now_us, pending.account, -pending.request.units)
             if self.settings.may_cancel and not pending.request_class.is_streamed:
                 self.actions += [CancelAttempt(request_id, number) for number in pending.in_flight]
-        if not pending.in_flight:
-            self.attempts.pending.pop(request_id, None)
+        if not pending.in_flight and request_id in self.attempts.pending:
+            del self.attempts.pending[request_id]
+            pending.account.pending_requests -= 1
--- a/molereach/policy/quota.py
+++ b/molereach/policy/quota.py
@@ -21,6 +21,7 @@
 # unreported, as fractions of its size.
 DEFER_MIN_FILL = 1 / 2
 DEFER_MAX_UNREPORTED = 1 / 4
+ROUNDING_UNITS = 1e-6  # by which two buckets that were refilled in different steps may differ
 
 
 class CustomerAccount:
@@ -34,6 +35,7 @@
         "local_demand",
         "local_tokens",
         "owner",
+        "pending_requests",
         "plan",
         "reachable_fraction",
         "refilled_at_us",
@@ -72,6 +74,7 @@
         self.remote_demand = 0.0  # the same at the other gateways of the set
         self.ceiling = CeilingBucket(plan, key.set_size, now_us - started_at_us, has_ceiling_reserve)
         self.in_flight = 0  # attempts in flight from this gateway
+        self.pending_requests = 0  # requests here that are open, or answered with attempts in flight
         self.replied_at_us = -NEVER_US  # time of the owner's last reply
         self.unanswered_since_us = NEVER_US  # time of the first request that the owner has not answered
         # At the owner: whether a peer has reported since this account was created.
@@ -112,6 +115,15 @@
         """Recent demand of the whole set, as far as is known."""
         return self.local_demand + self.remote_demand
 
+    def holds_as_much_as(self, other: "CustomerAccount") -> bool:
+        """Whether no bucket holds less than that of the other account."""
+        smallest_excess = min(self.tokens - other.tokens, self.local_tokens - other.local_tokens)
+        if self.plan.ceiling_rate:
+            ceiling_excess = self.ceiling.tokens - other.ceiling.tokens
+            reserve_excess = self.ceiling.reserve_tokens - other.ceiling.reserve_tokens
+            smallest_excess = min(smallest_excess, ceiling_excess, reserve_excess)
+        return smallest_excess >= -ROUNDING_UNITS
+
     def may_defer_report(self) -> bool:
         """Whether the report of what was spent here may be deferred.
 
--- a/tests/policy/test_many_customers.py
+++ b/tests/policy/test_many_customers.py
@@ -13,7 +13,7 @@
 from molereach.policy.customers import Customers
 from molereach.policy.interface.messages import CustomerKey
 from molereach.policy.interface.settings import Plan
-from tests.helpers import SECOND_US, SETTINGS
+from tests.helpers import SECOND_US, SETTINGS, GatewayDriver
 
 PLAN = Plan(quota_rate=10.0, quota_burst=20.0, ceiling_rate=4.0, ceiling_burst=6.0)
 FEW_CUSTOMERS = 1_000
@@ -98,3 +98,54 @@
         counts.append(len(customers.accounts))
     assert counts == [15, 5, 0]
     assert not customers.first_keys
+
+
+def test_unused_accounts_are_replaced_beyond_the_limit(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against growth without end: each new name left an account for ten seconds or more."""
+    monkeypatch.setattr(customers_module, "MAX_ACCOUNTS", 50)
+    driver = GatewayDriver()
+    accounts = driver.gateway.customers.accounts
+    for number in range(1000):
+        driver.now_us += 100
+        driver.send_request(f"r{number}", remaining_us=0, customer=f"{number:016x}")
+        assert len(accounts) <= 50
+    assert not driver.gateway.attempts.pending
+    assert len(driver.gateway.customers.first_keys) <= 50
+
+
+def test_used_accounts_are_kept_beyond_the_limit(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Units that were spent, and requests that are pending, are not forgotten for the sake of new names."""
+    monkeypatch.setattr(customers_module, "MAX_ACCOUNTS", 4)
+    driver = GatewayDriver()
+    customers = driver.gateway.customers
+    for number in range(6):
+        driver.send_request(f"used{number}", customer=f"{number:016x}")
+    used = dict(customers.accounts)
+    assert len(used) == 6
+    for number in range(100):
+        driver.send_request(f"late{number}", remaining_us=0, customer=f"{1000 + number:016x}")
+    assert used.items() <= customers.accounts.items()
+    for request_id, attempt in list(driver.in_flight):
+        driver.end_attempt(request_id, attempt=attempt)
+    assert all(account.pending_requests == 0 for account in used.values())
+    # Less than a new account holds: kept. Refilled: replaced.
+    for number in range(100):
+        driver.send_request(f"later{number}", remaining_us=0, customer=f"{2000 + number:016x}")
+    assert used.items() <= customers.accounts.items()
+    driver.now_us += 60 * SECOND_US
+    for number in range(100):
+        driver.send_request(f"last{number}", remaining_us=0, customer=f"{3000 + number:016x}")
+    assert len(customers.accounts) <= 4
+
+
+def test_account_that_is_replaced_gives_no_second_burst(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A ceiling that was spent is still spent after thousands of other names."""
+    monkeypatch.setattr(customers_module, "MAX_ACCOUNTS", 10)
+    customers = Customers(replace(SETTINGS, plans=(PLAN,)), None)
+    key = CustomerKey(1, 0, 0, 1)
+    account = customers.refreshed_account(NOW_US, key)
+    customers.spend_ceiling(NOW_US, account, 3.0)
+    for number in range(1000):
+        customers.refreshed_account(NOW_US + 100 * number, CustomerKey(100 + number, 0, 0, 1))
+    assert customers.refreshed_account(NOW_US + 100_000, key).ceiling.tokens < 3.5
+    assert len(customers.accounts) <= 11
