Use only the endpoint that started last where several are listed at one address

Callers saw: a new server at the address of one that had gone, with the old entry still listed, got 76 requests in 16 s (49 where the old entry was deleted), and 42 later than allowed after it began to drain. Requests were sent to it under the old name.

Cause: endpoints were told apart by name alone. The new entry itself was applied (fewer requests, as in a slow start, once the old entry was gone), and connections to the old process were reset when it ended, so neither the new entry nor old connections are at fault.

Change: subsetting/address_owners.py reports of the endpoints at one address only the one that started last; others are removed, and listed again when it leaves. This works because one address has one listener, and the later start is its. Equal or unknown starts are all used, as before.

Tests: tests/proxy/test_shared_addresses.py failed before (50 of 50 further requests reached the draining server); tests/subsetting/test_address_owners.py is new. Open: of long lists only the subset is looked at.

--- a/molereach/proxy/endpoint_updates.py
+++ b/molereach/proxy/endpoint_updates.py
@@ -11,6 +11,7 @@
 from molereach.endpoint_address import EndpointAddress
 from molereach.policy.interface.events import EndpointListKind, EndpointListReceived, Event
 from molereach.proxy.config_file import run_to_end
+from molereach.subsetting.address_owners import AddressOwners
 from molereach.subsetting.interface import EndpointList, SubsetUpdate
 
 log = logging.getLogger(__name__)
@@ -30,6 +31,7 @@
         self.mapping = mapping
         self.backends = backends
         self.post = post
+        self.address_owners = AddressOwners()
         # The subset of the saved list, as published at the start.
         self.saved_list: EndpointUpdate | None = None
         # Applies operators' orders to each update before the policy receives it.
@@ -93,9 +95,17 @@
         yield from self.apply_staged(update)
 
     def publish_subset(self, update: SubsetUpdate | None) -> SubsetUpdate | None:
-        """Publish a change of the subset, modified by the overlay; None is no change."""
-        if update:
-            self.publish(self.overlay(update.event), update.addresses)
+        """Publish a change of the subset, modified by the overlay; None is no change.
+
+        Returns what was published, without the overlay's modifications.
+        """
+        if update is None:
+            return None
+        hidden_before = self.address_owners.hidden
+        update = self.address_owners.apply(update)
+        for name in sorted(self.address_owners.hidden - hidden_before):
+            log.warning("endpoint %s is not used: another one that started later has its address", name)
+        self.publish(self.overlay(update.event), update.addresses)
         return update
 
     def publish(self, event: EndpointListReceived, addresses: dict[str, EndpointAddress]) -> None:
--- a/molereach/subsetting/endpoint_subsetting.py
+++ b/molereach/subsetting/endpoint_subsetting.py
@@ -18,7 +18,13 @@
 from molereach.policy.interface.settings import Settings
 from molereach.subsetting.entry_budget import MAX_LIST_COPIES, EntryBudget
 from molereach.subsetting.idempotency_groups import scope_keys
-from molereach.subsetting.interface import EndpointListError, StagedEndpoints, SubsetUpdate
+from molereach.subsetting.interface import (
+    FULL_LIST_KINDS,
+    AddressedEndpoint,
+    EndpointListError,
+    StagedEndpoints,
+    SubsetUpdate,
+)
 from molereach.subsetting.packed_records import name_of, unpack
 from molereach.subsetting.placement import MIN_PROXIES_PER_BACKEND, min_subset_distance, proxy_position
 from molereach.subsetting.staging import STEP_ENTRIES, Staging, entry_of
@@ -26,13 +32,11 @@
 from molereach.subsetting.takeover_overlay import TakeoverOverlay
 
 LONG_LIST_FACTOR = 2  # a list becomes long above this multiple of the subset's size
-FULL_LIST_KINDS = (EndpointListKind.FULL, EndpointListKind.SAVED)
 # Each step of changes may exceed the limit of a list, as removals may follow additions.
 CHANGE_HEADROOM_ENTRIES = 2 * STEP_ENTRIES
 MAX_SHOWN_NAME_BYTES = 80
 
 Steps = Generator[None, None, SubsetUpdate | None]
-AddressedEndpoint = tuple[Endpoint, EndpointAddress | None]
 ShortList = dict[str, AddressedEndpoint]
 
 
--- a/molereach/subsetting/interface.py
+++ b/molereach/subsetting/interface.py
@@ -10,6 +10,10 @@
 from molereach.endpoint_address import EndpointAddress
 from molereach.policy.interface.events import Endpoint, EndpointListKind, EndpointListReceived
 
+FULL_LIST_KINDS = (EndpointListKind.FULL, EndpointListKind.SAVED)
+
+AddressedEndpoint = tuple[Endpoint, EndpointAddress | None]
+
 
 class EndpointListError(ValueError):
     """An endpoint list cannot be applied; the current one stays in use. The message is a single line."""
