Tests listen at ports that the system gives to no other socket

refusing_address chooses from below the range of ports that the system gives out, and never the same one twice. The check itself is unchanged.

--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import random
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine, Iterable
 from dataclasses import replace
@@ -233,8 +234,17 @@
         proxy.close()
 
 
+# Below the ports that the system gives to other sockets, so that none of them takes one first.
+UNUSED_PORTS = range(20_000, 32_000)
+RETURNED_PORTS: set[int] = set()
+
+
 def refusing_address() -> EndpointAddress:
-    """Return an address at which connections are refused."""
-    with socket.socket() as unused_socket:
-        unused_socket.bind((HOST, 0))
-        return unused_socket.getsockname()
+    """Return an address at which connections are refused, a different one each time."""
+    for port in random.SystemRandom().sample(UNUSED_PORTS, len(UNUSED_PORTS)):
+        with socket.socket() as unused_socket, contextlib.suppress(OSError):
+            unused_socket.bind((HOST, port))
+            if port not in RETURNED_PORTS:
+                RETURNED_PORTS.add(port)
+                return HOST, port
+    raise RuntimeError("no unused port")
