Split the client connection: replies in words, reply queue and input drain are modules

The replies that the front door words itself and PING are in resp_replies, the queue of replies in replies.ReplyQueue, the check for unread input in input_drain. What clients see is the same, but for one thing: after an internal error, the commands that were read behind it get their answer (-ERR failed) before the connection ends.

--- a/molereach/clients/replies.py
+++ b/molereach/clients/replies.py
@@ -1,9 +1,10 @@
 """Replies in the order of a connection's commands, and the interface of the command handler."""
 
+from collections import deque
 from typing import Protocol
 
 
-class ReplyQueue(Protocol):
+class ReplyConnection(Protocol):
     """A connection that sends replies in the order of its commands."""
 
     def flush(self) -> None:
@@ -15,7 +16,7 @@
 
     __slots__ = ("connection", "data", "request_id")
 
-    def __init__(self, connection: ReplyQueue, data: bytes | None = None) -> None:
+    def __init__(self, connection: ReplyConnection, data: bytes | None = None) -> None:
         self.connection = connection
         self.data = data
         self.request_id: str | None = None  # of the request that this answers
@@ -27,6 +28,22 @@
             self.connection.flush()
 
 
+class ReplyQueue(deque[Reply]):
+    """The replies of a connection that have not been sent, in the order of the commands."""
+
+    def take_ready(self) -> list[bytes]:
+        """Remove the replies before the first pending one and return their data."""
+        ready = []
+        while self and (data := self[0].data) is not None:
+            ready.append(data)
+            self.popleft()
+        return ready
+
+    def pending(self) -> list[Reply]:
+        """Return the replies that are not known yet."""
+        return [reply for reply in self if reply.data is None]
+
+
 class CommandHandler(Protocol):
     """Handles commands and disconnects of clients."""
 
--- a/molereach/clients/resp.py
+++ b/molereach/clients/resp.py
@@ -6,14 +6,26 @@
 
 import asyncio
 import logging
-from collections import deque
 from typing import cast
 
 from molereach.clients.command_buffer import CommandBuffer
 from molereach.clients.connection_state import TIMEOUTS_US, TOO_MANY_CLIENTS, Connection, State
+from molereach.clients.input_drain import InputDrain
 from molereach.clients.listener import READ_BYTES, ClientListener
-from molereach.clients.replies import CommandHandler, Reply
+from molereach.clients.replies import CommandHandler, Reply, ReplyQueue
 from molereach.clients.requests import CommandError, OverloadedError
+from molereach.clients.resp_replies import (
+    INTERNAL_ERROR,
+    REJECTED,
+    REQUEST_FAILED,
+    SHUTTING_DOWN,
+    TOO_MANY_ERRORS,
+    TOO_SLOW,
+    error_reply,
+    is_ping,
+    pong,
+    protocol_error_reply,
+)
 from molereach.clock import now_us
 from molereach.resp import has_unread
 
@@ -21,15 +33,8 @@
 
 MAX_PIPELINED = 16  # open requests per connection; further commands wait
 MAX_DIVIDED_PER_TURN = 64  # commands of a connection that are queued or rejected per loop iteration
-MAX_UNDRAINED_US = 500_000  # commands are rejected if the client sends without a pause for longer
 MAX_DISCARDED_BYTES = 256 * 1024  # read and discarded after the last reply, before reading stops
 MAX_CONSECUTIVE_ERRORS = 16  # consecutive invalid commands after which the connection is closed
-REQUEST_FAILED = b"-ERR failed\r\n"
-REJECTED = b"-BUSY\r\n"
-SHUTTING_DOWN = b"-ERR the front door ends\r\n"
-PING = b"PING"
-MAX_PING_ARGUMENTS = 2  # the command and a message
-PONG = b"+PONG\r\n"
 
 
 class ClientConnection(Connection, asyncio.BufferedProtocol):
@@ -40,7 +45,8 @@
         self.handler = handler
         self.commands = CommandBuffer()
         self.reader = self.commands.reader
-        self.replies: deque[Reply] = deque()
+        self.input_drain = InputDrain()
+        self.replies = ReplyQueue()
         self.is_closing = False
         self.is_reading = True
         self.has_read = False  # whether any bytes have been read
@@ -51,7 +57,6 @@
         self.consecutive_errors = 0
         self.stops_reading = False  # while closing: incoming data is not read
         self.discarded_bytes = 0  # read and discarded after the last reply
-        self.undrained_since_us: int | None = None  # when commands were first held back for unread input
         self.is_processing_scheduled = False
         self.state = State.NEW
         self.state_entered_us = now_us()
@@ -120,7 +125,7 @@
         """Discard the commands and pending replies of a disconnected client and notify the handler."""
         self.is_closing = True
         self.commands.clear()
-        pending = [reply for reply in self.replies if reply.data is None]
+        pending = self.replies.pending()
         self.replies.clear()
         for reply in pending:
             self.handler.on_client_disconnected(reply)
@@ -135,7 +140,8 @@
             # An internal error ends only this connection, and its pending requests are still answered.
             log.exception("internal error on a client connection")
             self.fail_pending()
-            self.send_last_reply(b"-ERR internal error\r\n")
+            self.fail_waiting()
+            self.send_last_reply(INTERNAL_ERROR)
         finally:
             self.is_processing = False
         self.flush()
@@ -165,24 +171,14 @@
             self.replies.append(Reply(self, REJECTED * rejected_count))
         if self.commands.error and not self.commands.has_commands():
             log.warning("malformed command from a client: %s", self.commands.error)
-            self.send_last_reply(b"-ERR Protocol error: %b\r\n" % str(self.commands.error).encode())
+            self.send_last_reply(protocol_error_reply(self.commands.error))
 
     def is_input_drained(self) -> bool:
-        """Whether all that the client has sent by now has been read, so that it is known to be connected.
-
-        A request of a client that has disconnected must not be forwarded, and EOF stands behind all unread
-        bytes. If there are any, the commands wait for the next read; those of a client that sends without a
-        pause are rejected after a while.
-        """
-        if not has_unread(self.transport):
-            self.undrained_since_us = None
+        """Whether all input has been read; until then commands wait, but not for long."""
+        if self.input_drain.is_drained(self.transport):
             return True
-        current_us = now_us()
-        if self.undrained_since_us is None:
-            self.undrained_since_us = current_us
-        elif current_us - self.undrained_since_us > MAX_UNDRAINED_US:
+        if self.input_drain.is_overdue():
             self.commands.reject_waiting()
-            self.undrained_since_us = None
         return False
 
     def schedule_processing(self) -> None:
@@ -218,7 +214,7 @@
             self.consecutive_errors += 1
             reply.send(error_reply(error))
             if self.consecutive_errors >= MAX_CONSECUTIVE_ERRORS:
-                self.send_last_reply(b"-ERR too many wrong commands\r\n")
+                self.send_last_reply(TOO_MANY_ERRORS)
         else:
             self.sent_valid_command = True
             self.consecutive_errors = 0
@@ -228,10 +224,7 @@
         """Send the replies that are ready, then update the connection's state."""
         if self.is_processing or not self.is_attached:
             return
-        ready = []
-        while self.replies and (data := self.replies[0].data) is not None:
-            ready.append(data)
-            self.replies.popleft()
+        ready = self.replies.take_ready()
         if self.transport.is_closing():
             return
         if ready:
@@ -250,10 +243,15 @@
 
     def fail_pending(self) -> None:
         """Fail the requests that have no reply yet."""
-        for reply in [reply for reply in self.replies if reply.data is None]:
+        for reply in self.replies.pending():
             self.handler.on_client_disconnected(reply)
             reply.send(REQUEST_FAILED)
 
+    def fail_waiting(self) -> None:
+        """Fail the commands that were read and not handled."""
+        if failed_count := self.commands.take_all():
+            self.replies.append(Reply(self, REQUEST_FAILED * failed_count))
+
     # --- state ---
 
     def update(self) -> None:
@@ -319,7 +317,7 @@
         elif self.state in (State.IDLE, State.PING_ONLY):
             self.close()
         else:
-            self.send_last_reply(b"-ERR timed out\r\n")
+            self.send_last_reply(TOO_SLOW)
 
     # --- closing ---
 
@@ -357,8 +355,7 @@
         """
         if self.is_closing or self.transport.is_closing():
             return
-        if failed_count := self.commands.take_all():
-            self.replies.append(Reply(self, REQUEST_FAILED * failed_count))
+        self.fail_waiting()
         has_begun = self.state is State.NEW or bool(self.reader.buffer) or self.commands.error is not None
         self.stops_reading = not has_begun
         self.send_last_reply(SHUTTING_DOWN if has_begun else b"")
@@ -383,20 +380,3 @@
     def buffered_bytes(self) -> int:
         """Size of incomplete commands and unread replies in bytes."""
         return self.commands.buffered_bytes() + self.transport.get_write_buffer_size()
-
-
-def is_ping(arguments: list[bytes]) -> bool:
-    """Whether a command is PING, which is answered without a backend."""
-    return arguments[0].upper() == PING and len(arguments) <= MAX_PING_ARGUMENTS
-
-
-def pong(arguments: list[bytes]) -> bytes:
-    """Return the reply to PING with or without a message."""
-    if len(arguments) == 1:
-        return PONG
-    return b"$%d\r\n%b\r\n" % (len(arguments[1]), arguments[1])
-
-
-def error_reply(error: CommandError) -> bytes:
-    """Return the reply to an invalid command."""
-    return b"-ERR %b\r\n" % str(error).encode()
--- a/molereach/proxy/action_execution.py
+++ b/molereach/proxy/action_execution.py
@@ -5,7 +5,7 @@
 
 from molereach.backends.attempt import Attempt
 from molereach.backends.pools import Backends
-from molereach.clients.resp import REQUEST_FAILED
+from molereach.clients.resp_replies import REQUEST_FAILED
 from molereach.clock import now_us
 from molereach.policy.interface.actions import (
     CancelAttempt,
