--- a/tests/clients/test_resp.py
+++ b/tests/clients/test_resp.py
@@ -385,6 +385,24 @@
     assert "an error of the test" in caplog.text
 
 
+def test_commands_behind_an_internal_error_are_answered_before_the_close() -> None:
+    async def scenario() -> None:
+        async with front_door(Backend()) as (door, address):
+
+            def fail(arguments: list[bytes], reply: object) -> None:
+                raise RuntimeError("an error of the test")
+
+            door.handle_command = fail
+            client = await Client.open(address)
+            count = 3 * clients.MAX_PIPELINED
+            client.send(b"".join(query(f"a{number}") for number in range(count)))
+            assert [await client.answer() for _ in range(count)] == ["-ERR failed"] * count
+            assert await client.answer() == "-ERR internal error"
+            assert await client.ended()
+
+    run(scenario())
+
+
 ARGUMENTS = st.lists(st.binary(max_size=40), min_size=1, max_size=6)
 
 
