--- a/molereach/subsetting/address_owners.py
+++ b/molereach/subsetting/address_owners.py
@@ -8,8 +8,8 @@
 from dataclasses import replace
 
 from molereach.endpoint_address import EndpointAddress
-from molereach.policy.interface.events import Endpoint, EndpointListKind, EndpointState
-from molereach.subsetting.interface import FULL_LIST_KINDS, AddressedEndpoint, SubsetUpdate
+from molereach.policy.interface.events import EndpointListKind, EndpointState
+from molereach.subsetting.interface import FULL_LIST_KINDS, AddressedEndpoint, SubsetUpdate, removed
 
 
 class AddressOwners:
@@ -30,37 +30,43 @@
         """
         if update.event.kind is EndpointListKind.FAILED:
             return update
-        hidden_before = self.hidden
         if update.event.kind in FULL_LIST_KINDS:
-            hidden_before = frozenset()
-            self.hidden = frozenset()
             self.listed = {}
             self.names = {}
-        affected = {
-            address for endpoint in update.event.endpoints for address in self.record(endpoint, update)
-        }
-        self.hidden = self.hidden_now(affected)
-        if not (hidden_before or self.hidden):
-            return update
-        if update.event.kind in FULL_LIST_KINDS:
-            return self.without_hidden(update)
-        return self.with_transitions(update, hidden_before)
+            self.hidden = frozenset()
+            self.hidden = self.hidden_after(update)
+            return self.without_hidden(update) if self.hidden else update
+        hidden_before = self.hidden
+        self.hidden = self.hidden_after(update)
+        return self.with_transitions(update, hidden_before) if hidden_before or self.hidden else update
 
-    def record(self, endpoint: Endpoint, update: SubsetUpdate) -> list[EndpointAddress]:
-        """Record an entry of an update; return the addresses that it leaves or takes."""
-        _, address_before = self.listed.pop(endpoint.name, (None, None))
-        if address_before:
-            del self.names[address_before][endpoint.name]
-            if not self.names[address_before]:
-                del self.names[address_before]
-        address = update.addresses.get(endpoint.name) or address_before
-        if endpoint.state is not EndpointState.REMOVED:
+    def hidden_after(self, update: SubsetUpdate) -> frozenset[str]:
+        """Record the entries of an update and return the names of all hidden endpoints."""
+        affected: set[EndpointAddress] = set()  # addresses whose hidden endpoints may change
+        for endpoint in update.event.endpoints:
+            _, address_before = self.listed.pop(endpoint.name, (None, None))
+            address = update.addresses.get(endpoint.name, address_before)
+            if address_before:
+                affected.add(address_before)
+                self.remove_name(endpoint.name, address_before)
+            if endpoint.state is EndpointState.REMOVED:
+                continue
             self.listed[endpoint.name] = endpoint, address
             if address:
-                self.names.setdefault(address, {})[endpoint.name] = None
-        return [each for each in (address_before, address) if each]
+                names = self.names.setdefault(address, {})
+                names[endpoint.name] = None
+                if len(names) > 1 or endpoint.name in self.hidden:
+                    affected.add(address)
+        return self.hidden_at(affected)
+
+    def remove_name(self, name: str, address: EndpointAddress) -> None:
+        """Remove an endpoint from those listed at an address."""
+        names = self.names[address]
+        del names[name]
+        if not names:
+            del self.names[address]
 
-    def hidden_now(self, affected: set[EndpointAddress]) -> frozenset[str]:
+    def hidden_at(self, affected: set[EndpointAddress]) -> frozenset[str]:
         """The names of all hidden endpoints, if only those at the affected addresses may have changed."""
         hidden = {
             name for name in self.hidden if name in self.listed and self.listed[name][1] not in affected
@@ -68,7 +74,7 @@
         for address in affected:
             names = self.names.get(address, {})
             if len(names) > 1:
-                latest = max(self.start_order(name) for name in names)
+                latest = max(map(self.start_order, names))
                 hidden.update(name for name in names if self.start_order(name) < latest)
         return frozenset(hidden)
 
@@ -94,6 +100,6 @@
                     addresses[name] = address
         for name in sorted(self.hidden):
             if name in changed or name not in hidden_before:
-                changed[name] = replace(self.listed[name][0], state=EndpointState.REMOVED)
+                changed[name] = removed(self.listed[name][0])
             addresses.pop(name, None)
         return SubsetUpdate(replace(update.event, endpoints=tuple(changed.values())), addresses)
--- a/molereach/subsetting/endpoint_subsetting.py
+++ b/molereach/subsetting/endpoint_subsetting.py
@@ -24,6 +24,7 @@
     EndpointListError,
     StagedEndpoints,
     SubsetUpdate,
+    removed,
 )
 from molereach.subsetting.packed_records import name_of, unpack
 from molereach.subsetting.placement import MIN_PROXIES_PER_BACKEND, min_subset_distance, proxy_position
@@ -205,13 +206,11 @@
 
     def member_changes(self, before: Mapping[bytes, bytes]) -> list[AddressedEndpoint]:
         """The members that left the subset, as removed, then those that joined it or changed."""
-        removed = [
-            removed_endpoint(unpack(record)[0])
-            for name, record in before.items()
-            if name not in self.reported
+        departed = [
+            (removed(unpack(record)[0]), None) for name, record in before.items() if name not in self.reported
         ]
         changed = [unpack(record) for name, record in self.reported.items() if before.get(name) != record]
-        return [*removed, *changed]
+        return [*departed, *changed]
 
 
 def full_kind(kind: EndpointListKind) -> EndpointListKind:
@@ -229,20 +228,6 @@
             short_list[endpoint.name] = endpoint, addresses.get(endpoint.name) or (before and before[1])
 
 
-def removed_endpoint(endpoint: Endpoint) -> AddressedEndpoint:
-    """The entry that reports an endpoint as removed."""
-    removed = Endpoint(
-        endpoint.name,
-        endpoint.zone,
-        endpoint.kind,
-        endpoint.cell,
-        EndpointState.REMOVED,
-        endpoint.size,
-        endpoint.started_us,
-    )
-    return removed, None
-
-
 def subset_update(
     kind: EndpointListKind, version: int, listed: Sequence[AddressedEndpoint], sharing_proxies: int = 0
 ) -> SubsetUpdate:
--- a/molereach/subsetting/interface.py
+++ b/molereach/subsetting/interface.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from molereach.endpoint_address import EndpointAddress
-from molereach.policy.interface.events import Endpoint, EndpointListKind, EndpointListReceived
+from molereach.policy.interface.events import Endpoint, EndpointListKind, EndpointListReceived, EndpointState
 
 FULL_LIST_KINDS = (EndpointListKind.FULL, EndpointListKind.SAVED)
 
@@ -31,6 +31,19 @@
     addresses: dict[str, EndpointAddress]
 
 
+def removed(endpoint: Endpoint) -> Endpoint:
+    """The entry that reports an endpoint as removed."""
+    return Endpoint(
+        endpoint.name,
+        endpoint.zone,
+        endpoint.kind,
+        endpoint.cell,
+        EndpointState.REMOVED,
+        endpoint.size,
+        endpoint.started_us,
+    )
+
+
 class StagedEndpoints(Protocol):
     """Entries of one list that is received in parts; they are not in use until the list is taken over."""
 
--- a/tests/subsetting/test_address_owners.py
+++ b/tests/subsetting/test_address_owners.py
@@ -6,7 +6,7 @@
 from molereach.endpoint_address import EndpointAddress
 from molereach.policy.interface.events import Endpoint, EndpointListKind, EndpointListReceived, EndpointState
 from molereach.subsetting.address_owners import AddressOwners
-from molereach.subsetting.interface import SubsetUpdate
+from molereach.subsetting.interface import SubsetUpdate, removed
 
 OLD = Endpoint("old", 0, 0, 0, EndpointState.UP, started_us=1_000)
 NEW = Endpoint("new", 1, 0, 1, EndpointState.UP, started_us=9_000)
@@ -16,11 +16,6 @@
 FULL, CHANGES = EndpointListKind.FULL, EndpointListKind.CHANGES
 
 
-def removed(endpoint: Endpoint) -> Endpoint:
-    """The entry that removes an endpoint."""
-    return replace(endpoint, state=EndpointState.REMOVED)
-
-
 def make_update(kind: EndpointListKind, *listed: tuple[Endpoint, EndpointAddress | None]) -> SubsetUpdate:
     """An update with these endpoints and their addresses."""
     event = EndpointListReceived(kind, 7, tuple(endpoint for endpoint, _ in listed))
