A connection whose wrong commands waited for unread input times out again

Such a connection stays NEW. A connection with commands that wait is not evicted, and one that times out answers them.

--- a/molereach/clients/resp.py
+++ b/molereach/clients/resp.py
@@ -46,7 +46,7 @@
         self.commands = CommandBuffer()
         self.reader = self.commands.reader
         self.input_drain = InputDrain()
-        self.replies = ReplyQueue()
+        self.replies: ReplyQueue = ReplyQueue()
         self.is_closing = False
         self.is_reading = True
         self.has_read = False  # whether any bytes have been read
@@ -296,10 +296,12 @@
             return State.WRITE_BLOCKED if self.transport.get_write_buffer_size() else State.CLOSING
         if self.is_write_blocked:
             return State.WRITE_BLOCKED
-        if self.replies or self.commands.has_commands():
+        if self.replies:
             return State.BUSY
         if not self.sent_valid_command:
             return State.NEW
+        if self.commands.has_commands():
+            return State.BUSY
         if self.reader.buffer:
             return State.PARTIAL
         return State.IDLE if self.sent_request else State.PING_ONLY
@@ -317,6 +319,7 @@
         elif self.state in (State.IDLE, State.PING_ONLY):
             self.close()
         else:
+            self.fail_waiting()
             self.send_last_reply(TOO_SLOW)
 
     # --- closing ---
@@ -363,7 +366,8 @@
     def has_data_in_flight(self) -> bool:
         """Whether a command is unread or not yet handled, or a reply not yet sent."""
         is_writing = self.transport.get_write_buffer_size() > 0
-        return self.is_processing_scheduled or is_writing or has_unread(self.transport)
+        is_waiting = self.is_processing_scheduled or self.commands.has_commands()
+        return is_waiting or is_writing or has_unread(self.transport)
 
     def evict(self) -> None:
         """Close to make room for another connection."""
--- a/tests/clients/test_resp.py
+++ b/tests/clients/test_resp.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from molereach.clients import connection_state, listener
+from molereach.clients import connection_state, input_drain, listener
 from molereach.clients import resp as clients
 from molereach.clients.commands import CommandParser
 from molereach.clients.requests import CommandError
@@ -239,6 +239,31 @@
     run(scenario())
 
 
+def test_client_whose_wrong_commands_wait_for_unread_input_times_out(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a connection without a timeout: it waited, and was new again after that."""
+    shorten_timeout(monkeypatch, "FIRST_COMMAND_TIMEOUT_US")
+
+    async def scenario() -> None:
+        async with front_door() as (door, address):
+            client = await Client.open(address)
+            while not door.clients.connections:
+                await asyncio.sleep(0)
+            (connection,) = door.clients.connections
+            with monkeypatch.context() as patch:
+                patch.setattr(input_drain, "has_unread", lambda transport: True)
+                client.send(resp("WHAT"))
+                while not connection.commands.has_commands():
+                    await asyncio.sleep(0)
+            client.send(resp("WHAT"))
+            assert [await client.answer() for _ in range(2)] == ["-ERR unknown command"] * 2
+            assert await client.answer() == "-ERR timed out"
+            assert await client.ended()
+
+    run(scenario())
+
+
 def test_timeouts_conform_to_the_protocol() -> None:
     sweep_us = listener.SWEEP_INTERVAL_S * 1e6
     assert 2_000_000 < connection_state.FIRST_COMMAND_TIMEOUT_US < 3_000_000 - 2 * sweep_us
