--- a/tests/policy/test_many_customers.py
+++ b/tests/policy/test_many_customers.py
@@ -16,20 +16,21 @@
 from tests.helpers import SECOND_US, SETTINGS, GatewayDriver
 
 PLAN = Plan(quota_rate=10.0, quota_burst=20.0, ceiling_rate=4.0, ceiling_burst=6.0)
-FEW_CUSTOMERS = 1_000
-MANY_CUSTOMERS = 60_000
+CUSTOMER_COUNT = 60_000
 NOW_US = 100 * SECOND_US
 LONG_AFTER_US = NOW_US + 3600 * SECOND_US
-MAX_COST_RATIO = 8.0  # of evicting one of many customers to one of few; caches account for some of it
+MAX_HELD_UP_S = 0.15  # STANDING: for so long a front door may be held up
 
 Evict = Callable[[], bool]  # evicts once and returns whether customers are left
 
 
 def idle_customers(count: int) -> Evict:
-    """Accounts of idle customers of a gateway."""
+    """Accounts of idle customers of a gateway; all have spent some quota, so none was replaced as unused."""
     customers = Customers(replace(SETTINGS, plans=(PLAN,)), None)
     for number in range(count):
-        customers.refreshed_account(NOW_US, CustomerKey(number, 0, 0, 1))
+        account = customers.refreshed_account(NOW_US, CustomerKey(number, 0, 0, 1))
+        customers.spend(NOW_US, account, 1.0)
+    assert len(customers.accounts) == count
 
     def evict() -> bool:
         customers.evict_idle(LONG_AFTER_US)
@@ -65,26 +66,19 @@
     return evict
 
 
-def cost_per_customer_s(make: Callable[[int], Evict], count: int) -> float:
-    """The least processor time of evicting one of `count` customers, of three measurements."""
-    costs_s = []
-    for _ in range(3):
-        evict = make(count)
-        started_s = time.process_time()
-        while evict():
-            pass
-        costs_s.append((time.process_time() - started_s) / count)
-    return min(costs_s)
-
-
 @pytest.mark.parametrize("make", [idle_customers, idle_ceilings, idle_spending])
-def test_cost_of_an_eviction_does_not_grow_with_the_number_of_customers(
+def test_eviction_of_many_idle_customers_does_not_hold_up_the_front_door(
     make: Callable[[int], Evict],
 ) -> None:
     """Guards against a stall of seconds: each removal looked at all keys that were removed before it."""
-    few_s = cost_per_customer_s(make, FEW_CUSTOMERS)
-    many_s = cost_per_customer_s(make, MANY_CUSTOMERS)
-    assert many_s < MAX_COST_RATIO * few_s
+    evict = make(CUSTOMER_COUNT)
+    longest_s = 0.0
+    has_more = True
+    while has_more:
+        started_s = time.process_time()
+        has_more = evict()
+        longest_s = max(longest_s, time.process_time() - started_s)
+    assert longest_s < MAX_HELD_UP_S
 
 
 def test_evictions_of_one_period_are_limited(monkeypatch: pytest.MonkeyPatch) -> None:
