--- a/tests/sim/test_loopback.py
+++ b/tests/sim/test_loopback.py
@@ -15,13 +15,13 @@
 from sim.network.network import Network
 from sim.seam import simulated
 from tests.backends import test_counts, test_pools
-from tests.clients import test_resp
+from tests.clients import test_resp, test_timeouts
 from tests.discovery import test_endpoint_discovery
 from tests.proxy import test_proxy
 
-MODULES = (test_pools, test_counts, test_resp, test_endpoint_discovery, test_proxy)
+MODULES = (test_pools, test_counts, test_resp, test_timeouts, test_endpoint_discovery, test_proxy)
 HELPER_MODULES = (tests.sockets, tests.backends.sender)  # shared by MODULES; they open sockets as well
-MIN_CASE_COUNT = 51
+MIN_CASE_COUNT = 53
 # Tests, by name, that depend on the kernel or on real time, with the reason why they are skipped.
 SKIP_REASONS = {
     "test_failure_before_the_last_byte_was_not_executed": "accepts from a raw socket with sock_accept",
